Keep a message taken on when a stranger names its id and leaves

Now a withdrawal takes back only what nobody has been answered on, and only once nobody waits for it any more.

--- a/src/net/driver.rs
+++ b/src/net/driver.rs
@@ -219,12 +219,17 @@
         match inbound {
             Inbound::HandedIn(message) => self.handed_in(message, said),
             Inbound::Withdrawn(id) => {
-                if let Some(number) = self.held.get(&id).copied() {
-                    said.push(Event::Left(MessageId(number)));
-                    if self.fresh.remove(&number).is_none() {
-                        self.unwritten.push(Record::Over(number));
+                // What is taken on already was answered so to somebody: it stays owed, whoever names its id
+                // and goes away. So does what somebody else still waits to hear of.
+                if let Some(number) = self.held.get(&id).copied()
+                    && let Some(fresh) = self.fresh.get_mut(&number)
+                {
+                    fresh.answers.retain(|waiting| !waiting.is_closed());
+                    if fresh.answers.is_empty() {
+                        said.push(Event::Left(MessageId(number)));
+                        self.fresh.remove(&number);
+                        self.forget(number, &id);
                     }
-                    self.forget(number, &id);
                 }
             }
             Inbound::CallOver(ends) => ends.into_iter().for_each(|end| said.push(self.ended(end))),
--- a/tests/node/main.rs
+++ b/tests/node/main.rs
@@ -100,6 +100,21 @@
     drop(node);
 }
 
+/// Guards what is taken on against a stranger who names its id again and goes away unanswered.
+#[test]
+fn a_message_taken_on_is_not_withdrawn_by_another_that_names_its_id() {
+    let (platform, endpoint) = (Platform::new(), Served::new());
+    // The next turn comes long after the stranger has gone.
+    let node = Node::start(&platform, &[], |config| config["settings"]["period_us"] = json!(500_000));
+    assert_eq!(node.hand_in("a", "order", 7, 20_000).status(), 202);
+    Client::new(&node).leave(&handing_in("a", "order", 7, 20_000));
+    assert_eq!(node.hand_in("b", "order", 8, 20_000).status(), 202, "a turn later");
+    platform.tell(&[listing("e1", 7, "plain", endpoint.address)]);
+    let call = endpoint.next();
+    assert_eq!(call.http.headers["req-id"], "a");
+    call.reply(status(200));
+}
+
 /// Guards against telling a call that may have run from one that can't have.
 #[test]
 fn an_answer_that_never_came_may_have_run() {
--- a/tests/node/world.rs
+++ b/tests/node/world.rs
@@ -354,6 +354,11 @@
         Http::read(&mut self.0).expect("an answer")
     }
 
+    /// Writes this and closes without waiting for an answer.
+    pub fn leave(mut self, text: &[u8]) {
+        self.0.get_mut().write_all(text).unwrap();
+    }
+
     /// Whether the other side has ended the connection, which it does at last.
     pub fn ended(&mut self) -> bool {
         matches!(self.0.read(&mut [0]), Ok(0))
