Refuse hand-ins with a path beyond the class or a transfer coding

Watched from outside, two forms got through the intake: POST /CLASS/x?v=x, since only the first part of the path was looked at, and a Content-Length beside Transfer-Encoding: chunked, whose body ends at once and hides a further request behind it.

The path is now the class and nothing else. A transfer coding gets 411 and the connection ends, since hyper hides a length that stands beside it.

Ruled out: a batch larger than the kind allows (batches of 20 were delivered, smaller ones turned away), a limit (those answers are 429 or 503, and count as full).

--- a/src/net/intake.rs
+++ b/src/net/intake.rs
@@ -8,7 +8,7 @@
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
-use hyper::header::{CONTENT_TYPE, HeaderMap, HeaderValue, RETRY_AFTER};
+use hyper::header::{CONNECTION, CONTENT_TYPE, HeaderMap, HeaderValue, RETRY_AFTER, TRANSFER_ENCODING};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper::{Method, Request, Response, StatusCode};
@@ -152,10 +152,17 @@
         let came = self.clock.now();
         let (head, body) = request.into_parts();
         let bad = |what| plain(StatusCode::BAD_REQUEST, what);
+        // Guards against a request hidden in another's body: hyper shows no length beside a transfer coding,
+        // so that the two can't be told to agree, and what follows on the connection can't be trusted.
+        if head.headers.contains_key(TRANSFER_ENCODING) {
+            let mut response = plain(StatusCode::LENGTH_REQUIRED, "Content-Length is required\n");
+            response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+            return response;
+        }
         let Some(id) = text(&head.headers, "req-id") else { return bad("Req-Id is missing\n") };
-        let first = head.uri.path().trim_start_matches('/').split('/').next().unwrap_or_default();
-        let kind = text(&head.headers, "req-kind").unwrap_or(first);
-        let Some(class) = self.classes.iter().position(|name| name == kind && name == first) else {
+        let path = head.uri.path_and_query().map_or("", |path| path.as_str()).trim_start_matches('/');
+        let kind = text(&head.headers, "req-kind").unwrap_or(path);
+        let Some(class) = self.classes.iter().position(|name| name == kind && name == path) else {
             return bad("Req-Kind or the path names no class\n");
         };
         let destination = text(&head.headers, "x-consignee").and_then(|pairs| {
--- a/tests/node/main.rs
+++ b/tests/node/main.rs
@@ -229,6 +229,8 @@
         ("Req-Id: a\r\n", ""),
         ("Req-Kind: order", "Req-Kind: none"),
         ("POST /order", "POST /note"),
+        ("POST /order", "POST /order/5bc38e3bce0d6ba7"),
+        ("POST /order", "POST /order?v=5bc38e3bce0d6ba7"),
         ("dest=7", "dest=x"),
         ("dest=7", "dest=70000"),
         ("Req-Deadline-Ms: 1000", "Req-Deadline-Ms: soon"),
@@ -244,6 +246,26 @@
     assert_eq!(endpoint.next().http.headers["req-id"], "fine");
 }
 
+/// Guards against a request that a body hides: with two lengths, what follows is nobody's request.
+#[test]
+fn a_request_with_two_lengths_is_not_taken_on_nor_what_it_hides() {
+    let (platform, endpoint) = (Platform::new(), Served::new());
+    let node = Node::start(&platform, &[listing("e1", 7, "plain", endpoint.address)], |_| {});
+    let hidden = String::from_utf8(handing_in("hidden", "order", 7, 20_000)).unwrap();
+    let coded = "Transfer-Encoding: chunked\r\n";
+    let length = format!("Content-Length: {}\r\n", hidden.len() + 5);
+    for lengths in [format!("{length}{coded}"), format!("{coded}{length}")] {
+        let mut client = Client::new(&node);
+        let cover = String::from_utf8(handing_in("cover", "order", 7, 20_000)).unwrap();
+        let (head, _) = cover.split_once("Content-Length").unwrap();
+        let told = client.ask(format!("{head}{lengths}\r\n0\r\n\r\n{hidden}").as_bytes());
+        assert_eq!(told.status(), 411);
+        assert!(client.ended(), "what follows is not read");
+    }
+    assert_eq!(node.hand_in("fine", "order", 7, 20_000).status(), 202);
+    assert_eq!(endpoint.next().http.headers["req-id"], "fine");
+}
+
 #[test]
 fn a_bad_configuration_ends_in_one_line() {
     let folder = tempfile::tempdir().unwrap();
