Close clients that bring no whole request: heads in 2.25 s, bodies 0.5 s later

Whoever brings nothing for 2.25 s is now closed, which the platform allows after 2 s, and a body that takes longer than 0.5 s is answered 408. The test runs on the runtime's paused clock.

Other forms are still left.

--- a/src/net/intake.rs
+++ b/src/net/intake.rs
@@ -16,12 +16,16 @@
 use myrtleyard::interface::Micros;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{Semaphore, mpsc::UnboundedSender, oneshot, watch};
+use tokio::time::timeout;
 
 use super::journal::Taken;
 use super::{BODY_LIMIT, Clock, Inbound};
 
-/// Guards the places for clients: a connection that brings no request for so long is closed.
-const HEAD_WITHIN: Duration = Duration::from_secs(60);
+/// Guards the places for clients: a connection that brings no request for so long is closed. The platform
+/// lets idle ones go after 2 s, and wants an answer or a close 3 s after connecting.
+const HEAD_WITHIN: Duration = Duration::from_millis(2250);
+/// How long a body may take after its head: no client waits longer than 400 ms for its answer.
+const BODY_WITHIN: Duration = Duration::from_millis(500);
 
 /// A message that a client hands in, and where its answer goes.
 #[derive(Debug)]
@@ -180,8 +184,10 @@
             None => None,
         };
         let id = id.to_owned();
-        let Ok(body) = Limited::new(body, BODY_LIMIT).collect().await else {
-            return bad("the body can't be read or is over 64 KiB\n");
+        let body = match timeout(BODY_WITHIN, Limited::new(body, BODY_LIMIT).collect()).await {
+            Ok(Ok(body)) => body,
+            Ok(Err(_)) => return bad("the body can't be read or is over 64 KiB\n"),
+            Err(_) => return plain(StatusCode::REQUEST_TIMEOUT, "the body took too long\n"),
         };
         let deadline = came + Micros::from(left) * 1000;
         let class_name = kind.to_owned();
@@ -208,3 +214,61 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use tokio::io::{AsyncReadExt, AsyncWriteExt};
+    use tokio::time::Instant;
+
+    use super::*;
+
+    /// What a peer is told that writes these pieces, half a second apart, and how long it is kept.
+    async fn told(pieces: &[&str]) -> std::io::Result<(String, Duration)> {
+        let (inbound, _events) = tokio::sync::mpsc::unbounded_channel();
+        let (_stopping, stop) = watch::channel(false);
+        let intake = Rc::new(Intake::new(Clock::new(), vec!["order".into()], inbound, stop));
+        let listener = TcpListener::bind("127.0.0.1:0").await?;
+        let address = listener.local_addr()?;
+        let local = tokio::task::LocalSet::new();
+        local.spawn_local(intake.listen(listener, 1));
+        local
+            .run_until(async {
+                let mut peer = TcpStream::connect(address).await?;
+                let begun = Instant::now();
+                for (n, piece) in pieces.iter().enumerate() {
+                    tokio::time::sleep(Duration::from_millis(if n == 0 { 0 } else { 500 })).await;
+                    if peer.write_all(piece.as_bytes()).await.is_err() {
+                        break;
+                    }
+                }
+                let mut told = Vec::new();
+                // That it closes is what counts, with a reset or without.
+                let _ = timeout(Duration::from_secs(600), peer.read_to_end(&mut told)).await;
+                Ok((String::from_utf8_lossy(&told).into_owned(), begun.elapsed()))
+            })
+            .await
+    }
+
+    /// Guards the places for clients against peers that bring nothing, or never come to an end.
+    #[tokio::test(start_paused = true)]
+    async fn whoever_brings_no_whole_request_is_answered_or_closed_in_time() -> std::io::Result<()> {
+        let head = "POST /order HTTP/1.1\r\nReq-Id: a\r\nX-Consignee: dest=7\r\nReq-Deadline-Ms: 900\r\n";
+        let begun = format!("{head}Content-Length: 9\r\n\r\nbody");
+        let ready = "GET /ready HTTP/1.1\r\n\r\n";
+        for (pieces, answer) in [
+            (vec![], ""),
+            (vec![head], ""),
+            (head.split_inclusive('\n').collect(), ""),
+            (vec![begun.as_str()], "HTTP/1.1 408"),
+            (vec![begun.as_str(), "o", "f", " "], "HTTP/1.1 408"),
+            (vec![ready], "HTTP/1.1 200"),
+        ] {
+            let (told, kept) = told(&pieces).await?;
+            assert!(told.starts_with(answer) && told.is_empty() == answer.is_empty(), "{pieces:?}: {told}");
+            assert!(kept < Duration::from_secs(3), "{pieces:?}: {kept:?}");
+            // The platform's clients may keep an idle connection for 2 s.
+            assert!(answer != "HTTP/1.1 200" || kept > Duration::from_secs(2), "{pieces:?}: {kept:?}");
+        }
+        Ok(())
+    }
+}
