Refuse heads beyond 16 KiB instead of taking their messages on

Seen from outside with our answers beside the requests, the only bad form answered 202 was a proper hand-in with an X-Pad header of 200 kB: 30 of them in 20 s. hyper buffers heads of up to 400 kB by default.

--- a/src/net/intake.rs
+++ b/src/net/intake.rs
@@ -27,6 +27,9 @@
 /// How long a body may take after its head: no client waits longer than 400 ms for its answer.
 const BODY_WITHIN: Duration = Duration::from_millis(500);
 
+/// A longer head is refused unread. It bounds what a connection buffers, too: bodies pass through in pieces.
+const HEAD_LIMIT: usize = 16 * 1024;
+
 /// A message that a client hands in, and where its answer goes.
 #[derive(Debug)]
 pub struct HandedIn {
@@ -129,6 +132,7 @@
         let connection = http1::Builder::new()
             .timer(TokioTimer::new())
             .header_read_timeout(HEAD_WITHIN)
+            .max_buf_size(HEAD_LIMIT)
             .keep_alive(!already)
             .serve_connection(TokioIo::new(stream), service);
         let mut connection = std::pin::pin!(connection);
@@ -271,4 +275,15 @@
         }
         Ok(())
     }
+
+    /// Guards the memory against heads without end; whoever still writes may find the connection reset.
+    #[tokio::test(start_paused = true)]
+    async fn a_head_beyond_all_measure_is_refused() -> std::io::Result<()> {
+        let pad = "p".repeat(200_000);
+        let rest = "Req-Id: a\r\nX-Consignee: dest=7\r\nReq-Deadline-Ms: 900\r\nContent-Length: 0\r\n\r\n";
+        let (told, kept) = told(&[&format!("POST /order HTTP/1.1\r\nX-Pad: {pad}\r\n{rest}")]).await?;
+        assert!(told.is_empty() || told.starts_with("HTTP/1.1 431"), "{told}");
+        assert!(kept < Duration::from_secs(3), "{kept:?}");
+        Ok(())
+    }
 }
