Tell the module whose message it is, instead of naming the first tenant

Traces show trials and sends going to the oldest messages, some with 4 to 60 ms left, though fresh ones for the same destination were held. The module puts messages within their aim and their tenant's share first, but the driver gave every message tenant 0: one tenant seemed to send all, beyond its share, and only age was left to sort by.

An owner that the settings do not name gets 400.

--- a/src/net/config.rs
+++ b/src/net/config.rs
@@ -44,6 +44,8 @@
 pub struct Names {
     /// Classes of message.
     pub classes: Vec<String>,
+    /// Tenants.
+    pub tenants: Vec<String>,
     /// Kinds of destination.
     pub kinds: Vec<String>,
     /// Zones.
@@ -129,6 +131,7 @@
     let s = &raw.settings;
     let names = Names {
         classes: texts(&s["classes"], Some("name")),
+        tenants: texts(&s["realms"], Some("name")),
         kinds: texts(&s["skus"], None),
         zones: texts(&s["azs"], None),
         report: texts(&s["load_report"]["fields"], None),
--- a/src/net/driver.rs
+++ b/src/net/driver.rs
@@ -15,7 +15,7 @@
 use super::calls::{Calls, Limits, Line, Part};
 use super::config::{Config, Names};
 use super::intake::{Answer, HandedIn, Intake};
-use super::journal::{GivenUp, Journal, Live, Record, Taken};
+use super::journal::{GivenUp, Journal, Live, Record, Taken, taken_on};
 use super::peers::Peers;
 use super::platform::{self, ListBody, Notice};
 use super::{AttemptOver, Clock, Inbound};
@@ -138,7 +138,7 @@
     let listener = TcpListener::bind(config.listen).await;
     let listener = listener.map_err(|e| format!("listen on {}: {e}", config.listen))?;
     let address = listener.local_addr().map_err(|e| format!("listen: {e}"))?;
-    let intake = Rc::new(Intake::new(clock, config.names.classes, inbound.clone(), stop));
+    let intake = Rc::new(Intake::new(clock, config.names, inbound.clone(), stop));
     tokio::task::spawn_local(intake.clone().listen(listener, sides.max(1)));
     tokio::task::spawn_local(platform::notices(config.discovery, owed, inbound.clone()));
     tokio::task::spawn_local(platform::watch(config.discovery, index, whole_list, inbound));
@@ -199,7 +199,7 @@
                 (None, Some(class)) => {
                     let attempts = live.attempts.last().map_or(0, |last| last.number + 1);
                     self.attempts.insert(number, attempts);
-                    let message = message(number, class, &live.taken, now);
+                    let message = self.message(number, class, &live.taken, now);
                     said.push(Event::Resumed { message, attempts: attempts.into(), may_have_run });
                     continue;
                 }
@@ -270,7 +270,7 @@
         }
         let number = self.next_message;
         self.next_message = number.wrapping_add(1);
-        said.push(Event::Accepted(self::message(number, class, &taken, self.clock.now())));
+        said.push(Event::Accepted(self.message(number, class, &taken, self.clock.now())));
         self.held.insert(taken.id.clone(), number);
         self.fresh.insert(number, Fresh { taken, answers: vec![answer] });
     }
@@ -304,6 +304,20 @@
         }
     }
 
+    fn message(&self, number: u32, class: usize, taken: &Taken, now: Micros) -> Message {
+        let tenant =
+            taken.owner.as_ref().and_then(|owner| self.names.tenants.iter().position(|t| t == owner));
+        Message {
+            id: MessageId(number),
+            class,
+            tenant: tenant.unwrap_or(usize::MAX),
+            key: None,
+            time_left: taken.deadline.saturating_sub(now),
+            hint: None,
+            destination: DestinationId(taken.destination),
+        }
+    }
+
     fn forget(&mut self, number: u32, id: &str) {
         self.attempts.remove(&number);
         self.held.remove(id);
@@ -417,7 +431,7 @@
             }
         }
         let kept = records.len();
-        records.extend(fresh.iter().map(|(number, fresh)| Record::Taken(*number, fresh.taken.clone())));
+        records.extend(fresh.iter().flat_map(|(number, fresh)| taken_on(*number, &fresh.taken)));
         records.extend(sends.iter().map(|(message, attempt, endpoint, _)| Record::Begun {
             message: message.0,
             attempt: *attempt,
@@ -524,15 +538,3 @@
         (idle && !called && self.unwritten.is_empty()) || (now >= at && self.calls.out() == 0)
     }
 }
-
-fn message(number: u32, class: usize, taken: &Taken, now: Micros) -> Message {
-    Message {
-        id: MessageId(number),
-        class,
-        tenant: 0,
-        key: None,
-        time_left: taken.deadline.saturating_sub(now),
-        hint: None,
-        destination: DestinationId(taken.destination),
-    }
-}
--- a/src/net/intake.rs
+++ b/src/net/intake.rs
@@ -18,6 +18,7 @@
 use tokio::sync::{Semaphore, mpsc::UnboundedSender, oneshot, watch};
 use tokio::time::timeout;
 
+use super::config::Names;
 use super::journal::Taken;
 use super::{BODY_LIMIT, Clock, Inbound};
 
@@ -55,7 +56,7 @@
 /// What all client connections share.
 pub struct Intake {
     clock: Clock,
-    classes: Vec<String>,
+    names: Names,
     inbound: UnboundedSender<Inbound>,
     stopping: watch::Receiver<bool>,
     open: Cell<usize>,
@@ -91,11 +92,11 @@
     /// What connections share.
     pub fn new(
         clock: Clock,
-        classes: Vec<String>,
+        names: Names,
         inbound: UnboundedSender<Inbound>,
         stopping: watch::Receiver<bool>,
     ) -> Self {
-        Self { clock, classes, inbound, stopping, open: Cell::new(0) }
+        Self { clock, names, inbound, stopping, open: Cell::new(0) }
     }
 
     /// Client connections that are open.
@@ -170,9 +171,13 @@
         let Some(id) = text(&head.headers, "req-id") else { return bad("Req-Id is missing\n") };
         let path = head.uri.path_and_query().map_or("", |path| path.as_str()).trim_start_matches('/');
         let kind = text(&head.headers, "req-kind").unwrap_or(path);
-        let Some(class) = self.classes.iter().position(|name| name == kind && name == path) else {
+        let Some(class) = self.names.classes.iter().position(|name| name == kind && name == path) else {
             return bad("Req-Kind or the path names no class\n");
         };
+        let owner = text(&head.headers, "req-owner").map(str::to_owned);
+        if !self.names.tenants.is_empty() && !owner.as_ref().is_some_and(|o| self.names.tenants.contains(o)) {
+            return bad("Req-Owner names no tenant\n");
+        }
         let destination = text(&head.headers, "x-consignee").and_then(|pairs| {
             let mut pairs = pairs.split([',', ';']).filter_map(|pair| pair.split_once('='));
             pairs.find(|(name, _)| name.trim() == "dest")?.1.trim().parse().ok()
@@ -196,7 +201,7 @@
         let deadline = came + Micros::from(left) * 1000;
         let class_name = kind.to_owned();
         let body = body.to_bytes();
-        let taken = Taken { id: id.clone(), key, class: class_name, destination, deadline, body };
+        let taken = Taken { id: id.clone(), key, class: class_name, owner, destination, deadline, body };
         let mut withdrawal = Withdrawal { id: Some(id), inbound: &self.inbound };
         let (answer, answered) = oneshot::channel();
         let _ = self.inbound.send(Inbound::HandedIn(HandedIn { taken, class, answer }));
@@ -229,8 +234,9 @@
     /// What a peer is told that writes these pieces, half a second apart, and how long it is kept.
     async fn told(pieces: &[&str]) -> std::io::Result<(String, Duration)> {
         let (inbound, _events) = tokio::sync::mpsc::unbounded_channel();
+        let names = Names { classes: vec!["order".into()], ..Names::default() };
         let (_stopping, stop) = watch::channel(false);
-        let intake = Rc::new(Intake::new(Clock::new(), vec!["order".into()], inbound, stop));
+        let intake = Rc::new(Intake::new(Clock::new(), names, inbound, stop));
         let listener = TcpListener::bind("127.0.0.1:0").await?;
         let address = listener.local_addr()?;
         let local = tokio::task::LocalSet::new();
--- a/src/net/journal.rs
+++ b/src/net/journal.rs
@@ -39,6 +39,8 @@
     GivenUp(u32, GivenUp),
     /// Nothing more is owed.
     Over(u32),
+    /// Whose message it is. It stands apart from `Taken`, and last, so that older journals can be read.
+    Owner(u32, String),
 }
 
 /// A message as it was handed in.
@@ -50,6 +52,9 @@
     pub key: Option<String>,
     /// Its class, by name.
     pub class: String,
+    /// Its tenant, by name; see [`Record::Owner`].
+    #[serde(skip)]
+    pub owner: Option<String>,
     /// Its destination.
     pub destination: u16,
     /// When its time is up.
@@ -130,9 +135,15 @@
     Some((postcard::from_bytes(body).ok().filter(|_| intact)?, end))
 }
 
+/// The records of a message that is taken on.
+pub fn taken_on(message: u32, taken: &Taken) -> impl Iterator<Item = Record> {
+    let owner = taken.owner.clone().map(|owner| Record::Owner(message, owner));
+    std::iter::once(Record::Taken(message, taken.clone())).chain(owner)
+}
+
 fn need(taken: &Taken) -> u64 {
-    (taken.body.len() + taken.id.len() + taken.class.len() + taken.key.as_ref().map_or(0, String::len)) as u64
-        + LATER_RECORDS
+    let texts = taken.key.as_ref().map_or(0, String::len) + taken.owner.as_ref().map_or(0, String::len);
+    (taken.body.len() + taken.id.len() + taken.class.len() + texts) as u64 + LATER_RECORDS
 }
 
 impl Journal {
@@ -234,6 +245,13 @@
                     self.reserved -= need(&live.taken);
                 }
             }
+            Record::Owner(message, owner) => {
+                if let Some(live) = self.live.get_mut(&message) {
+                    self.reserved -= need(&live.taken);
+                    live.taken.owner = Some(owner);
+                    self.reserved += need(&live.taken);
+                }
+            }
         }
     }
 
@@ -241,7 +259,9 @@
     fn compact(&mut self) -> io::Result<()> {
         let mut bytes = Vec::new();
         for (message, live) in &self.live {
-            frame(&Record::Taken(*message, live.taken.clone()), &mut bytes)?;
+            for record in taken_on(*message, &live.taken) {
+                frame(&record, &mut bytes)?;
+            }
             for Attempt { number, endpoint, at, never_ran } in live.attempts.iter().cloned() {
                 let (message, attempt) = (*message, number);
                 frame(&Record::Begun { message, attempt, endpoint, at }, &mut bytes)?;
@@ -274,6 +294,7 @@
             id: "id".into(),
             key: Some("key".into()),
             class: "note".into(),
+            owner: None,
             destination: 7,
             deadline: 1_000,
             body: vec![b'x'; size].into(),
--- a/tests/node/main.rs
+++ b/tests/node/main.rs
@@ -70,6 +70,33 @@
     assert!(!seven.unseen(), "the unsafe message is not sent again");
 }
 
+/// Guards the tenants' shares: whose message it is reaches the decisions, from the journal as well.
+#[test]
+fn a_tenant_within_its_share_goes_before_one_beyond_it() {
+    let (platform, endpoint) = (Platform::new(), Served::new());
+    let node = Node::start(&platform, &[], |config| {
+        let realm = |name, quota| json!({"name": name, "quota_per_s": quota, "fraction": 0.5});
+        config["settings"]["realms"] = json!([realm("loud", 0.01), realm("quiet", 100.0)]);
+        config["settings"]["over_share_worth"] = json!(0.1);
+        config["settings"]["family_info"]["calls_out"] = json!(1);
+    });
+    for (id, owner) in [("a", "loud"), ("b", "loud"), ("c", "quiet")] {
+        let text = String::from_utf8(handing_in(id, "order", 7, 24_000)).unwrap();
+        let nobody = text.replace("Req-Kind", "Req-Owner: nobody\r\nReq-Kind");
+        assert_eq!(node.ask(nobody.as_bytes()).status(), 400);
+        let text = text.replace("Req-Kind", &format!("Req-Owner: {owner}\r\nReq-Kind"));
+        assert_eq!(node.ask(text.as_bytes()).status(), 202);
+    }
+    let node = node.kill_and_restart();
+    platform.tell(&[listing("e1", 7, "plain", endpoint.address)]);
+    for id in ["c", "a", "b"] {
+        let call = endpoint.next();
+        assert_eq!(call.http.headers["req-id"], id);
+        call.reply(status(200));
+    }
+    drop(node);
+}
+
 /// Guards against a resend outside the time for which the destination remembers the key.
 #[test]
 fn a_keyed_message_whose_window_is_over_is_not_resent_after_a_kill() {
