Give a breaker's trial only to a message that has the time to be answered

A call cut short by its message's deadline says nothing of the destination.

A trial now needs as much time as an answer usually takes here (the patience that silence is judged by); messages with less are held, as before, to their answer.

Ruled out: the destination itself (the other sender's calls were delivered).

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -798,7 +798,8 @@
         };
         let class = &self.settings.classes[held.message.class];
         // No message lost, nothing after its end; drains kept; never two attempts at once.
-        if now >= self.last_call(held) || held.attempts >= self.settings.try_limit || held.out > 0 {
+        let last_call = self.last_call(held);
+        if now >= last_call || held.attempts >= self.settings.try_limit || held.out > 0 {
             return false;
         }
         if !endpoint.ready || endpoint.destination != held.message.destination {
@@ -853,6 +854,12 @@
         } else if route.breaker.state != State::Closed {
             return false;
         }
+        // A trial has the time to be answered: one that its message's deadline cuts short proves nothing, and
+        // would keep the destination shut.
+        let timeout = class.aim.min(last_call - now).min(until - now).max(1);
+        if route.breaker.state != State::Closed && timeout < route.patience(class.aim) {
+            return false;
+        }
         // The breaker decides last, since it counts what it admits.
         if joined.is_none() && !route.breaker.allows(now) {
             return false;
@@ -875,7 +882,6 @@
             e.out += 1;
             (e.gap, e.sent_at) = (now - e.sent_at, now);
         }
-        let last_call = self.last_call(&self.held[&id]);
         if let Some(held) = self.held.get_mut(&id) {
             let attempt = held.attempts as u16;
             held.attempts += 1;
@@ -885,7 +891,6 @@
                 line.out.insert((id, attempt));
             }
             self.flights.insert((id, attempt), (call, key));
-            let timeout = class.aim.min(last_call - now).min(until - now).max(1);
             actions.push(Action::Attempt { message: id, endpoint: endpoint_id, timeout });
         }
         true
--- a/tests/policy.rs
+++ b/tests/policy.rs
@@ -28,6 +28,31 @@
     assert!(s.sent.len() > before + 1, "closed by its success");
 }
 
+/// Guards against a destination kept shut by trials that their messages' deadlines cut short.
+#[test]
+fn a_trial_is_given_the_time_to_be_answered() {
+    let mut s = one();
+    s.serve(20);
+    for _ in 0..5 {
+        s.accept(ONCE);
+        s.end(Outcome::Error);
+    }
+    let before = s.sent.len();
+    // The ramp lets the trial go after three seconds: the first has a twentieth of one left then.
+    for time_left in [3 * SECOND + SECOND / 20, 10 * SECOND] {
+        let message = s.message(SAFE, None, time_left);
+        s.tell(vec![Event::Accepted(message)]);
+    }
+    s.pass(3 * SECOND + SECOND / 10);
+    assert_eq!(s.sent.len(), before + 1, "one trial");
+    assert_eq!(s.refused.len(), 1, "the first is answered when its time is up");
+    assert_ne!(s.sent[before].message, s.refused[0].0);
+    s.end(Outcome::Delivered);
+    s.accept(SAFE);
+    s.pass(4 * SECOND);
+    assert!(s.sent.len() > before + 1, "closed by its success");
+}
+
 #[test]
 fn a_success_clears_the_count() {
     let mut s = one();
