Count a single call as delivered once its answer's first line says 200

The platform's terms call such an answer true even if the rest of it can't be read, and the protocol counts the message as delivered from that line on. The sender took a head that hyper could not read, or that never came to its end, for a reset or a time-out: an unsafe message was then reported undeliverable though it had taken effect, a keyed one was sent again. The test shows both.

--- a/src/net/calls.rs
+++ b/src/net/calls.rs
@@ -34,15 +34,41 @@
 /// How long the meaningless rest of an answer may take before its connection is given up.
 const REST_OF_ANSWER: Duration = Duration::from_secs(1);
 
-/// A stream that counts what was written to it.
+/// So many bytes of an answer tell its status: `HTTP/1.1 200 `.
+const STATUS_BYTES: usize = 13;
+
+/// What went over a connection, as far as it tells how a call fared.
+#[derive(Default)]
+struct Traffic {
+    written: Cell<u64>,
+    /// How the answer to the last request begins.
+    answer: RefCell<Vec<u8>>,
+}
+
+impl Traffic {
+    /// Whether the first line of the answer says 200, whatever can be read of the rest.
+    fn says_delivered(&self) -> bool {
+        let answer = self.answer.borrow();
+        answer.len() == STATUS_BYTES
+            && answer.starts_with(b"HTTP/1.")
+            && matches!(&answer[8..], b" 200 " | b" 200\r")
+    }
+}
+
+/// A stream that notes what goes over it.
 struct Counted {
     stream: TcpStream,
-    written: Rc<Cell<u64>>,
+    traffic: Rc<Traffic>,
 }
 
 impl AsyncRead for Counted {
     fn poll_read(mut self: Pin<&mut Self>, cx: &mut Context, buf: &mut ReadBuf) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_read(cx, buf)
+        let before = buf.filled().len();
+        let poll = Pin::new(&mut self.stream).poll_read(cx, buf);
+        let mut answer = self.traffic.answer.borrow_mut();
+        let wanted = STATUS_BYTES - answer.len();
+        answer.extend(buf.filled()[before..].iter().take(wanted));
+        poll
     }
 }
 
@@ -50,7 +76,8 @@
     fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context, buf: &[u8]) -> Poll<io::Result<usize>> {
         let poll = Pin::new(&mut self.stream).poll_write(cx, buf);
         if let Poll::Ready(Ok(n)) = &poll {
-            self.written.set(self.written.get() + *n as u64);
+            let written = &self.traffic.written;
+            written.set(written.get() + *n as u64);
         }
         poll
     }
@@ -69,7 +96,7 @@
 pub struct Conn {
     sender: SendRequest<Full<Bytes>>,
     driver: Option<Wire>,
-    written: Rc<Cell<u64>>,
+    traffic: Rc<Traffic>,
 }
 
 impl Conn {
@@ -80,10 +107,10 @@
     pub async fn open(address: SocketAddr) -> io::Result<Self> {
         let stream = TcpStream::connect(address).await?;
         stream.set_nodelay(true)?;
-        let written = Rc::new(Cell::new(0));
-        let io = TokioIo::new(Counted { stream, written: written.clone() });
+        let traffic = Rc::new(Traffic::default());
+        let io = TokioIo::new(Counted { stream, traffic: traffic.clone() });
         let (sender, driver) = hyper::client::conn::http1::handshake(io).await.map_err(io::Error::other)?;
-        Ok(Self { sender, driver: Some(Box::pin(driver)), written })
+        Ok(Self { sender, driver: Some(Box::pin(driver)), traffic })
     }
 
     /// Runs a future that needs this connection's bytes to move.
@@ -117,6 +144,7 @@
         &mut self,
         request: Request<Full<Bytes>>,
     ) -> Result<Response<Incoming>, Option<Request<Full<Bytes>>>> {
+        self.traffic.answer.borrow_mut().clear();
         let sent = self.sender.try_send_request(request);
         Self::drive(&mut self.driver, sent).await.map_err(|mut e| e.take_message())
     }
@@ -195,6 +223,17 @@
 struct Progress {
     /// The last byte of the request may have been written.
     may_run: Cell<bool>,
+    /// The connection that the request goes over.
+    traffic: RefCell<Option<Rc<Traffic>>>,
+}
+
+impl Progress {
+    /// How a call ended whose answer did not come or can't be read: for a single message a first line with
+    /// 200 is true by itself.
+    fn unread(&self, parts: &[Part], outcome: Outcome) -> Outcome {
+        let told = self.traffic.borrow().as_ref().is_some_and(|traffic| traffic.says_delivered());
+        if told && parts.len() == 1 { Outcome::Delivered } else { outcome }
+    }
 }
 
 #[derive(Serialize)]
@@ -255,13 +294,13 @@
                         answered.rest
                     }
                     Ok(Err(outcome)) => {
-                        shared.report_end(line, &parts, begun, outcome);
+                        shared.report_end(line, &parts, begun, progress.unread(&parts, outcome));
                         None
                     }
                     Err(_) => {
                         let ran = progress.may_run.get();
                         let outcome = if ran { Outcome::TimedOut } else { Outcome::ConnectFailed };
-                        shared.report_end(line, &parts, begun, outcome);
+                        shared.report_end(line, &parts, begun, progress.unread(&parts, outcome));
                         None
                     }
                 },
@@ -406,18 +445,19 @@
         let mut may_reuse = true;
         loop {
             let (mut conn, reused) = self.connect(line, until, may_reuse).await?;
-            let before = conn.0.written.get();
+            let before = conn.0.traffic.written.get();
             progress.may_run.set(true);
+            progress.traffic.replace(Some(conn.0.traffic.clone()));
             match conn.0.send(request).await {
                 Ok(answer) => return Ok((conn, answer)),
                 // The other side had closed it, and nothing was written: a new one is no second copy.
-                Err(Some(unsent)) if reused && conn.0.written.get() == before => {
+                Err(Some(unsent)) if reused && conn.0.traffic.written.get() == before => {
                     (request, may_reuse) = (unsent, false);
                     progress.may_run.set(false);
                 }
                 Err(_) => {
                     // A head of at least a byte goes before the body: the last byte never left.
-                    let cut = conn.0.written.get() - before <= length as u64;
+                    let cut = conn.0.traffic.written.get() - before <= length as u64;
                     return Err(if cut { Outcome::ConnectFailed } else { Outcome::Reset });
                 }
             }
--- a/tests/node/main.rs
+++ b/tests/node/main.rs
@@ -176,6 +176,23 @@
     }
 }
 
+/// Guards a delivery that the first line of an answer tells, when no more of it can be read.
+#[test]
+fn a_first_line_with_200_delivers_whatever_follows() {
+    let (platform, endpoint) = (Platform::new(), Served::new());
+    let node = Node::start(&platform, &[listing("e1", 7, "plain", endpoint.address)], |_| {});
+    let broken: [&[u8]; 3] =
+        [b"HTTP/1.1 200 OK\r\nno colon\r\n\r\n", b"HTTP/1.1 200 OK\r\nSrv-", b"HTTP/1.1 2000 OK\r\n"];
+    for (n, reply) in broken.into_iter().enumerate() {
+        let id = format!("m{n}");
+        assert_eq!(node.hand_in(&id, "order", 7, 20_000).status(), 202);
+        let call = endpoint.next();
+        assert_eq!(call.http.headers["req-id"], id);
+        call.reply(Reply::Bytes(reply));
+    }
+    assert_eq!(platform.notice(204), [json!({"id": "m2", "status": "undeliverable"})]);
+}
+
 /// An unsafe message is sent again after each answer that proves that it never ran.
 #[test]
 fn a_call_that_was_turned_away_is_made_again() {
