Listen where operators call, and drain at out-of-service

What clients may expect is one typed state, from which /ready, /control/ready and the connections' end follow. Out of service, each open connection ends with its next answer, and an idle one by the time limit that clients have anyway; nothing held is touched. Not taken: closing idle connections at once, as at SIGTERM. It crosses requests that were written already, and a drain has the seconds to do without. Not taken: serving the calls on the clients' listener, where a full house would keep operators out.

--- a/src/interface.rs
+++ b/src/interface.rs
@@ -263,6 +263,11 @@
     },
     /// This process ends at that time; what is left then is picked up by the next one.
     Stopping(Micros),
+    /// Operators took this sender out of service, or put it back.
+    Service {
+        /// Whether new messages are wanted here.
+        wanted: bool,
+    },
     /// An endpoint told a wait, in whatever answer.
     Wait {
         /// The endpoint.
--- a/src/net/config.rs
+++ b/src/net/config.rs
@@ -25,6 +25,8 @@
     pub sockets: usize,
     /// Bytes that the folder that lasts may hold.
     pub disk: u64,
+    /// Where operators call, if they do.
+    pub mgmt: Option<SocketAddr>,
     /// Where notes arrive, if there are any.
     pub peer_listen: Option<SocketAddr>,
     /// The senders' addresses by their numbers.
@@ -73,6 +75,8 @@
     seed: String,
     limits: RawLimits,
     #[serde(default)]
+    mgmt: Option<SocketAddr>,
+    #[serde(default)]
     peer_listen: Option<SocketAddr>,
     #[serde(default)]
     peers: Vec<SocketAddr>,
@@ -91,11 +95,9 @@
     }
 }
 
-fn address(name: &str, default: SocketAddr) -> Result<SocketAddr, String> {
-    match variable(name)? {
-        Some(text) => text.parse().map_err(|e| format!("{name}={text}: {e}")),
-        None => Ok(default),
-    }
+fn address(name: &str) -> Result<Option<SocketAddr>, String> {
+    let parse = |text: String| text.parse().map_err(|e| format!("{name}={text}: {e}"));
+    variable(name)?.map(parse).transpose()
 }
 
 /// Reads the environment and the configuration that it names.
@@ -109,8 +111,9 @@
     let config = parse(&text).map_err(|e| format!("{path}: {e}"))?;
     Ok(Config {
         name: variable("NODE_NAME")?.unwrap_or(config.name),
-        listen: address("NODE_LISTEN", config.listen)?,
-        discovery: address("NODE_DISCOVERY", config.discovery)?,
+        listen: address("NODE_LISTEN")?.unwrap_or(config.listen),
+        discovery: address("NODE_DISCOVERY")?.unwrap_or(config.discovery),
+        mgmt: address("NODE_MGMT")?.or(config.mgmt),
         state: state.into(),
         ..config
     })
@@ -160,6 +163,7 @@
         seed: u64::from_str_radix(&raw.seed, 16).map_err(|e| format!("seed {:?}: {e}", raw.seed))?,
         sockets: raw.limits.sockets,
         disk: (raw.limits.disk_mb * 1e6) as u64,
+        mgmt: raw.mgmt,
         peer_listen: raw.peer_listen,
         peers: raw.peers,
         peers_all: raw.peers_all,
--- a/src/net/driver.rs
+++ b/src/net/driver.rs
@@ -16,9 +16,10 @@
 use super::config::{Config, Names};
 use super::intake::{Answer, HandedIn, Intake};
 use super::journal::{GivenUp, Journal, Live, Record, Taken, taken_on};
+use super::mgmt::{self, Mgmt};
 use super::peers::Peers;
 use super::platform::{self, ListBody, Notice};
-use super::{AttemptOver, Clock, Inbound};
+use super::{AttemptOver, Clock, Inbound, Standing};
 
 /// From SIGTERM until the process may be killed.
 const STOP_WITHIN: Micros = 3_700_000;
@@ -64,7 +65,7 @@
     notices: UnboundedSender<Notice>,
     whole_list: Rc<Notify>,
     inbound: UnboundedSender<Inbound>,
-    stopping: watch::Sender<bool>,
+    standing: watch::Sender<Standing>,
     stop_at: Option<Micros>,
     endpoints: HashMap<EndpointId, Known>,
     /// The id of each name, and how many ids were given out.
@@ -98,10 +99,19 @@
     let journal = Journal::open(&config.state, config.disk)
         .map_err(|e| format!("journal in {}: {e}", config.state.display()))?;
     let peers = Peers::open(&config, inbound.clone()).await.map_err(|e| format!("peer_listen: {e}"))?;
-    let (stopping, stop) = watch::channel(false);
+    let (standing, stand) = watch::channel(Standing::Starting);
+    let mut own_sockets = OWN_SOCKETS;
+    let mut called_at = String::new();
+    if let Some(address) = config.mgmt {
+        own_sockets += mgmt::PLACES;
+        let listener = TcpListener::bind(address).await.map_err(|e| format!("mgmt {address}: {e}"))?;
+        let bound = listener.local_addr().map_err(|e| format!("mgmt: {e}"))?;
+        called_at = format!(", operators call at {bound}");
+        tokio::task::spawn_local(Rc::new(Mgmt::new(stand.clone(), inbound.clone())).listen(listener));
+    }
     let (notices, owed) = unbounded_channel();
     let whole_list = Rc::new(Notify::new());
-    let sides = config.sockets.saturating_sub(OWN_SOCKETS) / 2;
+    let sides = config.sockets.saturating_sub(own_sockets) / 2;
     let limits = Limits {
         connect: config.settings.connect_timeout.max(1),
         idle: config.settings.idle_close,
@@ -119,7 +129,7 @@
         notices,
         whole_list: whole_list.clone(),
         inbound: inbound.clone(),
-        stopping,
+        standing,
         stop_at: None,
         endpoints: HashMap::new(),
         ids: HashMap::new(),
@@ -139,11 +149,13 @@
     let listener = TcpListener::bind(config.listen).await;
     let listener = listener.map_err(|e| format!("listen on {}: {e}", config.listen))?;
     let address = listener.local_addr().map_err(|e| format!("listen: {e}"))?;
-    let intake = Rc::new(Intake::new(clock, config.names, inbound.clone(), stop));
+    let intake = Rc::new(Intake::new(clock, config.names, inbound.clone(), stand));
+    driver.standing.send_replace(Standing::InService);
     tokio::task::spawn_local(intake.clone().listen(listener, sides.max(1)));
     tokio::task::spawn_local(platform::notices(discovery.clone(), owed, inbound.clone()));
     tokio::task::spawn_local(platform::watch(discovery, index, whole_list, inbound));
-    eprintln!("{} is ready on {address} with {} messages in hand", config.name, driver.journal.live().len());
+    let in_hand = driver.journal.live().len();
+    eprintln!("{} is ready on {address} with {in_hand} messages in hand{called_at}", config.name);
 
     let period = Duration::from_micros(config.settings.period);
     let mut turned = tokio::time::Instant::now();
@@ -244,11 +256,21 @@
                     }
                 }
             }
+            Inbound::Service(wanted, done) => {
+                let now = *self.standing.borrow();
+                let wanted = if wanted { Standing::InService } else { Standing::OutOfService };
+                if now != wanted && matches!(now, Standing::InService | Standing::OutOfService) {
+                    self.standing.send_replace(wanted);
+                    said.push(Event::Service { wanted: wanted == Standing::InService });
+                }
+                // Who asked may have gone.
+                let _ = done.send(*self.standing.borrow());
+            }
             Inbound::Terminate if self.stop_at.is_some() => {}
             Inbound::Terminate => {
                 let at = self.clock.now() + STOP_WITHIN;
                 self.stop_at = Some(at);
-                let _ = self.stopping.send(true);
+                self.standing.send_replace(Standing::Stopping);
                 said.push(Event::Stopping(at));
             }
         }
--- a/src/net/intake.rs
+++ b/src/net/intake.rs
@@ -20,7 +20,7 @@
 
 use super::config::Names;
 use super::journal::Taken;
-use super::{BODY_LIMIT, Clock, Inbound};
+use super::{BODY_LIMIT, Clock, Inbound, Standing};
 
 /// Guards the places for clients: a connection that brings no request for so long is closed. The platform
 /// lets idle ones go after 2 s, and wants an answer or a close 3 s after connecting.
@@ -58,7 +58,7 @@
     clock: Clock,
     names: Names,
     inbound: UnboundedSender<Inbound>,
-    stopping: watch::Receiver<bool>,
+    standing: watch::Receiver<Standing>,
     open: Cell<usize>,
 }
 
@@ -76,15 +76,22 @@
     }
 }
 
-fn plain(status: StatusCode, text: &'static str) -> Response<Full<Bytes>> {
+/// An answer of one line.
+pub fn plain(status: StatusCode, text: &'static str) -> Response<Full<Bytes>> {
     let mut response = Response::new(Full::new(Bytes::from_static(text.as_bytes())));
     *response.status_mut() = status;
     response.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static("text/plain"));
     response
 }
 
+/// Whether clients are welcome.
+pub fn readiness(standing: Standing) -> Response<Full<Bytes>> {
+    let ready = standing == Standing::InService;
+    plain(if ready { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE }, standing.said())
+}
+
 /// The last answer on its connection.
-fn closing(mut response: Response<Full<Bytes>>) -> Response<Full<Bytes>> {
+pub fn closing(mut response: Response<Full<Bytes>>) -> Response<Full<Bytes>> {
     response.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
     response
 }
@@ -100,9 +107,9 @@
         clock: Clock,
         names: Names,
         inbound: UnboundedSender<Inbound>,
-        stopping: watch::Receiver<bool>,
+        standing: watch::Receiver<Standing>,
     ) -> Self {
-        Self { clock, names, inbound, stopping, open: Cell::new(0) }
+        Self { clock, names, inbound, standing, open: Cell::new(0) }
     }
 
     /// Client connections that are open.
@@ -132,35 +139,38 @@
 
     async fn serve(&self, stream: TcpStream) {
         let _ = stream.set_nodelay(true);
-        let mut stopping = self.stopping.clone();
-        let already = *stopping.borrow_and_update();
+        let mut standing = self.standing.clone();
+        standing.mark_unchanged();
         let service = service_fn(|request| self.answer(request));
-        // While stopping, a new connection gets one answer: clients need the time to go elsewhere.
         let connection = http1::Builder::new()
             .timer(TokioTimer::new())
             .header_read_timeout(HEAD_WITHIN)
             .max_buf_size(HEAD_LIMIT)
-            .keep_alive(!already)
             .serve_connection(TokioIo::new(stream), service);
         let mut connection = std::pin::pin!(connection);
         loop {
             tokio::select! {
                 _ = connection.as_mut() => return,
-                Ok(()) = stopping.changed() => connection.as_mut().graceful_shutdown(),
+                Ok(()) = standing.changed() => {
+                    // Time is short then. A sender out of service has the time to let each client's next
+                    // answer end its connection, which crosses no request that was already written.
+                    if *standing.borrow_and_update() == Standing::Stopping {
+                        connection.as_mut().graceful_shutdown();
+                    }
+                }
             }
         }
     }
 
     async fn answer(&self, request: Request<Incoming>) -> Result<Response<Full<Bytes>>, Infallible> {
-        Ok(match (request.method(), request.uri().path()) {
+        let response = match (request.method(), request.uri().path()) {
             // Whoever only looks keeps no place from those who hand in.
-            (&Method::GET, "/ready") if *self.stopping.borrow() => {
-                closing(plain(StatusCode::SERVICE_UNAVAILABLE, "stopping\n"))
-            }
-            (&Method::GET, "/ready") => closing(plain(StatusCode::OK, "ready\n")),
+            (&Method::GET, "/ready") => closing(readiness(*self.standing.borrow())),
             (&Method::POST, _) => self.hand_in(request).await,
             _ => plain(StatusCode::NOT_FOUND, "not found\n"),
-        })
+        };
+        // Whoever still comes to a sender that sends clients elsewhere gets one answer a connection.
+        Ok(if *self.standing.borrow() == Standing::InService { response } else { closing(response) })
     }
 
     /// Guards against anything that a client may write: what can't be meant as a message gets 400.
@@ -240,8 +250,8 @@
     async fn told(pieces: &[&str]) -> std::io::Result<(String, Duration)> {
         let (inbound, _events) = tokio::sync::mpsc::unbounded_channel();
         let names = Names { classes: vec!["order".into()], ..Names::default() };
-        let (_stopping, stop) = watch::channel(false);
-        let intake = Rc::new(Intake::new(Clock::new(), names, inbound, stop));
+        let (_standing, standing) = watch::channel(Standing::InService);
+        let intake = Rc::new(Intake::new(Clock::new(), names, inbound, standing));
         let listener = TcpListener::bind("127.0.0.1:0").await?;
         let address = listener.local_addr()?;
         let local = tokio::task::LocalSet::new();
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -6,16 +6,43 @@
 pub mod driver;
 pub mod intake;
 pub mod journal;
+pub mod mgmt;
 pub mod peers;
 pub mod platform;
 
 use std::time::{Instant, SystemTime, UNIX_EPOCH};
 
 use myrtleyard::interface::{EndpointId, Event, MessageId, Micros, Outcome};
+use tokio::sync::oneshot;
 
 /// Bodies hold at most so much.
 pub const BODY_LIMIT: usize = 64 * 1024;
 
+/// Whether this process takes clients, and if not why.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Standing {
+    /// Not yet.
+    Starting,
+    /// It does.
+    InService,
+    /// Operators have sent clients elsewhere until further notice.
+    OutOfService,
+    /// The process was asked to end.
+    Stopping,
+}
+
+impl Standing {
+    /// In words, as a line.
+    pub fn said(self) -> &'static str {
+        match self {
+            Self::Starting => "starting\n",
+            Self::InService => "ready\n",
+            Self::OutOfService => "out of service\n",
+            Self::Stopping => "stopping\n",
+        }
+    }
+}
+
 /// What the socket tasks tell the driver.
 #[derive(Debug)]
 pub enum Inbound {
@@ -33,6 +60,8 @@
     NoticesKept(Vec<MessageId>),
     /// The process was asked to end.
     Terminate,
+    /// Operators want clients to go elsewhere, or to come again. They hear how it stands then.
+    Service(bool, oneshot::Sender<Standing>),
 }
 
 /// How one attempt ended.
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -448,6 +448,9 @@
                     self.ask_at = Some(now + every / 8 + self.rng.u64(0..=every / 8));
                 }
                 Event::Probed { endpoint, report, .. } => self.note_report(*endpoint, report),
+                // What is held goes on, and what still comes on open connections is taken: it would only come
+                // to another sender later.
+                Event::Service { .. } => {}
                 Event::Streaming { .. } | Event::ListFailed | Event::Note { .. } | Event::Reminder(_) => {}
             }
         }
--- a/tests/node/main.rs
+++ b/tests/node/main.rs
@@ -282,6 +282,49 @@
     assert_eq!(node.exit_code(), Some(0));
 }
 
+/// Operators send clients elsewhere and have them back, with nothing restarted and nothing lost.
+#[test]
+fn out_of_service_sends_clients_elsewhere_until_in_service() {
+    let (platform, endpoint) = (Platform::new(), Served::new());
+    let node = Node::start(&platform, &[listing("e1", 7, "plain", endpoint.address)], |config| {
+        config["mgmt"] = json!("127.0.0.1:0");
+    });
+    let look = b"GET /ready HTTP/1.1\r\nHost: origin.svc\r\n\r\n";
+    assert_eq!(node.call("GET", "/control/ready").status(), 200);
+    let mut client = Client::new(&node);
+    assert_eq!(client.ask(&handing_in("a", "order", 7, 20_000)).status(), 202);
+    let call = endpoint.next();
+    assert_eq!(node.call("POST", "/control/out-of-service").status(), 200);
+    assert_eq!(node.ask(look).status(), 503);
+    assert_eq!(node.call("GET", "/control/ready").status(), 503);
+    // Who still comes is served, once, and what was taken on goes its way.
+    let last = client.ask(&handing_in("b", "order", 7, 20_000));
+    assert_eq!(last.status(), 202);
+    assert_eq!(last.headers["connection"], "close");
+    call.reply(status(200));
+    endpoint.next().reply(status(200));
+    assert_eq!(node.call("POST", "/control/in-service").status(), 200);
+    assert_eq!(node.ask(look).status(), 200);
+    assert_eq!(node.call("GET", "/control/ready").status(), 200);
+    assert_eq!(client_stays(&node), [202, 202]);
+}
+
+/// The answers to two messages on one connection.
+fn client_stays(node: &Node) -> [u16; 2] {
+    let mut client = Client::new(node);
+    ["c", "d"].map(|id| client.ask(&handing_in(id, "order", 7, 20_000)).status())
+}
+
+#[test]
+fn operators_calls_that_are_not_meant_are_told_off() {
+    let platform = Platform::new();
+    let node = Node::start(&platform, &[], |config| config["mgmt"] = json!("127.0.0.1:0"));
+    assert_eq!(node.call("GET", "/control/nothing").status(), 404);
+    assert_eq!(node.call("POST", "/control/ready").status(), 405);
+    assert_eq!(node.call("GET", "/control/out-of-service").status(), 405);
+    assert_eq!(node.call("GET", "/control/ready").status(), 200, "nothing was changed");
+}
+
 #[test]
 fn strange_requests_are_told_off_and_do_no_harm() {
     let (platform, endpoint) = (Platform::new(), Served::new());
--- a/tests/node/world.rs
+++ b/tests/node/world.rs
@@ -228,6 +228,8 @@
 pub struct Node {
     child: Child,
     pub address: SocketAddr,
+    /// Where operators call, if the configuration says.
+    mgmt: Option<SocketAddr>,
     folder: Arc<tempfile::TempDir>,
 }
 
@@ -238,7 +240,11 @@
 }
 
 fn surround(command: &mut Command, folder: &std::path::Path) {
-    command.env_remove("NODE_LISTEN").env_remove("NODE_DISCOVERY").env_remove("NODE_NAME");
+    command
+        .env_remove("NODE_LISTEN")
+        .env_remove("NODE_MGMT")
+        .env_remove("NODE_DISCOVERY")
+        .env_remove("NODE_NAME");
     command.env("NODE_CONFIG", folder.join("config.json")).env("NODE_STATE", folder.join("state"));
 }
 
@@ -298,7 +304,8 @@
         let address = line.split("ready on ").nth(1).and_then(|rest| rest.split(' ').next());
         let address = address.unwrap_or_else(|| panic!("not ready: {line}")).parse().unwrap();
         thread::spawn(move || std::io::copy(&mut log, &mut std::io::sink()));
-        Self { child, address, folder }
+        let mgmt = line.split("operators call at ").nth(1).map(|at| at.trim().parse().unwrap());
+        Self { child, address, mgmt, folder }
     }
 
     /// SIGKILL, then a new process on the same folder.
@@ -308,6 +315,14 @@
         Self::run(self.folder.clone(), command(self.folder.path()))
     }
 
+    /// An operator's call.
+    pub fn call(&self, method: &str, path: &str) -> Http {
+        let mut client = Client::to(self.mgmt.expect("the configuration has mgmt"));
+        let told = client.ask(format!("{method} {path} HTTP/1.1\r\nHost: mgmt\r\n\r\n").as_bytes());
+        assert!(client.ended(), "one call a connection");
+        told
+    }
+
     pub fn terminate(&self) {
         let sent = Command::new("kill").args(["-TERM", &self.child.id().to_string()]).status();
         assert!(sent.unwrap().success());
@@ -354,7 +369,11 @@
 
 impl Client {
     pub fn new(node: &Node) -> Self {
-        let stream = TcpStream::connect(node.address).unwrap();
+        Self::to(node.address)
+    }
+
+    fn to(address: SocketAddr) -> Self {
+        let stream = TcpStream::connect(address).unwrap();
         stream.set_read_timeout(Some(PATIENCE)).unwrap();
         Self(BufReader::new(stream))
     }
