Take up new settings at SIGHUP, or turn a broken file down whole

The file is read and checked whole: it must have every key of the one in force, and attempts, aims and deadlines over 0. Then it goes to the module as one event. Not taken: renumbering what is held, which module and driver would have to do in the same moment; nor defaults for missing keys, which would mix two files.

--- a/src/interface.rs
+++ b/src/interface.rs
@@ -263,6 +263,9 @@
     },
     /// This process ends at that time; what is left then is picked up by the next one.
     Stopping(Micros),
+    /// These settings hold from now on. A class keeps its position for good, so that what is held goes on by
+    /// the class that it came with; a class that is new or has changed has a position of its own.
+    Settings(Box<Settings>),
     /// Operators took this sender out of service, or put it back.
     Service {
         /// Whether new messages are wanted here.
--- a/src/main.rs
+++ b/src/main.rs
@@ -37,15 +37,19 @@
             });
         }
         let (moves, discovery) = watch::channel(config.discovery);
+        let (mut in_force, reloaded) = (config.document.clone(), inbound.clone());
         let mut reload = signal(SignalKind::hangup()).map_err(|e| format!("signals: {e}"))?;
         tokio::task::spawn_local(async move {
             while reload.recv().await.is_some() {
-                // What can't be read changes nothing: the sender goes on as it was.
-                let read = tokio::task::spawn_blocking(config::discovery).await;
-                match read.map_err(|e| e.to_string()).and_then(|read| read) {
-                    Ok(address) => drop(moves.send(address)),
-                    Err(e) => eprintln!("the configuration is not reloaded: {e}"),
+                // What can't be taken as a whole changes nothing: the sender goes on as it was.
+                let before = in_force.clone();
+                let read = tokio::task::spawn_blocking(move || config::reread(&before)).await;
+                let read = read.map_err(|e| e.to_string()).and_then(|read| read);
+                if let Ok(config) = &read {
+                    in_force = config.document.clone();
+                    moves.send_replace(config.discovery);
                 }
+                let _ = reloaded.send(Inbound::Reloaded(read.map(Box::new)));
             }
         });
         driver::run(config, discovery, inbound, events).await
--- a/src/net/calls.rs
+++ b/src/net/calls.rs
@@ -205,7 +205,7 @@
 type CallOff = Rc<Cell<Option<oneshot::Sender<()>>>>;
 
 struct Shared {
-    limits: Limits,
+    limits: RefCell<Limits>,
     inbound: UnboundedSender<Inbound>,
     idle: RefCell<HashMap<Line, Vec<Idle>>>,
     /// Connections that are in use.
@@ -253,6 +253,7 @@
 impl Calls {
     /// No calls yet. Idle connections are looked after by a task of their own.
     pub fn new(limits: Limits, inbound: UnboundedSender<Inbound>) -> Self {
+        let limits = RefCell::new(limits);
         let (idle, busy, out) = (RefCell::default(), Cell::new(0), RefCell::default());
         let calls = Self(Rc::new(Shared { limits, inbound, idle, busy, out }));
         let swept = calls.clone();
@@ -270,6 +271,11 @@
         calls
     }
 
+    /// Keeps to these from now on.
+    pub fn adopt(&self, limits: Limits) {
+        self.0.limits.replace(limits);
+    }
+
     /// Attempts that are out.
     pub fn out(&self) -> usize {
         self.0.out.borrow().len()
@@ -327,8 +333,8 @@
     pub fn probe(&self, line: Line) {
         let shared = self.0.clone();
         tokio::task::spawn_local(async move {
-            let path = if shared.limits.report.is_empty() { "/health" } else { "/status/load" };
-            let within = Duration::from_micros(shared.limits.connect);
+            let path = if shared.limits.borrow().report.is_empty() { "/health" } else { "/status/load" };
+            let within = Duration::from_micros(shared.limits.borrow().connect);
             let progress = Progress::default();
             let until = Instant::now() + within;
             let request = Request::get(path).header("host", line.address.to_string());
@@ -391,7 +397,7 @@
 impl Shared {
     fn fresh(&self, idle: &Idle) -> bool {
         // Guards against writing to a connection that the endpoint closes at that moment.
-        idle.since.elapsed().as_micros() < u128::from(self.limits.idle / 5 * 4)
+        idle.since.elapsed().as_micros() < u128::from(self.limits.borrow().idle / 5 * 4)
     }
 
     fn take_idle(&self, line: Line) -> Option<Conn> {
@@ -405,7 +411,7 @@
     fn make_room(&self) {
         let mut idle = self.idle.borrow_mut();
         let count: usize = idle.values().map(Vec::len).sum();
-        if count > 0 && count + self.busy.get() >= self.limits.connections {
+        if count > 0 && count + self.busy.get() >= self.limits.borrow().connections {
             let oldest = idle.iter().filter_map(|(l, c)| Some((c.first()?.since, *l))).min_by_key(|o| o.0);
             if let Some(conns) = oldest.and_then(|o| idle.get_mut(&o.1)) {
                 conns.remove(0);
@@ -426,7 +432,7 @@
             }
         }
         self.make_room();
-        let until = until.min(Instant::now() + Duration::from_micros(self.limits.connect));
+        let until = until.min(Instant::now() + Duration::from_micros(self.limits.borrow().connect));
         match timeout_at(until, Conn::open(line.address)).await {
             Ok(Ok(conn)) => Ok((Busy(conn, in_use), false)),
             _ => Err(Outcome::ConnectFailed),
@@ -574,7 +580,7 @@
             return vec![];
         }
         let find = |name: &String| pairs.iter().find(|p| p.0 == name).map_or(0.0, |p| p.1);
-        self.limits.report.iter().map(find).collect()
+        self.limits.borrow().report.iter().map(find).collect()
     }
 }
 
--- a/src/net/config.rs
+++ b/src/net/config.rs
@@ -1,10 +1,12 @@
 //! What a sender is told at its start: the environment and the configuration file.
 
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::path::PathBuf;
 
-use myrtleyard::interface::Settings;
+use myrtleyard::interface::{Class, Effect, Settings};
 use serde::Deserialize;
+use serde_json::Value;
 
 use super::platform::ListBody;
 
@@ -39,13 +41,17 @@
     pub settings: Settings,
     /// Names of classes, kinds and zones, in the settings' order.
     pub names: Names,
+    /// The file as it was read.
+    pub document: Value,
 }
 
 /// Names in the settings, by position.
 #[derive(Debug, Default, Clone)]
 pub struct Names {
-    /// Classes of message.
+    /// Classes of message, those that are held still among them.
     pub classes: Vec<String>,
+    /// Positions of classes that nothing new is taken for.
+    pub retired: BTreeSet<usize>,
     /// Tenants.
     pub tenants: Vec<String>,
     /// Kinds of destination.
@@ -56,6 +62,57 @@
     pub report: Vec<String>,
 }
 
+impl Names {
+    /// Whether a message may be this tenant's; some sites have none.
+    pub fn owns(&self, tenant: Option<&str>) -> bool {
+        self.tenants.is_empty() || tenant.is_some_and(|tenant| self.tenants.iter().any(|t| t == tenant))
+    }
+
+    /// The position of a class that messages may be handed in for.
+    pub fn class(&self, name: &str) -> Option<usize> {
+        (0..self.classes.len()).find(|at| self.classes[*at] == name && !self.retired.contains(at))
+    }
+}
+
+impl Config {
+    /// Settings and names that follow on others in the same process. A class's position is never given to
+    /// another: what is held goes by it, so that a message under way keeps the class that it came with.
+    pub fn following(self, before: &Settings, known: &Names) -> (Settings, Names) {
+        let Self { mut settings, mut names, .. } = self;
+        let mut classes = before.classes.clone();
+        let mut all = known.classes.clone();
+        let mut current = BTreeSet::new();
+        for (name, class) in names.classes.into_iter().zip(settings.classes) {
+            let same = (0..all.len()).find(|at| all[*at] == name && classes[*at] == class);
+            current.insert(same.unwrap_or_else(|| {
+                all.push(name);
+                classes.push(class);
+                all.len() - 1
+            }));
+        }
+        names.retired = (0..all.len()).filter(|at| !current.contains(at)).collect();
+        (names.classes, settings.classes) = (all, classes);
+        (settings, names)
+    }
+}
+
+/// The first key that another document has and this one lacks. Entries of lists come and go; a class is
+/// held against its namesake, unless its effect changed and with it what it needs.
+fn lacks(document: &Value, other: &Value) -> Option<String> {
+    match (document, other) {
+        (Value::Object(here), Value::Object(there)) => there.iter().find_map(|(key, value)| {
+            let Some(found) = here.get(key) else { return Some(key.clone()) };
+            lacks(found, value).map(|inner| format!("{key}.{inner}"))
+        }),
+        (Value::Array(here), Value::Array(there)) => here.iter().find_map(|entry| {
+            let alike =
+                |other: &&Value| ["name", "effect"].iter().all(|key| other.get(key) == entry.get(key));
+            lacks(entry, there.iter().find(alike)?)
+        }),
+        _ => None,
+    }
+}
+
 #[derive(Deserialize)]
 struct RawLimits {
     #[serde(default = "plenty")]
@@ -84,7 +141,7 @@
     peers_all: Option<SocketAddr>,
     #[serde(default)]
     known: ListBody,
-    settings: serde_json::Value,
+    settings: Value,
 }
 
 fn variable(name: &str) -> Result<Option<String>, String> {
@@ -105,10 +162,8 @@
 /// # Errors
 /// Fails, in one line, when something needed is missing or cannot be read.
 pub fn read() -> Result<Config, String> {
-    let path = variable("NODE_CONFIG")?.ok_or("NODE_CONFIG is not set")?;
     let state = variable("NODE_STATE")?.ok_or("NODE_STATE is not set")?;
-    let text = std::fs::read(&path).map_err(|e| format!("{path}: {e}"))?;
-    let config = parse(&text).map_err(|e| format!("{path}: {e}"))?;
+    let config = file(None)?;
     Ok(Config {
         name: variable("NODE_NAME")?.unwrap_or(config.name),
         listen: address("NODE_LISTEN")?.unwrap_or(config.listen),
@@ -119,31 +174,40 @@
     })
 }
 
-/// Reads the configuration again for discovery's address, which may move while the process runs.
+/// Reads the configuration again, which may change while the process runs.
 ///
 /// # Errors
-/// Fails, in one line, when the file cannot be read.
-pub fn discovery() -> Result<SocketAddr, String> {
+/// Fails, in one line, when the file cannot be read, or lacks a key of the document that is in force.
+pub fn reread(in_force: &Value) -> Result<Config, String> {
+    file(Some(in_force))
+}
+
+fn file(in_force: Option<&Value>) -> Result<Config, String> {
     let path = variable("NODE_CONFIG")?.ok_or("NODE_CONFIG is not set")?;
     let text = std::fs::read(&path).map_err(|e| format!("{path}: {e}"))?;
-    Ok(parse(&text).map_err(|e| format!("{path}: {e}"))?.discovery)
+    parse(&text, in_force).map_err(|e| format!("{path}: {e}"))
 }
 
-fn parse(text: &[u8]) -> Result<Config, String> {
-    let raw: Raw = serde_json::from_slice(text).map_err(|e| e.to_string())?;
+fn parse(text: &[u8], in_force: Option<&Value>) -> Result<Config, String> {
+    let document: Value = serde_json::from_slice(text).map_err(|e| e.to_string())?;
+    if let Some(key) = in_force.and_then(|in_force| lacks(&document, in_force)) {
+        return Err(format!("{key} is missing"));
+    }
+    let raw = Raw::deserialize(&document).map_err(|e| e.to_string())?;
     let settings = serde_json::to_vec(&raw.settings).map_err(|e| e.to_string())?;
     let settings = myrtleyard::wire::settings(&settings).map_err(|e| e.to_string())?;
-    let texts = |list: &serde_json::Value, field: Option<&str>| {
+    let texts = |list: &Value, field: Option<&str>| {
         let entries = list.as_array().map(Vec::as_slice).unwrap_or_default();
         let name = |e: &serde_json::Value| {
             let name = field.map_or(Some(e), |f| e.get(f));
-            name.and_then(serde_json::Value::as_str).unwrap_or_default().to_owned()
+            name.and_then(Value::as_str).unwrap_or_default().to_owned()
         };
         entries.iter().map(name).collect::<Vec<_>>()
     };
     let s = &raw.settings;
     let names = Names {
         classes: texts(&s["classes"], Some("name")),
+        retired: BTreeSet::new(),
         tenants: texts(&s["realms"], Some("name")),
         kinds: texts(&s["skus"], None),
         zones: texts(&s["azs"], None),
@@ -152,6 +216,13 @@
     if settings.classes.is_empty() || names.classes.iter().any(String::is_empty) {
         return Err("settings: each class needs a name, and there must be one".into());
     }
+    if settings.try_limit == 0 || settings.classes.iter().any(|c| c.aim == 0 || c.deadline == 0) {
+        return Err("settings: attempts, aims and deadlines must be over 0".into());
+    }
+    let no_window = |class: &Class| matches!(class.effect, Effect::Keyed { window: 0, .. });
+    if settings.classes.iter().any(no_window) {
+        return Err("settings: a class by key needs a dedup_window_us over 0".into());
+    }
     if !raw.limits.disk_mb.is_finite() || raw.limits.disk_mb <= 0.0 {
         return Err(format!("limits: disk_mb {} is no size", raw.limits.disk_mb));
     }
@@ -170,5 +241,79 @@
         known: raw.known,
         settings,
         names,
+        document,
     })
 }
+
+#[cfg(test)]
+mod tests {
+    use serde_json::json;
+
+    use super::*;
+
+    fn document() -> Value {
+        json!({
+            "name": "n1", "listen": "127.0.0.1:1", "discovery": "127.0.0.1:2", "seed": "1",
+            "limits": {"disk_mb": 3}, "known": {},
+            "settings": {
+                "classes": [
+                    {"name": "note", "effect": "by_key", "dedup_window_us": 9, "on_time_us": 5, "hard_limit_us": 9},
+                    {"name": "order", "effect": "once", "on_time_us": 5, "hard_limit_us": 9}],
+                "family_info": {"calls_out": 8}, "period_us": 5,
+                "limits": {"max_open": 100, "try_limit": 6, "connect_timeout_us": 7},
+                "obligations": {"answer_slack_us": 1, "cold_share": 0.2, "warm_within_us": 1, "fall_multiple": 2,
+                                "overload_for_us": 3, "stop_sending_within_us": 2}}})
+    }
+
+    /// Guards the settings in force against files that are cut off, or say what can't be meant.
+    #[test]
+    fn a_broken_file_is_turned_down_whole() -> Result<(), String> {
+        let whole = document();
+        let text = whole.to_string();
+        parse(text.as_bytes(), Some(&whole))?;
+        for end in 0..text.len() {
+            assert!(parse(&text.as_bytes()[..end], Some(&whole)).is_err(), "cut off at {end}");
+        }
+        for (place, key) in [
+            ("", "discovery"),
+            ("", "known"),
+            ("/limits", "disk_mb"),
+            ("/settings", "classes"),
+            ("/settings/limits", "connect_timeout_us"),
+            ("/settings/limits", "try_limit"),
+            ("/settings/classes/0", "dedup_window_us"),
+            ("/settings/classes/1", "hard_limit_us"),
+        ] {
+            let mut broken = whole.clone();
+            let found = broken.pointer_mut(place).and_then(Value::as_object_mut).and_then(|o| o.remove(key));
+            assert!(found.is_some() && parse(broken.to_string().as_bytes(), Some(&whole)).is_err(), "{key}");
+        }
+        for place in ["/settings/limits/try_limit", "/settings/classes/1/hard_limit_us"] {
+            for figure in [json!(0), json!(-3), json!("6"), Value::Null] {
+                let mut broken = whole.clone();
+                broken.pointer_mut(place).map(|value| *value = figure).ok_or(place)?;
+                assert!(parse(broken.to_string().as_bytes(), Some(&whole)).is_err(), "{broken}");
+            }
+        }
+        Ok(())
+    }
+
+    /// Guards what is under way: a class that it came with keeps its position and its meaning.
+    #[test]
+    fn a_class_keeps_its_position_whatever_comes_and_goes() -> Result<(), String> {
+        let first = parse(document().to_string().as_bytes(), None)?;
+        let mut changed = document();
+        changed["settings"]["classes"][0]["effect"] = json!("once");
+        changed["settings"]["classes"][1]["name"] = json!("bill");
+        let second = parse(changed.to_string().as_bytes(), Some(&first.document))?;
+        let (settings, names) = second.following(&first.settings, &first.names);
+        assert_eq!(settings.classes[..2], first.settings.classes[..]);
+        assert_eq!(settings.classes[2].effect, Effect::Once);
+        assert_eq!(["note", "order", "bill"].map(|name| names.class(name)), [Some(2), None, Some(3)]);
+        // What comes back as it was has its old position.
+        let (settings, names) = parse(document().to_string().as_bytes(), None)?.following(&settings, &names);
+        assert_eq!(settings.classes.len(), 4);
+        assert_eq!(["note", "order", "bill"].map(|name| names.class(name)), [Some(0), Some(1), None]);
+        Ok(())
+    }
+}
--- a/src/net/driver.rs
+++ b/src/net/driver.rs
@@ -1,6 +1,7 @@
 //! The loop round the module: events are collected into a turn, the module decides, the journal is
 //! written, and only then are clients answered and calls started.
 
+use std::cell::RefCell;
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -56,8 +57,11 @@
 
 struct Driver {
     clock: Clock,
-    names: Names,
-    kinds: Vec<Kind>,
+    /// Shared with the intake.
+    names: Rc<RefCell<Names>>,
+    settings: Settings,
+    /// Connections to endpoints at most.
+    connections: usize,
     policy: Policy,
     journal: Journal,
     calls: Calls,
@@ -112,16 +116,12 @@
     let (notices, owed) = unbounded_channel();
     let whole_list = Rc::new(Notify::new());
     let sides = config.sockets.saturating_sub(own_sockets) / 2;
-    let limits = Limits {
-        connect: config.settings.connect_timeout.max(1),
-        idle: config.settings.idle_close,
-        connections: sides.max(1),
-        report: config.names.report.clone(),
-    };
+    let names = Rc::new(RefCell::new(config.names));
+    let limits = limits(&config.settings, &names.borrow(), sides.max(1));
     let mut driver = Driver {
         clock,
-        names: config.names.clone(),
-        kinds: config.settings.kinds.clone(),
+        names: names.clone(),
+        connections: sides.max(1),
         next_message: journal.live().keys().next_back().map_or(0, |last| last.wrapping_add(1)),
         journal,
         calls: Calls::new(limits, inbound.clone()),
@@ -141,6 +141,7 @@
         unwritten: Vec::new(),
         unsaid: Vec::new(),
         policy: Policy::new(config.settings.clone(), config.seed, clock.now()),
+        settings: config.settings,
     };
     let index = config.known.index;
     let first = driver.start(config.known);
@@ -149,7 +150,7 @@
     let listener = TcpListener::bind(config.listen).await;
     let listener = listener.map_err(|e| format!("listen on {}: {e}", config.listen))?;
     let address = listener.local_addr().map_err(|e| format!("listen: {e}"))?;
-    let intake = Rc::new(Intake::new(clock, config.names, inbound.clone(), stand));
+    let intake = Rc::new(Intake::new(clock, names, inbound.clone(), stand));
     driver.standing.send_replace(Standing::InService);
     tokio::task::spawn_local(intake.clone().listen(listener, sides.max(1)));
     tokio::task::spawn_local(platform::notices(discovery.clone(), owed, inbound.clone()));
@@ -157,7 +158,6 @@
     let in_hand = driver.journal.live().len();
     eprintln!("{} is ready on {address} with {in_hand} messages in hand{called_at}", config.name);
 
-    let period = Duration::from_micros(config.settings.period);
     let mut turned = tokio::time::Instant::now();
     loop {
         let due = driver.timers.first().map_or(Micros::MAX / 2, |timer| timer.0);
@@ -169,7 +169,7 @@
             () = tokio::time::sleep_until(clock.instant(due.min(clock.now() + 60_000_000))) => None,
         };
         // Turns are a period apart at least, as the module is told.
-        tokio::time::sleep_until(turned + period).await;
+        tokio::time::sleep_until(turned + Duration::from_micros(driver.settings.period)).await;
         turned = tokio::time::Instant::now();
         let mut said: Vec<Event> = Vec::new();
         first.into_iter().for_each(|inbound| driver.fold(inbound, &mut said));
@@ -193,6 +193,15 @@
     }
 }
 
+fn limits(settings: &Settings, names: &Names, connections: usize) -> Limits {
+    Limits {
+        connect: settings.connect_timeout.max(1),
+        idle: settings.idle_close,
+        connections,
+        report: names.report.clone(),
+    }
+}
+
 impl Driver {
     /// The list as last known, and what an earlier process left in the journal.
     fn start(&mut self, known: ListBody) -> Vec<Event> {
@@ -207,7 +216,7 @@
                 .filter(|attempt| !attempt.never_ran)
                 .map(|attempt| (now.saturating_sub(attempt.at), self.id_of(&attempt.endpoint)))
                 .collect();
-            let class = self.names.classes.iter().position(|name| *name == live.taken.class);
+            let class = self.names.borrow().class(&live.taken.class);
             let given_up = match (live.given_up, class) {
                 (None, Some(class)) => {
                     let attempts = live.attempts.last().map_or(0, |last| last.number + 1);
@@ -256,6 +265,14 @@
                     }
                 }
             }
+            Inbound::Reloaded(Ok(config)) => {
+                let (settings, names) = config.following(&self.settings, &self.names.borrow());
+                self.calls.adopt(limits(&settings, &names, self.connections));
+                self.names.replace(names);
+                self.settings = settings.clone();
+                said.push(Event::Settings(Box::new(settings)));
+            }
+            Inbound::Reloaded(Err(e)) => eprintln!("the configuration is not reloaded: {e}"),
             Inbound::Service(wanted, done) => {
                 let now = *self.standing.borrow();
                 let wanted = if wanted { Standing::InService } else { Standing::OutOfService };
@@ -328,8 +345,10 @@
     }
 
     fn message(&self, number: u32, class: usize, taken: &Taken, now: Micros) -> Message {
-        let tenant =
-            taken.owner.as_ref().and_then(|owner| self.names.tenants.iter().position(|t| t == owner));
+        let tenant = taken
+            .owner
+            .as_ref()
+            .and_then(|owner| self.names.borrow().tenants.iter().position(|t| t == owner));
         Message {
             id: MessageId(number),
             class,
@@ -363,11 +382,13 @@
     }
 
     fn listed(&mut self, list: ListBody) -> Event {
+        let names = self.names.clone();
+        let names = names.borrow();
         let mut entries = Vec::with_capacity(list.endpoints.len());
         for listing in list.endpoints {
             let position = |names: &[String], name: &str| names.iter().position(|n| n == name);
-            let zone = position(&self.names.zones, &listing.zone).map_or(u16::MAX, |zone| zone as u16);
-            let kind = position(&self.names.kinds, &listing.kind).unwrap_or(usize::MAX);
+            let zone = position(&names.zones, &listing.zone).map_or(u16::MAX, |zone| zone as u16);
+            let kind = position(&names.kinds, &listing.kind).unwrap_or(usize::MAX);
             let mut endpoint = self.id_of(&listing.name);
             let before = self.endpoints.get(&endpoint).filter(|known| known.group != listing.group);
             let mut entry = |endpoint, group, listing| {
@@ -389,7 +410,7 @@
             if let (Some(entry), true) = (entries.last_mut(), listing.weight.is_finite()) {
                 entry.weight = listing.weight.max(0.0);
             }
-            let bundle = self.kinds.get(kind).map_or(1, |kind| kind.bundle);
+            let bundle = self.settings.kinds.get(kind).map_or(1, |kind| kind.bundle);
             let (address, group) = (listing.address.parse().ok(), listing.group);
             self.endpoints.insert(endpoint, Known { name: listing.name, group, address, bundle });
         }
--- a/src/net/intake.rs
+++ b/src/net/intake.rs
@@ -1,6 +1,6 @@
 //! What clients ask: to take a message, and whether the sender is ready.
 
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
 use std::convert::Infallible;
 use std::rc::Rc;
 use std::time::Duration;
@@ -56,7 +56,7 @@
 /// What all client connections share.
 pub struct Intake {
     clock: Clock,
-    names: Names,
+    names: Rc<RefCell<Names>>,
     inbound: UnboundedSender<Inbound>,
     standing: watch::Receiver<Standing>,
     open: Cell<usize>,
@@ -105,7 +105,7 @@
     /// What connections share.
     pub fn new(
         clock: Clock,
-        names: Names,
+        names: Rc<RefCell<Names>>,
         inbound: UnboundedSender<Inbound>,
         standing: watch::Receiver<Standing>,
     ) -> Self {
@@ -186,11 +186,12 @@
         let Some(id) = text(&head.headers, "req-id") else { return bad("Req-Id is missing\n") };
         let path = head.uri.path_and_query().map_or("", |path| path.as_str()).trim_start_matches('/');
         let kind = text(&head.headers, "req-kind").unwrap_or(path);
-        let Some(class) = self.names.classes.iter().position(|name| name == kind && name == path) else {
+        let class = self.names.borrow().class(kind).filter(|_| kind == path);
+        let Some(class) = class else {
             return bad("Req-Kind or the path names no class\n");
         };
         let owner = text(&head.headers, "req-owner").map(str::to_owned);
-        if !self.names.tenants.is_empty() && !owner.as_ref().is_some_and(|o| self.names.tenants.contains(o)) {
+        if !self.names.borrow().owns(owner.as_deref()) {
             return bad("Req-Owner names no tenant\n");
         }
         let destination = text(&head.headers, "x-consignee").and_then(|pairs| {
@@ -251,6 +252,7 @@
         let (inbound, _events) = tokio::sync::mpsc::unbounded_channel();
         let names = Names { classes: vec!["order".into()], ..Names::default() };
         let (_standing, standing) = watch::channel(Standing::InService);
+        let names = Rc::new(RefCell::new(names));
         let intake = Rc::new(Intake::new(Clock::new(), names, inbound, standing));
         let listener = TcpListener::bind("127.0.0.1:0").await?;
         let address = listener.local_addr()?;
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -60,6 +60,8 @@
     NoticesKept(Vec<MessageId>),
     /// The process was asked to end.
     Terminate,
+    /// The configuration was read again, or why it is turned down.
+    Reloaded(Result<Box<config::Config>, String>),
     /// Operators want clients to go elsewhere, or to come again. They hear how it stands then.
     Service(bool, oneshot::Sender<Standing>),
 }
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -448,6 +448,7 @@
                     self.ask_at = Some(now + every / 8 + self.rng.u64(0..=every / 8));
                 }
                 Event::Probed { endpoint, report, .. } => self.note_report(*endpoint, report),
+                Event::Settings(settings) => self.adopt(settings),
                 // What is held goes on, and what still comes on open connections is taken: it would only come
                 // to another sender later.
                 Event::Service { .. } => {}
@@ -478,6 +479,14 @@
         self.remind(actions);
     }
 
+    /// What is held keeps its aim, its deadline and its class; all that comes next goes by the new settings,
+    /// attempts allowed among them: a message that has had more is answered.
+    fn adopt(&mut self, settings: &Settings) {
+        self.tenants.resize(settings.tenants.len(), (0.0, self.now));
+        self.keep = self.keep.min(settings.idle_close);
+        self.settings = settings.clone();
+    }
+
     fn shortest_aim(&self) -> Micros {
         self.settings.classes.iter().map(|c| c.aim).min().unwrap_or(0)
     }
--- a/tests/node/main.rs
+++ b/tests/node/main.rs
@@ -160,6 +160,30 @@
     assert_eq!(new.notice(204), [json!({"id": "a", "status": "undeliverable"})]);
 }
 
+/// New settings hold for what comes next, and what is under way keeps its class.
+#[test]
+fn a_reload_brings_classes_and_takes_them_away() {
+    let (platform, endpoint) = (Platform::new(), Served::new());
+    let node = Node::start(&platform, &[], |_| {});
+    assert_eq!(node.hand_in("a", "order", 7, 20_000).status(), 202);
+    node.reload(|config| config["settings"]["classes"][1]["hard_limit_us"] = json!(0));
+    node.reload(|config| {
+        let mut bill = config["settings"]["classes"][1].clone();
+        bill["name"] = json!("bill");
+        bill["hard_limit_us"] = json!(24_000_000);
+        config["settings"]["classes"][1] = bill;
+    });
+    wait_until(|| node.hand_in("b", "bill", 7, 20_000).status() == 202);
+    assert_eq!(node.hand_in("c", "order", 7, 20_000).status(), 400);
+    platform.tell(&[listing("e1", 7, "plain", endpoint.address)]);
+    for id in ["a", "b"] {
+        let call = endpoint.next();
+        assert_eq!(call.http.headers["req-id"], id);
+        call.reply(status(500));
+        assert_eq!(platform.notice(204), [json!({"id": id, "status": "undeliverable"})]);
+    }
+}
+
 /// Guards against telling a call that may have run from one that can't have.
 #[test]
 fn an_answer_that_never_came_may_have_run() {
