Count what happened where it happens, and tell it at /control/counters

One set of counts: a message's end where the driver learns it, a call's messages when its last byte has gone (the connection's flush after head and body), files at SIGHUP, and after each turn what stands. The listener for operators writes it out as one text, with no turn to wait for. An endpoint is avoided while its breaker is not closed.

The tests were seen to fail: with sends not counted at the flush, and with a changed class given its namesake's position. The test of the classes at SIGHUP took two calls on two connections for ordered; it reads them in any order now.

--- a/src/net/calls.rs
+++ b/src/net/calls.rs
@@ -27,6 +27,7 @@
 use tokio::sync::{mpsc::UnboundedSender, oneshot};
 use tokio::time::{Instant, timeout, timeout_at};
 
+use super::figures::Figures;
 use super::{AttemptOver, Inbound};
 
 /// An answer of more bytes than this is not read to its end.
@@ -43,9 +44,30 @@
     written: Cell<u64>,
     /// How the answer to the last request begins.
     answer: RefCell<Vec<u8>>,
+    /// Messages to be counted once they are written whole.
+    due: RefCell<Option<Due>>,
+}
+
+/// Messages of a request that is being written.
+struct Due {
+    messages: usize,
+    /// What had been written before it.
+    before: u64,
+    /// The length of its body.
+    length: u64,
+    figures: Rc<Figures>,
 }
 
 impl Traffic {
+    /// All that was buffered is written. A head of at least a byte goes before the body, and both are buffered
+    /// together.
+    fn flushed(&self) {
+        let whole = |due: &mut Due| self.written.get() > due.before + due.length;
+        if let Some(due) = self.due.borrow_mut().take_if(whole) {
+            due.figures.sent(due.messages);
+        }
+    }
+
     /// Whether the first line of the answer says 200, whatever can be read of the rest.
     fn says_delivered(&self) -> bool {
         let answer = self.answer.borrow();
@@ -82,7 +104,11 @@
         poll
     }
     fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_flush(cx)
+        let poll = Pin::new(&mut self.stream).poll_flush(cx);
+        if let Poll::Ready(Ok(())) = &poll {
+            self.traffic.flushed();
+        }
+        poll
     }
     fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context) -> Poll<io::Result<()>> {
         Pin::new(&mut self.stream).poll_shutdown(cx)
@@ -206,6 +232,7 @@
 
 struct Shared {
     limits: RefCell<Limits>,
+    figures: Rc<Figures>,
     inbound: UnboundedSender<Inbound>,
     idle: RefCell<HashMap<Line, Vec<Idle>>>,
     /// Connections that are in use.
@@ -252,10 +279,10 @@
 
 impl Calls {
     /// No calls yet. Idle connections are looked after by a task of their own.
-    pub fn new(limits: Limits, inbound: UnboundedSender<Inbound>) -> Self {
+    pub fn new(limits: Limits, figures: Rc<Figures>, inbound: UnboundedSender<Inbound>) -> Self {
         let limits = RefCell::new(limits);
         let (idle, busy, out) = (RefCell::default(), Cell::new(0), RefCell::default());
-        let calls = Self(Rc::new(Shared { limits, inbound, idle, busy, out }));
+        let calls = Self(Rc::new(Shared { limits, figures, inbound, idle, busy, out }));
         let swept = calls.clone();
         tokio::task::spawn_local(async move {
             let mut tick = tokio::time::interval(Duration::from_millis(250));
@@ -340,7 +367,7 @@
             let request = Request::get(path).header("host", line.address.to_string());
             let asked = async {
                 let request = request.body(Full::default()).map_err(|_| Outcome::ConnectFailed)?;
-                let (mut conn, answer) = shared.exchange(line, request, 0, until, &progress).await?;
+                let (mut conn, answer) = shared.exchange(line, request, (0, 0), until, &progress).await?;
                 let (head, body) = answer.into_parts();
                 let body = conn.0.body(body).await.map_err(|()| Outcome::Reset)?;
                 shared.keep(line, conn).await;
@@ -439,12 +466,12 @@
         }
     }
 
-    /// One request and the head of its answer. `length` is that of its body.
+    /// One request and the head of its answer. `length` is that of its body, which holds so many messages.
     async fn exchange(
         self: &Rc<Self>,
         line: Line,
         mut request: Request<Full<Bytes>>,
-        length: usize,
+        (length, messages): (usize, usize),
         until: Instant,
         progress: &Progress,
     ) -> Result<(Busy, Response<Incoming>), Outcome> {
@@ -452,6 +479,9 @@
         loop {
             let (mut conn, reused) = self.connect(line, until, may_reuse).await?;
             let before = conn.0.traffic.written.get();
+            let figures = self.figures.clone();
+            let due = Due { messages, before, length: length as u64, figures };
+            conn.0.traffic.due.replace(Some(due));
             progress.may_run.set(true);
             progress.traffic.replace(Some(conn.0.traffic.clone()));
             match conn.0.send(request).await {
@@ -501,7 +531,7 @@
         let length = body.len();
         // Ids and keys came as header values, so that they can go as such.
         let request = request.body(Full::new(body)).map_err(|_| Outcome::Moot { no_slot: false })?;
-        let (mut conn, answer) = self.exchange(line, request, length, until, progress).await?;
+        let (mut conn, answer) = self.exchange(line, request, (length, parts.len()), until, progress).await?;
         let (head, body) = answer.into_parts();
         let (report, wait) = (self.report(&head.headers), told_wait(&head.headers));
         if parts.len() > 1 && head.status == StatusCode::OK {
--- a/src/net/driver.rs
+++ b/src/net/driver.rs
@@ -15,6 +15,7 @@
 
 use super::calls::{Calls, Limits, Line, Part};
 use super::config::{Config, Names};
+use super::figures::{End, Figures, Now};
 use super::intake::{Answer, HandedIn, Intake};
 use super::journal::{GivenUp, Journal, Live, Record, Taken, taken_on};
 use super::mgmt::{self, Mgmt};
@@ -36,6 +37,8 @@
     name: String,
     group: u16,
     address: Option<SocketAddr>,
+    /// It is in the list.
+    listed: bool,
     bundle: usize,
 }
 
@@ -64,6 +67,7 @@
     connections: usize,
     policy: Policy,
     journal: Journal,
+    figures: Rc<Figures>,
     calls: Calls,
     peers: Option<Peers>,
     notices: UnboundedSender<Notice>,
@@ -104,6 +108,8 @@
         .map_err(|e| format!("journal in {}: {e}", config.state.display()))?;
     let peers = Peers::open(&config, inbound.clone()).await.map_err(|e| format!("peer_listen: {e}"))?;
     let (standing, stand) = watch::channel(Standing::Starting);
+    let figures = Rc::new(Figures::default());
+    figures.name(&config.names);
     let mut own_sockets = OWN_SOCKETS;
     let mut called_at = String::new();
     if let Some(address) = config.mgmt {
@@ -111,7 +117,9 @@
         let listener = TcpListener::bind(address).await.map_err(|e| format!("mgmt {address}: {e}"))?;
         let bound = listener.local_addr().map_err(|e| format!("mgmt: {e}"))?;
         called_at = format!(", operators call at {bound}");
-        tokio::task::spawn_local(Rc::new(Mgmt::new(stand.clone(), inbound.clone())).listen(listener));
+        tokio::task::spawn_local(
+            Rc::new(Mgmt::new(stand.clone(), figures.clone(), inbound.clone())).listen(listener),
+        );
     }
     let (notices, owed) = unbounded_channel();
     let whole_list = Rc::new(Notify::new());
@@ -124,7 +132,8 @@
         connections: sides.max(1),
         next_message: journal.live().keys().next_back().map_or(0, |last| last.wrapping_add(1)),
         journal,
-        calls: Calls::new(limits, inbound.clone()),
+        calls: Calls::new(limits, figures.clone(), inbound.clone()),
+        figures,
         peers,
         notices,
         whole_list: whole_list.clone(),
@@ -230,6 +239,7 @@
                 (None, None) if may_have_run.is_empty() => GivenUp::Deferred(0),
                 (None, None) => GivenUp::Undeliverable,
             };
+            self.figures.ended(&live.taken.class, given_up.into());
             self.unwritten.push(Record::GivenUp(number, given_up));
             self.unsaid.push((number, given_up, live.taken.id));
         }
@@ -268,11 +278,16 @@
             Inbound::Reloaded(Ok(config)) => {
                 let (settings, names) = config.following(&self.settings, &self.names.borrow());
                 self.calls.adopt(limits(&settings, &names, self.connections));
+                self.figures.reloaded(true);
+                self.figures.name(&names);
                 self.names.replace(names);
                 self.settings = settings.clone();
                 said.push(Event::Settings(Box::new(settings)));
             }
-            Inbound::Reloaded(Err(e)) => eprintln!("the configuration is not reloaded: {e}"),
+            Inbound::Reloaded(Err(e)) => {
+                self.figures.reloaded(false);
+                eprintln!("the configuration is not reloaded: {e}");
+            }
             Inbound::Service(wanted, done) => {
                 let now = *self.standing.borrow();
                 let wanted = if wanted { Standing::InService } else { Standing::OutOfService };
@@ -305,6 +320,7 @@
         }
         let pending: u64 = self.fresh.values().map(|fresh| Journal::room_for(&fresh.taken)).sum();
         if !self.journal.has_room(&taken, pending) {
+            self.figures.ended(&taken.class, End::Deferred);
             let _ = answer.send(Answer::Refused(NO_ROOM_AGAIN));
             return;
         }
@@ -318,10 +334,11 @@
     fn ended(&mut self, end: AttemptOver) -> Event {
         let number = end.message.0;
         let live = self.journal.live().get(&number);
-        let owed = live.filter(|live| live.given_up.is_none()).map(|live| live.taken.id.clone());
+        let owed = live.filter(|live| live.given_up.is_none());
+        let owed = owed.map(|live| (live.taken.id.clone(), live.taken.class.clone()));
         // Over already, or given up: what comes now changes nothing.
         let mut terminal = true;
-        if let Some(id) = owed.filter(|id| self.held.get(id) == Some(&number)) {
+        if let Some((id, class)) = owed.filter(|owed| self.held.get(&owed.0) == Some(&number)) {
             terminal = end.gone || end.outcome == Outcome::Delivered;
             self.unwritten.push(if terminal {
                 Record::Over(number)
@@ -329,6 +346,9 @@
                 let never_ran = end.outcome.never_ran();
                 Record::Ended { message: number, attempt: end.attempt, never_ran }
             });
+            if end.outcome == Outcome::Delivered {
+                self.figures.ended(&class, End::Answered);
+            }
             if terminal {
                 self.forget(number, &id);
             }
@@ -385,6 +405,9 @@
         let names = self.names.clone();
         let names = names.borrow();
         let mut entries = Vec::with_capacity(list.endpoints.len());
+        if list.snapshot {
+            self.endpoints.values_mut().for_each(|known| known.listed = false);
+        }
         for listing in list.endpoints {
             let position = |names: &[String], name: &str| names.iter().position(|n| n == name);
             let zone = position(&names.zones, &listing.zone).map_or(u16::MAX, |zone| zone as u16);
@@ -398,6 +421,7 @@
             if let Some(group) = before.map(|known| known.group) {
                 // Guards against a name that moves to another destination: it is another endpoint there.
                 entry(endpoint, group, Listing::Gone);
+                self.endpoints.remove(&endpoint);
                 self.ids.remove(&listing.name);
                 endpoint = self.id_of(&listing.name);
             }
@@ -412,7 +436,8 @@
             }
             let bundle = self.settings.kinds.get(kind).map_or(1, |kind| kind.bundle);
             let (address, group) = (listing.address.parse().ok(), listing.group);
-            self.endpoints.insert(endpoint, Known { name: listing.name, group, address, bundle });
+            let listed = state != Listing::Gone;
+            self.endpoints.insert(endpoint, Known { name: listing.name, group, address, listed, bundle });
         }
         if list.snapshot { Event::List(entries) } else { Event::Changes(entries) }
     }
@@ -465,11 +490,14 @@
         for (number, how) in given_up {
             if let Some(fresh) = fresh.remove(&number) {
                 self.forget(number, &fresh.taken.id);
+                self.figures.ended(&fresh.taken.class, how.into());
                 fresh.answer(match how {
                     GivenUp::Deferred(again) => Answer::Refused(again),
                     GivenUp::Undeliverable => Answer::Failed,
                 });
-            } else if let Some(id) = self.journal.live().get(&number).map(|live| live.taken.id.clone()) {
+            } else if let Some(live) = self.journal.live().get(&number) {
+                let id = live.taken.id.clone();
+                self.figures.ended(&live.taken.class, how.into());
                 records.push(Record::GivenUp(number, how));
                 self.unsaid.push((number, how, id));
             }
@@ -495,6 +523,11 @@
             }
             self.begin(sends);
         }
+        self.figures.stand(Now {
+            current: self.policy.held(),
+            cluster_size: self.endpoints.values().filter(|known| known.listed).count(),
+            cluster_unhealthy: self.policy.avoided(),
+        });
     }
 
     /// Guards the promise that what is taken on outlasts the process: with no journal nothing is taken on
@@ -515,6 +548,7 @@
         }
         for (number, fresh) in fresh {
             self.forget(number, &fresh.taken.id);
+            self.figures.ended(&fresh.taken.class, End::Deferred);
             let _ = self.inbound.send(Inbound::Event(Event::Left(MessageId(number))));
             fresh.answer(Answer::Refused(NO_ROOM_AGAIN));
         }
--- /dev/null
+++ b/src/net/figures.rs
@@ -0,0 +1,104 @@
+//! What operators read: counts since the process began, kept where the events happen, and how things stand.
+
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+
+use serde::Serialize;
+
+use super::config::Names;
+use super::journal::GivenUp;
+
+/// How a message ended here.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum End {
+    /// Delivered.
+    Answered,
+    /// Refused or handed back.
+    Deferred,
+    /// Failed.
+    Errored,
+}
+
+impl From<GivenUp> for End {
+    fn from(how: GivenUp) -> Self {
+        match how {
+            GivenUp::Deferred(_) => Self::Deferred,
+            GivenUp::Undeliverable => Self::Errored,
+        }
+    }
+}
+
+/// How things stand after a turn.
+#[derive(Debug, Default, Clone, Copy, Serialize)]
+pub struct Now {
+    /// Messages taken that have not ended.
+    pub current: usize,
+    /// Endpoints in the list.
+    pub cluster_size: usize,
+    /// Those of them that are avoided.
+    pub cluster_unhealthy: usize,
+}
+
+#[derive(Debug, Default, Serialize)]
+struct Counts {
+    answered: BTreeMap<String, u64>,
+    deferred: BTreeMap<String, u64>,
+    errored: BTreeMap<String, u64>,
+    sends: u64,
+    conf_loaded: u64,
+    conf_invalid: u64,
+    #[serde(flatten)]
+    now: Now,
+}
+
+impl Counts {
+    fn of(&mut self, end: End) -> &mut BTreeMap<String, u64> {
+        match end {
+            End::Answered => &mut self.answered,
+            End::Deferred => &mut self.deferred,
+            End::Errored => &mut self.errored,
+        }
+    }
+}
+
+/// All figures of a process.
+#[derive(Debug, Default)]
+pub struct Figures(RefCell<Counts>);
+
+impl Figures {
+    /// Names the classes that messages may come for, so that each stands there from the start.
+    pub fn name(&self, names: &Names) {
+        let mut counts = self.0.borrow_mut();
+        for end in [End::Answered, End::Deferred, End::Errored] {
+            for class in &names.classes {
+                counts.of(end).entry(class.clone()).or_default();
+            }
+        }
+    }
+
+    /// A message of this class ended.
+    pub fn ended(&self, class: &str, end: End) {
+        *self.0.borrow_mut().of(end).entry(class.to_owned()).or_default() += 1;
+    }
+
+    /// So many messages were written whole to an endpoint.
+    pub fn sent(&self, messages: usize) {
+        self.0.borrow_mut().sends += messages as u64;
+    }
+
+    /// A file was taken at SIGHUP, or turned down.
+    pub fn reloaded(&self, taken: bool) {
+        let mut counts = self.0.borrow_mut();
+        *if taken { &mut counts.conf_loaded } else { &mut counts.conf_invalid } += 1;
+    }
+
+    /// How things stand from now on.
+    pub fn stand(&self, now: Now) {
+        self.0.borrow_mut().now = now;
+    }
+
+    /// All of them at this moment, as JSON.
+    pub fn json(&self) -> Vec<u8> {
+        serde_json::to_vec(&*self.0.borrow()).unwrap_or_default()
+    }
+}
--- a/src/net/mgmt.rs
+++ b/src/net/mgmt.rs
@@ -9,7 +9,7 @@
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::body::Incoming;
-use hyper::header::{ALLOW, HeaderValue};
+use hyper::header::{ALLOW, CONTENT_TYPE, HeaderValue};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper::{Method, Request, Response, StatusCode};
@@ -18,6 +18,7 @@
 use tokio::sync::{Semaphore, mpsc::UnboundedSender, oneshot, watch};
 use tokio::time::timeout;
 
+use super::figures::Figures;
 use super::intake::{closing, plain, readiness};
 use super::{Inbound, Standing};
 
@@ -32,13 +33,18 @@
 /// What operators can ask for.
 pub struct Mgmt {
     standing: watch::Receiver<Standing>,
+    figures: Rc<Figures>,
     inbound: UnboundedSender<Inbound>,
 }
 
 impl Mgmt {
     /// What callers share.
-    pub fn new(standing: watch::Receiver<Standing>, inbound: UnboundedSender<Inbound>) -> Self {
-        Self { standing, inbound }
+    pub fn new(
+        standing: watch::Receiver<Standing>,
+        figures: Rc<Figures>,
+        inbound: UnboundedSender<Inbound>,
+    ) -> Self {
+        Self { standing, figures, inbound }
     }
 
     /// Takes calls for as long as the process runs.
@@ -78,9 +84,14 @@
         let post = request.method() == Method::POST;
         Ok(closing(match request.uri().path() {
             "/control/ready" if get => readiness(*self.standing.borrow()),
+            "/control/counters" if get => {
+                let mut response = Response::new(Full::new(Bytes::from(self.figures.json())));
+                response.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
+                response
+            }
             "/control/out-of-service" if post => self.service(false).await,
             "/control/in-service" if post => self.service(true).await,
-            "/control/ready" => not_allowed("GET"),
+            "/control/ready" | "/control/counters" => not_allowed("GET"),
             "/control/out-of-service" | "/control/in-service" => not_allowed("POST"),
             _ => plain(StatusCode::NOT_FOUND, "not found\n"),
         }))
@@ -120,7 +131,7 @@
         let listener = TcpListener::bind("127.0.0.1:0").await?;
         let address = listener.local_addr()?;
         let local = tokio::task::LocalSet::new();
-        local.spawn_local(Rc::new(Mgmt::new(standing, inbound)).listen(listener));
+        local.spawn_local(Rc::new(Mgmt::new(standing, Rc::default(), inbound)).listen(listener));
         local
             .run_until(async {
                 let mut silent = Vec::new();
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -4,6 +4,7 @@
 pub mod calls;
 pub mod config;
 pub mod driver;
+pub mod figures;
 pub mod intake;
 pub mod journal;
 pub mod mgmt;
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -479,6 +479,18 @@
         self.remind(actions);
     }
 
+    /// Messages that are owed a final answer.
+    pub fn held(&self) -> usize {
+        self.held.len()
+    }
+
+    /// Listed endpoints that a breaker keeps messages from.
+    pub fn avoided(&self) -> usize {
+        let shut = |id: &RouteId| self.routes.get(id).is_some_and(|r| r.breaker.state != State::Closed);
+        let routes = self.endpoints.iter().filter(|(_, e)| e.ready).filter_map(|(id, _)| self.route_of(*id));
+        routes.filter(shut).count()
+    }
+
     /// What is held keeps its aim, its deadline and its class; all that comes next goes by the new settings,
     /// attempts allowed among them: a message that has had more is answered.
     fn adopt(&mut self, settings: &Settings) {
--- a/tests/node/main.rs
+++ b/tests/node/main.rs
@@ -176,12 +176,16 @@
     wait_until(|| node.hand_in("b", "bill", 7, 20_000).status() == 202);
     assert_eq!(node.hand_in("c", "order", 7, 20_000).status(), 400);
     platform.tell(&[listing("e1", 7, "plain", endpoint.address)]);
-    for id in ["a", "b"] {
+    // Each has a connection of its own: which of the two is read first is open.
+    let mut called = BTreeSet::new();
+    for _ in 0..2 {
         let call = endpoint.next();
-        assert_eq!(call.http.headers["req-id"], id);
+        let id = call.http.headers["req-id"].clone();
         call.reply(status(500));
         assert_eq!(platform.notice(204), [json!({"id": id, "status": "undeliverable"})]);
+        called.insert(id);
     }
+    assert_eq!(called, BTreeSet::from(["a".to_owned(), "b".to_owned()]));
 }
 
 /// Guards against telling a call that may have run from one that can't have.
@@ -339,6 +343,43 @@
     ["c", "d"].map(|id| client.ask(&handing_in(id, "order", 7, 20_000)).status())
 }
 
+/// Each message counts where it ended, a send once it is written, and what stands as it stands.
+#[test]
+fn the_figures_count_what_happened() {
+    let (platform, endpoint) = (Platform::new(), Served::new());
+    let known = [listing("e1", 7, "plain", endpoint.address), listing("e2", 8, "plain", endpoint.address)];
+    let node = Node::start(&platform, &known, |config| config["mgmt"] = json!("127.0.0.1:0"));
+    let figures = || node.call("GET", "/control/counters").json();
+    let none = json!({"note": 0, "order": 0});
+    assert_eq!(
+        figures(),
+        json!({"answered": none, "deferred": none, "errored": none, "sends": 0, "current": 0,
+               "cluster_size": 2, "cluster_unhealthy": 0, "conf_loaded": 0, "conf_invalid": 0})
+    );
+    assert_eq!(node.hand_in("delivered", "note", 7, 20_000).status(), 202);
+    let call = endpoint.next();
+    assert_eq!(figures()["sends"], 1, "counted before its answer");
+    call.reply(status(200));
+    wait_until(|| figures()["answered"] == json!({"note": 1, "order": 0}));
+    assert_eq!(node.hand_in("failed", "order", 7, 20_000).status(), 202);
+    endpoint.next().reply(status(500));
+    assert_eq!(platform.notice(204), [json!({"id": "failed", "status": "undeliverable"})]);
+    assert_eq!(node.hand_in("handed back", "order", 9, 500).status(), 202);
+    assert_eq!(figures()["current"], 1);
+    platform.notice(204);
+    platform.tell(&known[..1]);
+    node.reload(|config| config["settings"]["limits"]["try_limit"] = json!(0));
+    wait_until(|| figures()["conf_invalid"] == 1 && figures()["cluster_size"] == 1);
+    node.reload(|config| config["settings"]["limits"]["try_limit"] = json!(5));
+    wait_until(|| figures()["conf_loaded"] == 1);
+    assert_eq!(
+        figures(),
+        json!({"answered": {"note": 1, "order": 0}, "deferred": {"note": 0, "order": 1},
+               "errored": {"note": 0, "order": 1}, "sends": 2, "current": 0, "cluster_size": 1,
+               "cluster_unhealthy": 0, "conf_loaded": 1, "conf_invalid": 1})
+    );
+}
+
 #[test]
 fn operators_calls_that_are_not_meant_are_told_off() {
     let platform = Platform::new();
