Let a new process take over from the old one under load

The clients' socket may be inherited (NODE_LISTEN_FD). The folder that lasts belongs to who holds a lock in it. A new process that finds it held asks the old one over a socket there; the old one stops accepting and beginning calls, tells module, list and numbers, lets go of the lock, and passes on what still happens: ends of calls, waits, and what clients bring over the connections they have, each of which ends with its next answer. A call that dies with the old process ends as a reset, which the module judges as ever. Taking a descriptor over by its number is unsafe in the standard library; main denies unsafe code but for that line.

Both tests were seen to fail with the old process's ends of calls left out.

--- a/src/interface.rs
+++ b/src/interface.rs
@@ -2,23 +2,25 @@
 //!
 //! Times are microseconds on the clock of the events; the module knows no other clock.
 
+use serde::{Deserialize, Serialize};
+
 /// A point in time or a span, in microseconds.
 pub type Micros = u64;
 
 /// Identifies a message at this sender; never used twice.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct MessageId(pub u32);
 
 /// Identifies an endpoint: its address and port. It carries no meaning.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct EndpointId(pub [u8; 6]);
 
 /// Identifies a destination.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct DestinationId(pub u16);
 
 /// Where a keyed repeat is recognised.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Group {
     /// At every endpoint of the destination.
     All,
@@ -29,7 +31,7 @@
 }
 
 /// What repeating a message does.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Effect {
     /// Repeats do no harm.
     Repeatable,
@@ -45,7 +47,7 @@
 }
 
 /// How worth falls once the aim has passed.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Decay {
     /// Evenly, down to the late worth at the deadline.
     Line,
@@ -54,7 +56,7 @@
 }
 
 /// A class of message.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Class {
     /// What repeating does.
     pub effect: Effect,
@@ -71,14 +73,14 @@
 }
 
 /// A tenant and its share.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Tenant {
     /// Messages a second, over all senders, within its share.
     pub quota: f64,
 }
 
 /// A kind of destination.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Kind {
     /// Its endpoints are routes apart, each with limit, pace and outages of its own.
     pub routes_apart: bool,
@@ -87,7 +89,7 @@
 }
 
 /// What the weight of an endpoint's listing says.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Weights {
     /// Nothing.
     None,
@@ -98,7 +100,7 @@
 }
 
 /// The figures of the rules.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Rules {
     /// A final answer is valid this long after the deadline.
     pub answer_slack: Micros,
@@ -119,7 +121,7 @@
 }
 
 /// What an instance is told at its start.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Settings {
     /// Classes of message.
     pub classes: Vec<Class>,
@@ -198,7 +200,7 @@
 }
 
 /// A message handed to this sender, which owes it one final answer.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Message {
     /// Its id.
     pub id: MessageId,
@@ -217,7 +219,7 @@
 }
 
 /// How an attempt ended.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Outcome {
     /// Delivered.
     Delivered,
--- a/src/main.rs
+++ b/src/main.rs
@@ -1,9 +1,11 @@
 //! One real sender: takes messages from clients and delivers them to endpoints, as the decision module says.
-#![forbid(unsafe_code)]
+#![deny(unsafe_code)]
 #![warn(missing_docs)]
 
 mod net;
 
+use std::net::TcpListener;
+use std::os::fd::FromRawFd;
 use std::process::ExitCode;
 
 use tokio::signal::unix::{SignalKind, signal};
@@ -21,7 +23,19 @@
     }
 }
 
+/// The socket that the platform holds for clients and that every process of the sender inherits, if it does.
+#[allow(unsafe_code)]
+fn inherited() -> Result<Option<TcpListener>, String> {
+    let Some(number) = config::listening()? else { return Ok(None) };
+    // SAFETY: the platform hands the descriptor down for this process to own, and says so by its number.
+    // This is called once, before the process has opened any of its own.
+    let listener = unsafe { TcpListener::from_raw_fd(number) };
+    listener.set_nonblocking(true).map_err(|e| format!("NODE_LISTEN_FD={number}: {e}"))?;
+    Ok(Some(listener))
+}
+
 fn run() -> Result<(), String> {
+    let inherited = inherited()?;
     let config = config::read()?;
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
     let runtime = runtime.map_err(|e| format!("runtime: {e}"))?;
@@ -52,6 +66,6 @@
                 let _ = reloaded.send(Inbound::Reloaded(read.map(Box::new)));
             }
         });
-        driver::run(config, discovery, inbound, events).await
+        driver::run(config, inherited, discovery, inbound, events).await
     })
 }
--- a/src/net/calls.rs
+++ b/src/net/calls.rs
@@ -388,6 +388,11 @@
         });
     }
 
+    /// Closes all idle connections.
+    pub fn close_all_idle(&self) {
+        self.0.idle.borrow_mut().clear();
+    }
+
     /// Closes the idle connections to an endpoint.
     pub fn close_idle(&self, endpoint: EndpointId) {
         self.0.idle.borrow_mut().retain(|line, _| line.endpoint != endpoint);
--- a/src/net/config.rs
+++ b/src/net/config.rs
@@ -2,10 +2,11 @@
 
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
+use std::os::fd::RawFd;
 use std::path::PathBuf;
 
 use myrtleyard::interface::{Class, Effect, Settings};
-use serde::Deserialize;
+use serde::{Deserialize, Serialize};
 use serde_json::Value;
 
 use super::platform::ListBody;
@@ -46,7 +47,7 @@
 }
 
 /// Names in the settings, by position.
-#[derive(Debug, Default, Clone)]
+#[derive(Debug, Default, Clone, Serialize, Deserialize)]
 pub struct Names {
     /// Classes of message, those that are held still among them.
     pub classes: Vec<String>,
@@ -74,26 +75,27 @@
     }
 }
 
-impl Config {
-    /// Settings and names that follow on others in the same process. A class's position is never given to
-    /// another: what is held goes by it, so that a message under way keeps the class that it came with.
-    pub fn following(self, before: &Settings, known: &Names) -> (Settings, Names) {
-        let Self { mut settings, mut names, .. } = self;
-        let mut classes = before.classes.clone();
-        let mut all = known.classes.clone();
-        let mut current = BTreeSet::new();
-        for (name, class) in names.classes.into_iter().zip(settings.classes) {
-            let same = (0..all.len()).find(|at| all[*at] == name && classes[*at] == class);
-            current.insert(same.unwrap_or_else(|| {
-                all.push(name);
-                classes.push(class);
-                all.len() - 1
-            }));
-        }
-        names.retired = (0..all.len()).filter(|at| !current.contains(at)).collect();
-        (names.classes, settings.classes) = (all, classes);
-        (settings, names)
+/// Settings and names that follow on others at the same sender. A class's position is never given to
+/// another: what is held goes by it, so that a message under way keeps the class that it came with.
+pub fn following(
+    (mut settings, mut names): (Settings, Names),
+    before: &Settings,
+    known: &Names,
+) -> (Settings, Names) {
+    let mut classes = before.classes.clone();
+    let mut all = known.classes.clone();
+    let mut current = BTreeSet::new();
+    for (name, class) in names.classes.into_iter().zip(settings.classes) {
+        let same = (0..all.len()).find(|at| all[*at] == name && classes[*at] == class);
+        current.insert(same.unwrap_or_else(|| {
+            all.push(name);
+            classes.push(class);
+            all.len() - 1
+        }));
     }
+    names.retired = (0..all.len()).filter(|at| !current.contains(at)).collect();
+    (names.classes, settings.classes) = (all, classes);
+    (settings, names)
 }
 
 /// The first key that another document has and this one lacks. Entries of lists come and go; a class is
@@ -152,6 +154,18 @@
     }
 }
 
+/// The number of the descriptor that the platform listens on for clients, where it does.
+///
+/// # Errors
+/// Fails when it is no number of one.
+pub fn listening() -> Result<Option<RawFd>, String> {
+    let parse = |text: String| {
+        let number = text.parse().ok().filter(|fd| *fd > 2);
+        number.ok_or(format!("NODE_LISTEN_FD={text}: no descriptor that can be listened on"))
+    };
+    variable("NODE_LISTEN_FD")?.map(parse).transpose()
+}
+
 fn address(name: &str) -> Result<Option<SocketAddr>, String> {
     let parse = |text: String| text.parse().map_err(|e| format!("{name}={text}: {e}"));
     variable(name)?.map(parse).transpose()
@@ -306,12 +320,13 @@
         changed["settings"]["classes"][0]["effect"] = json!("once");
         changed["settings"]["classes"][1]["name"] = json!("bill");
         let second = parse(changed.to_string().as_bytes(), Some(&first.document))?;
-        let (settings, names) = second.following(&first.settings, &first.names);
+        let (settings, names) = following((second.settings, second.names), &first.settings, &first.names);
         assert_eq!(settings.classes[..2], first.settings.classes[..]);
         assert_eq!(settings.classes[2].effect, Effect::Once);
         assert_eq!(["note", "order", "bill"].map(|name| names.class(name)), [Some(2), None, Some(3)]);
         // What comes back as it was has its old position.
-        let (settings, names) = parse(document().to_string().as_bytes(), None)?.following(&settings, &names);
+        let third = parse(document().to_string().as_bytes(), None)?;
+        let (settings, names) = following((third.settings, third.names), &settings, &names);
         assert_eq!(settings.classes.len(), 4);
         assert_eq!(["note", "order", "bill"].map(|name| names.class(name)), [Some(0), Some(1), None]);
         Ok(())
--- a/src/net/driver.rs
+++ b/src/net/driver.rs
@@ -9,13 +9,16 @@
 
 use myrtleyard::interface::*;
 use myrtleyard::policy::Policy;
-use tokio::net::TcpListener;
+use serde::{Deserialize, Serialize};
+use tokio::net::{TcpListener, UnixStream};
 use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel};
 use tokio::sync::{Notify, oneshot, watch};
+use tokio::task::JoinHandle;
 
 use super::calls::{Calls, Limits, Line, Part};
-use super::config::{Config, Names};
+use super::config::{Config, Names, following};
 use super::figures::{End, Figures, Now};
+use super::handover::{self, Claim, Knowledge, Order, Predecessor, Relay};
 use super::intake::{Answer, HandedIn, Intake};
 use super::journal::{GivenUp, Journal, Live, Record, Taken, taken_on};
 use super::mgmt::{self, Mgmt};
@@ -24,7 +27,7 @@
 use super::{AttemptOver, Clock, Inbound, Standing};
 
 /// From SIGTERM until the process may be killed.
-const STOP_WITHIN: Micros = 3_700_000;
+pub const STOP_WITHIN: Micros = 3_700_000;
 /// From SIGTERM until clients have learnt to go elsewhere.
 const STILL_CALLED: Micros = 1_000_000;
 /// Advice to clients while the journal has no room.
@@ -33,7 +36,8 @@
 const OWN_SOCKETS: usize = 32;
 
 /// An endpoint as the list has it.
-struct Known {
+#[derive(Serialize, Deserialize)]
+pub struct Known {
     name: String,
     group: u16,
     address: Option<SocketAddr>,
@@ -79,6 +83,8 @@
     /// The id of each name, and how many ids were given out.
     ids: HashMap<String, EndpointId>,
     given: u64,
+    /// The list's version.
+    index: u64,
     timers: BTreeSet<(Micros, u64)>,
     next_message: u32,
     /// Numbers of the messages that are held, by their `Req-Id`.
@@ -91,6 +97,10 @@
     unwritten: Vec<Record>,
     /// Notices whose records are not written yet.
     unsaid: Vec<(u32, GivenUp, String)>,
+    /// The process that this one took over from, while it is there.
+    predecessor: Option<UnboundedSender<Order>>,
+    /// The process that asks to take over from this one.
+    successor: Option<UnixStream>,
 }
 
 /// Runs the sender until it is asked to end and has.
@@ -99,14 +109,11 @@
 /// Fails when it can't start: an address or the journal is not to be had.
 pub async fn run(
     config: Config,
+    inherited: Option<std::net::TcpListener>,
     discovery: watch::Receiver<SocketAddr>,
     inbound: UnboundedSender<Inbound>,
     mut events: UnboundedReceiver<Inbound>,
 ) -> Result<(), String> {
-    let clock = Clock::new();
-    let journal = Journal::open(&config.state, config.disk)
-        .map_err(|e| format!("journal in {}: {e}", config.state.display()))?;
-    let peers = Peers::open(&config, inbound.clone()).await.map_err(|e| format!("peer_listen: {e}"))?;
     let (standing, stand) = watch::channel(Standing::Starting);
     let figures = Rc::new(Figures::default());
     figures.name(&config.names);
@@ -121,6 +128,19 @@
             Rc::new(Mgmt::new(stand.clone(), figures.clone(), inbound.clone())).listen(listener),
         );
     }
+    let folder = config.state.clone();
+    let (mut claim, predecessor) = match inherited.is_some() {
+        true => handover::claim(&folder).await.map(|(claim, before)| (Some(claim), before)),
+        false => Ok((None, None)),
+    }
+    .map_err(|e| format!("{}: {e}", folder.display()))?;
+    let clock = match &predecessor {
+        Some(predecessor) => Clock::new().from(predecessor.knowledge.now),
+        None => Clock::new(),
+    };
+    let journal =
+        Journal::open(&folder, config.disk).map_err(|e| format!("journal in {}: {e}", folder.display()))?;
+    let peers = Peers::open(&config, inbound.clone()).await.map_err(|e| format!("peer_listen: {e}"))?;
     let (notices, owed) = unbounded_channel();
     let whole_list = Rc::new(Notify::new());
     let sides = config.sockets.saturating_sub(own_sockets) / 2;
@@ -143,27 +163,53 @@
         endpoints: HashMap::new(),
         ids: HashMap::new(),
         given: 0,
+        index: config.known.index,
         timers: BTreeSet::new(),
         held: HashMap::new(),
         attempts: HashMap::new(),
         fresh: BTreeMap::new(),
         unwritten: Vec::new(),
         unsaid: Vec::new(),
+        predecessor: None,
+        successor: None,
         policy: Policy::new(config.settings.clone(), config.seed, clock.now()),
         settings: config.settings,
     };
-    let index = config.known.index;
-    let first = driver.start(config.known);
+    let (first, followed) = match predecessor {
+        Some(predecessor) => {
+            let (first, followed) = driver.take_over(predecessor, inbound.clone(), config.seed);
+            (first, Some(followed))
+        }
+        None => (driver.start(config.known), None),
+    };
     driver.turn(first);
 
-    let listener = TcpListener::bind(config.listen).await;
+    let listener = match inherited {
+        Some(listener) => TcpListener::from_std(listener),
+        None => TcpListener::bind(config.listen).await,
+    };
     let listener = listener.map_err(|e| format!("listen on {}: {e}", config.listen))?;
     let address = listener.local_addr().map_err(|e| format!("listen: {e}"))?;
     let intake = Rc::new(Intake::new(clock, names, inbound.clone(), stand));
     driver.standing.send_replace(Standing::InService);
-    tokio::task::spawn_local(intake.clone().listen(listener, sides.max(1)));
-    tokio::task::spawn_local(platform::notices(discovery.clone(), owed, inbound.clone()));
-    tokio::task::spawn_local(platform::watch(discovery, index, whole_list, inbound));
+    let mut tasks = vec![
+        tokio::task::spawn_local(intake.clone().listen(listener, sides.max(1))),
+        tokio::task::spawn_local(platform::notices(discovery.clone(), owed, inbound.clone())),
+        tokio::task::spawn_local(platform::watch(discovery, driver.index, whole_list, inbound.clone())),
+    ];
+    if claim.is_some() {
+        let inbound = inbound.clone();
+        tasks.push(tokio::task::spawn_local(async move {
+            // One handover at a time: what the process before still does is passed on to this one alone.
+            if let Some(followed) = followed {
+                let _ = followed.await;
+            }
+            match handover::successor(&folder).await {
+                Ok(stream) => drop(inbound.send(Inbound::Successor(stream))),
+                Err(e) => eprintln!("no process can take over from this one: {e}"),
+            }
+        }));
+    }
     let in_hand = driver.journal.live().len();
     eprintln!("{} is ready on {address} with {in_hand} messages in hand{called_at}", config.name);
 
@@ -199,6 +245,18 @@
         if driver.may_end(intake.open()) {
             return Ok(());
         }
+        // What can't be written down yet can't be told either.
+        if driver.unwritten.is_empty()
+            && let Some(stream) = driver.successor.take()
+            && let Some(claim) = claim.take()
+        {
+            for task in std::mem::take(&mut tasks) {
+                task.abort();
+                let _ = task.await;
+            }
+            driver.hand_over(stream, claim, intake, events).await;
+            return Ok(());
+        }
     }
 }
 
@@ -246,6 +304,88 @@
         said
     }
 
+    /// Goes on where the process before left off, as far as the settings are the same.
+    fn take_over(
+        &mut self,
+        predecessor: Predecessor,
+        inbound: UnboundedSender<Inbound>,
+        seed: u64,
+    ) -> (Vec<Event>, JoinHandle<()>) {
+        let knowledge = *predecessor.knowledge;
+        let own = (self.settings.clone(), self.names.borrow().clone());
+        let (settings, names) = following(own, &knowledge.settings, &knowledge.names);
+        self.calls.adopt(limits(&settings, &names, self.connections));
+        self.figures.name(&names);
+        self.names.replace(names);
+        self.settings = settings.clone();
+        self.policy = knowledge.policy.taken_over(seed);
+        self.endpoints = knowledge.endpoints;
+        self.ids = knowledge.ids;
+        self.given = knowledge.given;
+        self.index = knowledge.index;
+        self.timers = knowledge.timers;
+        self.next_message = knowledge.next_message;
+        self.held = knowledge.held;
+        self.attempts = knowledge.attempts;
+        // What the platform was told, but not written down to have been, it is told again.
+        for (number, live) in self.journal.live() {
+            if let Some(how) = live.given_up {
+                self.notify(*number, how, live.taken.id.clone());
+            }
+        }
+        let reset = |(message, attempt, endpoint)| AttemptOver {
+            message,
+            attempt,
+            endpoint,
+            outcome: Outcome::Reset,
+            gone: false,
+            took: 0,
+            report: vec![],
+        };
+        let out = self.policy.out().map(reset).collect();
+        let (orders, followed) = predecessor.link.follow(inbound, out);
+        self.predecessor = Some(orders);
+        (vec![Event::Settings(Box::new(settings))], followed)
+    }
+
+    /// Tells the next process all that is known here, and stays for what is still under way.
+    async fn hand_over(
+        mut self,
+        stream: UnixStream,
+        claim: Claim,
+        intake: Rc<Intake>,
+        events: UnboundedReceiver<Inbound>,
+    ) {
+        self.standing.send_replace(Standing::HandedOver);
+        self.figures.handed_over();
+        self.calls.close_all_idle();
+        if let Some(peers) = self.peers.take() {
+            peers.close().await;
+        }
+        let relay = Relay {
+            clock: self.clock,
+            intake,
+            calls: self.calls,
+            stop_at: self.stop_at,
+            inbound: self.inbound,
+        };
+        let knowledge = Box::new(Knowledge {
+            now: self.clock.now(),
+            policy: self.policy,
+            settings: self.settings,
+            names: self.names.borrow().clone(),
+            endpoints: self.endpoints,
+            ids: self.ids,
+            given: self.given,
+            index: self.index,
+            timers: self.timers,
+            next_message: self.next_message,
+            held: self.held,
+            attempts: self.attempts,
+        });
+        relay.run(stream, knowledge, claim, events).await;
+    }
+
     /// Turns what a task says into events for the module.
     fn fold(&mut self, inbound: Inbound, said: &mut Vec<Event>) {
         match inbound {
@@ -275,8 +415,12 @@
                     }
                 }
             }
+            Inbound::Successor(stream) => self.successor = Some(stream),
+            // Nothing is ordered from the process that owns the folder.
+            Inbound::Ordered(_) => {}
             Inbound::Reloaded(Ok(config)) => {
-                let (settings, names) = config.following(&self.settings, &self.names.borrow());
+                let own = (config.settings, config.names);
+                let (settings, names) = following(own, &self.settings, &self.names.borrow());
                 self.calls.adopt(limits(&settings, &names, self.connections));
                 self.figures.reloaded(true);
                 self.figures.name(&names);
@@ -402,6 +546,7 @@
     }
 
     fn listed(&mut self, list: ListBody) -> Event {
+        self.index = list.index;
         let names = self.names.clone();
         let names = names.borrow();
         let mut entries = Vec::with_capacity(list.endpoints.len());
@@ -463,7 +608,12 @@
                     given_up.push((message.0, GivenUp::Deferred(retry_after)));
                 }
                 Action::Fail(message) => given_up.push((message.0, GivenUp::Undeliverable)),
-                Action::Cancel { message, attempt } => self.calls.cancel(message, attempt),
+                Action::Cancel { message, attempt } => {
+                    self.calls.cancel(message, attempt);
+                    if let Some(predecessor) = &self.predecessor {
+                        let _ = predecessor.send(Order::Cancel(message, attempt));
+                    }
+                }
                 Action::Probe(endpoint) => match self.line(endpoint) {
                     Some(line) => self.calls.probe(line),
                     None => {
--- a/src/net/figures.rs
+++ b/src/net/figures.rs
@@ -97,6 +97,11 @@
         self.0.borrow_mut().now = now;
     }
 
+    /// What was held is another process's.
+    pub fn handed_over(&self) {
+        self.0.borrow_mut().now.current = 0;
+    }
+
     /// All of them at this moment, as JSON.
     pub fn json(&self) -> Vec<u8> {
         serde_json::to_vec(&*self.0.borrow()).unwrap_or_default()
--- a/src/net/intake.rs
+++ b/src/net/intake.rs
@@ -14,6 +14,7 @@
 use hyper::{Method, Request, Response, StatusCode};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use myrtleyard::interface::Micros;
+use serde::{Deserialize, Serialize};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{Semaphore, mpsc::UnboundedSender, oneshot, watch};
 use tokio::time::timeout;
@@ -43,7 +44,7 @@
 }
 
 /// What the client hears.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Answer {
     /// The sender owes the message its end.
     Taken,
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -5,6 +5,7 @@
 pub mod config;
 pub mod driver;
 pub mod figures;
+pub mod handover;
 pub mod intake;
 pub mod journal;
 pub mod mgmt;
@@ -14,6 +15,8 @@
 use std::time::{Instant, SystemTime, UNIX_EPOCH};
 
 use myrtleyard::interface::{EndpointId, Event, MessageId, Micros, Outcome};
+use serde::{Deserialize, Serialize};
+use tokio::net::UnixStream;
 use tokio::sync::oneshot;
 
 /// Bodies hold at most so much.
@@ -28,6 +31,8 @@
     InService,
     /// Operators have sent clients elsewhere until further notice.
     OutOfService,
+    /// A new process of this sender takes them.
+    HandedOver,
     /// The process was asked to end.
     Stopping,
 }
@@ -39,6 +44,7 @@
             Self::Starting => "starting\n",
             Self::InService => "ready\n",
             Self::OutOfService => "out of service\n",
+            Self::HandedOver => "handed over\n",
             Self::Stopping => "stopping\n",
         }
     }
@@ -61,6 +67,10 @@
     NoticesKept(Vec<MessageId>),
     /// The process was asked to end.
     Terminate,
+    /// A new process of this sender asks to take over.
+    Successor(UnixStream),
+    /// It has something done here, or is gone.
+    Ordered(Option<handover::Order>),
     /// The configuration was read again, or why it is turned down.
     Reloaded(Result<Box<config::Config>, String>),
     /// Operators want clients to go elsewhere, or to come again. They hear how it stands then.
@@ -68,7 +78,7 @@
 }
 
 /// How one attempt ended.
-#[derive(Debug, Clone)]
+#[derive(Debug, Clone, Serialize, Deserialize)]
 pub struct AttemptOver {
     /// The message.
     pub message: MessageId,
@@ -100,6 +110,11 @@
         Self { base: unix.as_micros() as Micros, start: Instant::now() }
     }
 
+    /// The clock set ahead, if need be, so that it goes on from another process's.
+    pub fn from(self, other: Micros) -> Self {
+        Self { base: self.base + other.saturating_sub(self.now()), ..self }
+    }
+
     /// The time now.
     pub fn now(&self) -> Micros {
         self.base + self.start.elapsed().as_micros() as Micros
--- a/src/net/peers.rs
+++ b/src/net/peers.rs
@@ -7,6 +7,7 @@
 use myrtleyard::interface::Event;
 use tokio::net::UdpSocket;
 use tokio::sync::mpsc::UnboundedSender;
+use tokio::task::JoinHandle;
 
 use super::Inbound;
 use super::config::Config;
@@ -19,6 +20,7 @@
     socket: Rc<UdpSocket>,
     peers: Vec<SocketAddr>,
     all: Option<SocketAddr>,
+    receiving: JoinHandle<()>,
 }
 
 impl Peers {
@@ -29,12 +31,12 @@
     pub async fn open(config: &Config, inbound: UnboundedSender<Inbound>) -> io::Result<Option<Self>> {
         let Some(listen) = config.peer_listen else { return Ok(None) };
         let socket = Rc::new(UdpSocket::bind(listen).await?);
-        let (receiving, peers) = (socket.clone(), config.peers.clone());
-        tokio::task::spawn_local(async move {
+        let (from_peers, peers) = (socket.clone(), config.peers.clone());
+        let receiving = tokio::task::spawn_local(async move {
             let mut note = [0; NOTE_LIMIT + 1];
             loop {
                 // An error here is an earlier note's that did not arrive.
-                let Ok((size, from)) = receiving.recv_from(&mut note).await else {
+                let Ok((size, from)) = from_peers.recv_from(&mut note).await else {
                     tokio::task::yield_now().await;
                     continue;
                 };
@@ -49,7 +51,13 @@
                 }
             }
         });
-        Ok(Some(Self { socket, peers: config.peers.clone(), all: config.peers_all }))
+        Ok(Some(Self { socket, peers: config.peers.clone(), all: config.peers_all, receiving }))
+    }
+
+    /// Gives the address up.
+    pub async fn close(self) {
+        self.receiving.abort();
+        let _ = self.receiving.await;
     }
 
     /// Sends a note to one sender, or to all; it may be lost.
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -4,6 +4,8 @@
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
+use serde::{Deserialize, Serialize};
+
 use crate::interface::*;
 
 /// Consecutive errors or failed connections that open a breaker.
@@ -32,7 +34,7 @@
 /// What a breaker guards: a destination, or one endpoint of it where its routes are apart.
 type RouteId = (DestinationId, Option<EndpointId>);
 
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 enum State {
     #[default]
     Closed,
@@ -41,7 +43,8 @@
 }
 
 /// The three-state breaker: what counts, and when a trial is due.
-#[derive(Debug, Default)]
+#[derive(Debug, Default, Serialize, Deserialize)]
+#[serde(default)]
 struct Breaker {
     state: State,
     failures: u32,
@@ -97,7 +100,8 @@
 }
 
 /// Health and pace of what a breaker guards, as this sender saw it.
-#[derive(Debug, Default)]
+#[derive(Debug, Default, Serialize, Deserialize)]
+#[serde(default)]
 struct Route {
     breaker: Breaker,
     /// A wait that was told, or our own pause after a refusal that told none: nothing goes before it ends.
@@ -327,6 +331,7 @@
     }
 }
 
+#[derive(Serialize, Deserialize)]
 struct Endpoint {
     destination: DestinationId,
     zone: u16,
@@ -340,6 +345,7 @@
 }
 
 /// A message that this sender owes a final answer.
+#[derive(Serialize, Deserialize)]
 struct Held {
     message: Message,
     deadline: Micros,
@@ -351,6 +357,7 @@
 }
 
 /// A call holds a slot until all its messages have their outcomes.
+#[derive(Serialize, Deserialize)]
 struct Call {
     route: RouteId,
     endpoint: EndpointId,
@@ -360,7 +367,8 @@
 }
 
 /// Messages of one ordered key, in the order of acceptance.
-#[derive(Debug, Default)]
+#[derive(Debug, Default, Serialize, Deserialize)]
+#[serde(default)]
 struct Line {
     waiting: VecDeque<MessageId>,
     out: BTreeSet<(MessageId, u16)>,
@@ -369,8 +377,10 @@
 }
 
 /// The decisions of one sender.
+#[derive(Serialize, Deserialize)]
 pub struct Policy {
     settings: Settings,
+    #[serde(skip)]
     rng: fastrand::Rng,
     now: Micros,
     endpoints: BTreeMap<EndpointId, Endpoint>,
@@ -417,6 +427,18 @@
         }
     }
 
+    /// What an earlier process of this sender decided by goes on in this one, with nothing known of its end.
+    pub fn taken_over(self, seed: u64) -> Self {
+        Self { rng: fastrand::Rng::with_seed(seed), stop_at: None, ..self }
+    }
+
+    /// Attempts without an outcome, and where they went.
+    pub fn out(&self) -> impl Iterator<Item = (MessageId, u16, EndpointId)> + '_ {
+        self.flights.iter().filter_map(|((message, attempt), (call, _))| {
+            Some((*message, *attempt, self.calls.get(call)?.endpoint))
+        })
+    }
+
     /// Folds in all events of the tick, then decides once.
     pub fn handle(&mut self, now: Micros, events: &[Event], actions: &mut Vec<Action>) {
         self.now = now;
--- a/tests/node/main.rs
+++ b/tests/node/main.rs
@@ -496,3 +496,75 @@
     drop((call, node));
     assert!(!endpoint.unseen());
 }
+
+/// A new version takes over under load: nothing is lost, repeated, refused or told twice, and what still happens
+/// at the old process counts at the new one.
+#[test]
+fn a_new_process_takes_over_all_that_the_old_one_has() {
+    let (platform, seven, eight) = (Platform::new(), Served::new(), Served::new());
+    let known = [listing("e1", 7, "plain", seven.address), listing("e2", 8, "plain", eight.address)];
+    let mut old = Node::start_inheriting(&platform, &known);
+    let mut client = Client::new(&old);
+    assert_eq!(client.ask(&handing_in("out", "order", 7, 20_000)).status(), 202);
+    let out = seven.next();
+    assert_eq!(client.ask(&handing_in("held", "order", 9, 20_000)).status(), 202, "nowhere to go yet");
+    assert_eq!(client.ask(&handing_in("waits", "order", 8, 20_000)).status(), 202);
+    let wait = vec![("retry-after", "1.5".to_owned())];
+    let before = old.journal_length();
+    eight.next().reply(Reply::Answer(429, wait, "".into()));
+    // The answer has been read once the journal has heard of it.
+    wait_until(|| old.journal_length() > before);
+    assert_eq!(client.ask(&handing_in("held too", "order", 9, 20_000)).status(), 202);
+
+    let new = old.succeeded();
+    assert_eq!(new.call("GET", "/control/ready").status(), 200);
+    assert_eq!(old.call("GET", "/control/ready").status(), 503);
+    assert_eq!(new.call("GET", "/control/counters").json()["current"], 4);
+    assert_eq!(old.call("GET", "/control/counters").json()["current"], 0);
+    // Whoever has a connection to the old process is served there once more.
+    let last = client.ask(&handing_in("by the old", "order", 9, 20_000));
+    assert_eq!((last.status(), last.headers["connection"].as_str()), (202, "close"));
+    assert_eq!(new.hand_in("by the new", "order", 9, 20_000).status(), 202);
+    assert_eq!(new.hand_in("held", "order", 9, 20_000).status(), 202, "known already");
+    assert_eq!(new.call("GET", "/control/counters").json()["current"], 6);
+    out.reply(status(200));
+    wait_until(|| new.call("GET", "/control/counters").json()["answered"]["order"] == 1);
+    old.terminate();
+    assert_eq!(old.exit_code(), Some(0));
+
+    let again = eight.next();
+    assert_eq!(again.http.headers["req-id"], "waits");
+    again.reply(status(200));
+    let nine = Served::new();
+    platform.tell(&[listing("e3", 9, "plain", nine.address)]);
+    let mut called = BTreeSet::new();
+    for _ in 0..4 {
+        let call = nine.next();
+        called.insert(call.http.headers["req-id"].clone());
+        call.reply(status(200));
+    }
+    let expected = ["held", "held too", "by the old", "by the new"].map(str::to_owned);
+    assert_eq!(called, BTreeSet::from(expected));
+    wait_until(|| new.call("GET", "/control/counters").json()["answered"]["order"] == 6);
+    assert!(!seven.unseen() && !eight.unseen() && !nine.unseen());
+    // It can be followed in its turn.
+    let third = new.succeeded();
+    assert_eq!(third.hand_in("by the third", "order", 9, 20_000).status(), 202);
+    assert_eq!(nine.next().http.headers["req-id"], "by the third");
+}
+
+/// Guards the effect of a call that dies with the old process: it may have run.
+#[test]
+fn what_an_old_process_had_out_when_it_was_killed_may_have_run() {
+    let (platform, endpoint) = (Platform::new(), Served::new());
+    let mut old = Node::start_inheriting(&platform, &[listing("e1", 7, "plain", endpoint.address)]);
+    // Its own time is up long after the patience of this test.
+    assert_eq!(old.hand_in("a", "order", 7, 90_000).status(), 202);
+    let call = endpoint.next();
+    let new = old.succeeded();
+    old.kill();
+    assert_eq!(platform.notice(204), [json!({"id": "a", "status": "undeliverable"})]);
+    assert_eq!(new.hand_in("b", "order", 7, 20_000).status(), 202);
+    assert_eq!(endpoint.next().http.headers["req-id"], "b");
+    drop(call);
+}
--- a/tests/node/world.rs
+++ b/tests/node/world.rs
@@ -4,6 +4,7 @@
 use std::collections::HashMap;
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::os::fd::OwnedFd;
 use std::process::{Child, Command, Stdio};
 use std::sync::mpsc::{Receiver, Sender, channel};
 use std::sync::{Arc, Condvar, Mutex};
@@ -230,6 +231,8 @@
     pub address: SocketAddr,
     /// Where operators call, if the configuration says.
     mgmt: Option<SocketAddr>,
+    /// The socket that every process of the sender inherits, if there is one.
+    listener: Option<TcpListener>,
     folder: Arc<tempfile::TempDir>,
 }
 
@@ -243,6 +246,7 @@
     command
         .env_remove("NODE_LISTEN")
         .env_remove("NODE_MGMT")
+        .env_remove("NODE_LISTEN_FD")
         .env_remove("NODE_DISCOVERY")
         .env_remove("NODE_NAME");
     command.env("NODE_CONFIG", folder.join("config.json")).env("NODE_STATE", folder.join("state"));
@@ -266,6 +270,34 @@
         Self::run(folder, shell)
     }
 
+    /// The same with a socket for clients that outlasts its processes, and calls of operators.
+    pub fn start_inheriting(platform: &Platform, endpoints: &[Value]) -> Self {
+        let folder = Self::configure(platform, endpoints, |config| config["mgmt"] = json!("127.0.0.1:0"));
+        Self::inherit(folder, TcpListener::bind("127.0.0.1:0").unwrap())
+    }
+
+    fn inherit(folder: Arc<tempfile::TempDir>, listener: TcpListener) -> Self {
+        let mut shell = Command::new("sh");
+        shell.args(["-c", "exec \"$0\" 3<&0 </dev/null", env!("CARGO_BIN_EXE_myrtleyard")]);
+        surround(&mut shell, folder.path());
+        shell.env("NODE_LISTEN_FD", "3").stdin(OwnedFd::from(listener.try_clone().unwrap()));
+        let mut node = Self::run(folder, shell);
+        node.listener = Some(listener);
+        node
+    }
+
+    /// A new process of the same sender beside this one; comes back once it takes clients.
+    pub fn succeeded(&self) -> Self {
+        let listener = self.listener.as_ref().unwrap().try_clone().unwrap();
+        Self::inherit(self.folder.clone(), listener)
+    }
+
+    /// SIGKILL.
+    pub fn kill(&mut self) {
+        self.child.kill().unwrap();
+        self.child.wait().unwrap();
+    }
+
     fn configure(
         platform: &Platform,
         endpoints: &[Value],
@@ -305,13 +337,12 @@
         let address = address.unwrap_or_else(|| panic!("not ready: {line}")).parse().unwrap();
         thread::spawn(move || std::io::copy(&mut log, &mut std::io::sink()));
         let mgmt = line.split("operators call at ").nth(1).map(|at| at.trim().parse().unwrap());
-        Self { child, address, mgmt, folder }
+        Self { child, address, mgmt, listener: None, folder }
     }
 
     /// SIGKILL, then a new process on the same folder.
     pub fn kill_and_restart(mut self) -> Self {
-        self.child.kill().unwrap();
-        self.child.wait().unwrap();
+        self.kill();
         Self::run(self.folder.clone(), command(self.folder.path()))
     }
 
