Time keyed calls out well before the aim, since quiet connections hold slots

A call whose connection falls quiet held its slot until the aim, 3 s, where answers usually take 0.3 s. Where a repeat does no harm, a call to a destination that answers is now given 1.5 times its patience, and twice as long with each attempt; what must not run twice, and what goes to a destination that fails or is cold, waits as before. A time-out counts as an answer that took so long at least, so that what is usual can grow. Not taken: a second copy beside the first, which would need two slots.

Ruled out: answers at the door (none but 202 and one look at readiness), refusals and errors from endpoints (few).

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -250,11 +250,29 @@
         sent >= self.answered_at && sent + self.patience(aim) <= now
     }
 
+    /// When to stop waiting for an answer that connection or endpoint may have swallowed: a call holds a slot
+    /// until then. Where a repeat does no harm it is well before the aim, and later with each attempt, so that
+    /// one that is slow gets through. After an outage answers take their time.
+    fn time_out(&self, rules: &Rules, effect: Effect, tried: usize, aim: Micros, now: Micros) -> Micros {
+        if effect == Effect::Once
+            || self.usual.is_none()
+            || self.failing()
+            || self.cold_share(rules, now).is_some()
+        {
+            return aim;
+        }
+        (self.patience(aim) / 2 * (3 << tried.min(4))).min(aim)
+    }
+
     fn note_answer(&mut self, sent: Micros, now: Micros) {
-        let took = (now - sent) as f64;
+        self.note_took(now - sent);
+        self.answered_at = now;
+    }
+
+    fn note_took(&mut self, took: Micros) {
+        let took = took as f64;
         let (mean, dev) = self.usual.unwrap_or((took, took / 2.0));
         self.usual = Some((mean + (took - mean) / 8.0, dev + ((took - mean).abs() - dev) / 8.0));
-        self.answered_at = now;
     }
 
     /// Learns the pace of a destination that refuses: what it granted of late, or our part of what it
@@ -322,6 +340,8 @@
             Outcome::TimedOut if sent < self.answered_at => {
                 self.breaker.record(call, Outcome::Cancelled, now, aim);
                 self.late = true;
+                // It took so long at least: time-outs alone must not keep what is usual from growing.
+                self.note_took(now - sent);
                 return;
             }
             Outcome::Error | Outcome::ConnectFailed | Outcome::Reset | Outcome::TimedOut => self.bad_run += 1,
@@ -902,7 +922,9 @@
         }
         // A trial has the time to be answered: one that its message's deadline cuts short proves nothing, and
         // would keep the destination shut.
-        let timeout = class.aim.min(last_call - now).min(until - now).max(1);
+        let tried = held.may_have_run.len();
+        let wait = route.time_out(&self.settings.rules, class.effect, tried, class.aim, now);
+        let timeout = wait.min(last_call - now).min(until - now).max(1);
         if route.breaker.state != State::Closed && timeout < route.patience(class.aim) {
             return false;
         }
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -183,6 +183,14 @@
         self.tell(vec![event]);
     }
 
+    /// The newest attempt that is out ends so.
+    pub fn end_last(&mut self, outcome: Outcome) {
+        if let Some(out) = self.out.pop() {
+            let event = self.ended(out, outcome);
+            self.tell(vec![event]);
+        }
+    }
+
     /// Lets time pass: reminders come due, attempts time out at their time.
     pub fn pass(&mut self, span: Micros) {
         let until = self.now + span;
