Lift a pace learnt from refusals once the told limit has risen since

Design: what the refusals of a destination taught holds for the limit that was told then. Once a report tells half as much again, which is more than reports are off, the pace is our part of it, less a cut.

The test fails without the change: one call in the second after the rise instead of eleven.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -25,6 +25,8 @@
 /// Cut of the pace at a refusal, and its growth in an aim's time an aim after the cut.
 const PACE_CUT: f64 = 0.85;
 const PACE_GROWTH: f64 = 0.3;
+/// A limit that is told so many times higher than at the last refusal has risen.
+const TOLD_RISE: f64 = 1.5;
 /// What each further message adds to the weight of a call at a cold destination.
 const BUNDLE_WEIGHT: f64 = 0.25;
 
@@ -132,6 +134,8 @@
     granted: (f64, Micros),
     /// The pace is cut once for the refusals of calls sent before the last cut.
     cut_at: Micros,
+    /// What was told of the limit then; no limit is higher while there was no cut.
+    told_at_cut: f64,
     grown_at: Micros,
     /// Mean time of an answer and its mean deviation, and when the last one came.
     usual: Option<(f64, f64)>,
@@ -151,6 +155,7 @@
     fn new(now: Micros) -> Self {
         Self {
             pace: f64::INFINITY,
+            told_at_cut: f64::INFINITY,
             credit: 1.0,
             credit_at: now,
             served: (0.0, 0.0, now),
@@ -284,6 +289,7 @@
             return;
         }
         self.cut_at = now;
+        self.told_at_cut = self.told;
         let granted = faded(self.granted, now, aim, 0.0).0.max(self.told / settings.senders as f64);
         self.pace = (self.pace.min(granted) * PACE_CUT).max(2e6 / aim.max(1) as f64);
     }
@@ -610,6 +616,12 @@
         let route = self.route_of(endpoint).and_then(|id| self.routes.get_mut(&id));
         if let (true, Some(route)) = (limit > 0.0, route) {
             route.told = f64::from(limit);
+            // What was learnt of a limit does not hold once that has risen, by more than reports are off.
+            if route.told > route.told_at_cut * TOLD_RISE {
+                route.refill(self.now);
+                route.pace = route.pace.max(route.told / self.settings.senders as f64 * PACE_CUT);
+                route.told_at_cut = f64::INFINITY;
+            }
         }
     }
 
--- a/tests/policy.rs
+++ b/tests/policy.rs
@@ -91,6 +91,50 @@
     assert!(s.sent.len() > refused, "and goes on, closed");
 }
 
+/// Guards against a pace that stays low for seconds after the limit it was learnt from has risen.
+#[test]
+fn a_limit_that_has_risen_lifts_the_pace_learnt_below_it() {
+    let mut s = one();
+    s.serve(20);
+    let told = |s: &mut Sender, outcome, limit| {
+        let out = s.out.remove(0);
+        let mut event = s.ended(out, outcome);
+        if let Event::Ended { report, .. } = &mut event {
+            *report = vec![0.5, limit];
+        }
+        s.tell(vec![event]);
+    };
+    for _ in 0..6 {
+        s.accept(SAFE);
+        while s.out.is_empty() {
+            s.pass(SECOND / 20);
+        }
+        told(&mut s, Outcome::Full(None), 3.0);
+        s.pass(SECOND);
+    }
+    while !s.out.is_empty() {
+        told(&mut s, Outcome::Delivered, 3.0);
+        s.pass(SECOND);
+    }
+    let served = |s: &mut Sender, limit| {
+        let before = s.sent.len();
+        for _ in 0..20 {
+            s.accept(SAFE);
+        }
+        for _ in 0..20 {
+            s.pass(SECOND / 20);
+            while !s.out.is_empty() {
+                told(s, Outcome::Delivered, limit);
+            }
+        }
+        s.sent.len() - before
+    };
+    let low = served(&mut s, 3.0);
+    assert!((1..=6).contains(&low), "{low} in a second at a limit of 3");
+    let high = served(&mut s, 30.0);
+    assert!(high > 7, "{high} in a second at a limit of 30");
+}
+
 #[test]
 fn silence_opens_long_before_time_outs() {
     let mut s = one();
