--- a/src/policy.rs
+++ b/src/policy.rs
@@ -256,8 +256,8 @@
     }
 
     /// When to stop waiting for an answer that connection or endpoint may have swallowed: a call holds a slot
-    /// until then. Where a repeat does no harm it is well before the aim, and later with each attempt, so that
-    /// one that is slow gets through. After an outage answers take their time.
+    /// until then. Where a repeat does no harm it is well before the aim, and later with each attempt, so
+    /// that one that is slow gets through. After an outage answers take their time.
     fn time_out(&self, rules: &Rules, effect: Effect, tried: usize, aim: Micros, now: Micros) -> Micros {
         if effect == Effect::Once
             || self.usual.is_none()
