--- a/src/net/handover.rs
+++ b/src/net/handover.rs
@@ -34,6 +34,8 @@
 const LOCK: &str = "owner";
 /// Where the next process asks.
 const SOCKET: &str = "successor";
+/// What it says first: whoever else connects there gets nothing.
+const ASK: &[u8; 10] = b"take over\n";
 /// How long the old process may take to tell what it knows.
 const TOLD_WITHIN: Duration = Duration::from_secs(2);
 /// Rest before the next look at a lock that is held.
@@ -131,6 +133,7 @@
     std::fs::create_dir_all(folder)?;
     let lock = OpenOptions::new().create(true).truncate(false).write(true).open(folder.join(LOCK))?;
     let mut predecessor = None;
+    let mut said = false;
     loop {
         match lock.try_lock() {
             Ok(()) => return Ok((Claim(lock), predecessor)),
@@ -141,12 +144,11 @@
             Ok(Ok(told)) => Some(told),
             // It is on its way out, not up yet, or of a version that can't be read: the lock tells when it
             // has gone, and the journal what it left.
-            Ok(Err(e)) => {
-                eprintln!("the process before does not hand over: {e}");
-                None
-            }
-            Err(_) => None,
+            Ok(Err(_)) | Err(_) => None,
         };
+        if predecessor.is_none() && !std::mem::replace(&mut said, true) {
+            eprintln!("the process before does not hand over; this one waits for its end");
+        }
         if predecessor.is_none() {
             tokio::time::sleep(AGAIN).await;
         }
@@ -155,6 +157,7 @@
 
 async fn ask(folder: &Path) -> io::Result<Predecessor> {
     let mut stream = UnixStream::connect(folder.join(SOCKET)).await?;
+    stream.write_all(ASK).await?;
     let knowledge = Box::new(read_frame(&mut stream).await?);
     Ok(Predecessor { knowledge, link: Link(stream) })
 }
@@ -236,7 +239,14 @@
     // One that an earlier process left is nobody's.
     let _ = std::fs::remove_file(&path);
     let listener = UnixListener::bind(path)?;
-    Ok(listener.accept().await?.0)
+    loop {
+        let (mut stream, _) = listener.accept().await?;
+        let mut asked = [0; ASK.len()];
+        let heard = timeout(PASSED_WITHIN, stream.read_exact(&mut asked)).await;
+        if matches!(heard, Ok(Ok(_))) && asked == *ASK {
+            return Ok(stream);
+        }
+    }
 }
 
 /// What the old process keeps until it is asked to end.
@@ -345,3 +355,47 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// Guards the folder against two owners, whatever becomes of the asking.
+    #[tokio::test(start_paused = true)]
+    async fn a_folder_has_one_owner_at_a_time() -> io::Result<()> {
+        let folder = tempfile::tempdir()?;
+        let (first, before) = claim(folder.path()).await?;
+        assert!(before.is_none());
+        let second = timeout(Duration::from_secs(60), claim(folder.path())).await;
+        assert!(second.is_err(), "it waits while the folder is another's");
+        drop(first);
+        claim(folder.path()).await?;
+        Ok(())
+    }
+
+    /// Guards a serving process against whoever finds the socket and is no successor.
+    #[tokio::test(start_paused = true)]
+    async fn only_who_asks_for_it_takes_over() -> io::Result<()> {
+        let folder = tempfile::tempdir()?;
+        let asked = successor(folder.path());
+        let calls = async {
+            let path = folder.path().join(SOCKET);
+            // The listener is there once the other future has been polled.
+            while !path.exists() {
+                tokio::task::yield_now().await;
+            }
+            drop(UnixStream::connect(&path).await?);
+            let silent = UnixStream::connect(&path).await?;
+            let mut strange = UnixStream::connect(&path).await?;
+            strange.write_all(b"GET / HTTP/1.1\r\n\r\n").await?;
+            let mut next = UnixStream::connect(&path).await?;
+            next.write_all(ASK).await?;
+            next.write_all(b"!").await?;
+            Ok::<_, io::Error>((silent, strange, next))
+        };
+        let (taken, calls) = tokio::join!(asked, calls);
+        let _calls = calls?;
+        assert_eq!(taken?.read_u8().await?, b'!');
+        Ok(())
+    }
+}
