--- a/src/policy.rs
+++ b/src/policy.rs
@@ -826,21 +826,11 @@
     /// The one path of every send.
     fn dispatch(&mut self, actions: &mut Vec<Action>) {
         let now = self.now;
-        // What can't be answered within its aim any more gives way to what can.
-        let mut usual: BTreeMap<DestinationId, Micros> = BTreeMap::new();
-        for (id, route) in &self.routes {
-            let Some((mean, _)) = route.usual else { continue };
-            let least = usual.entry(id.0).or_insert(Micros::MAX / 4);
-            *least = (*least).min(mean as Micros);
-        }
         let mut queue: Vec<_> = self
             .held
             .iter()
             .filter(|(_, held)| held.out == 0)
-            .map(|(id, held)| {
-                let late = now + usual.get(&held.message.destination).unwrap_or(&0) > held.aim;
-                (late || self.within_share(held.message.tenant) < 0.5, held.aim, *id)
-            })
+            .map(|(id, held)| (now > held.aim || self.within_share(held.message.tenant) < 0.5, held.aim, *id))
             .collect();
         queue.sort_unstable();
         // Calls begun in this tick: later messages to the same endpoint travel along.
