Ask for the whole list in rounds of all senders where it must be asked for

Discovery answered 503 to 200 to 440 calls a second, as each sender asked again 50 ms after a failure (platform.rs, AGAIN in watch()); the module's pause (policy.rs, ListFailed) had no effect, since driver.rs dropped Action::Watch. All senders also asked in the same moment at their start. Ruled out: an outage of discovery (with asks spread over 10 s none fails), endpoints without room for connections. Tried and not taken: doubling pauses alone (the queue stays full for 25 s), watches with rests (break the rule on drains: changes within 200 ms of an answer count as told).

--- a/src/interface.rs
+++ b/src/interface.rs
@@ -171,6 +171,15 @@
     pub rules: Rules,
 }
 
+impl Settings {
+    /// Where the list must be asked for: the time in which all senders ask once. Discovery is theirs together,
+    /// has room for few calls at a time, and must bear each sender once in `ask_every`, answer time included.
+    pub fn ask_round(&self) -> Micros {
+        let every = self.rules.ask_every.unwrap_or(0);
+        (every / 140 * self.senders as Micros).clamp(every / 10, every / 10 * 7)
+    }
+}
+
 /// State of an endpoint in the list. It says nothing of health.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Listing {
--- a/src/net/driver.rs
+++ b/src/net/driver.rs
@@ -12,7 +12,7 @@
 use serde::{Deserialize, Serialize};
 use tokio::net::{TcpListener, UnixStream};
 use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel};
-use tokio::sync::{Notify, oneshot, watch};
+use tokio::sync::{oneshot, watch};
 use tokio::task::JoinHandle;
 
 use super::calls::{Calls, Limits, Line, Part};
@@ -75,7 +75,7 @@
     calls: Calls,
     peers: Option<Peers>,
     notices: UnboundedSender<Notice>,
-    whole_list: Rc<Notify>,
+    wanted: Rc<platform::Wanted>,
     inbound: UnboundedSender<Inbound>,
     standing: watch::Sender<Standing>,
     stop_at: Option<Micros>,
@@ -142,7 +142,7 @@
         Journal::open(&folder, config.disk).map_err(|e| format!("journal in {}: {e}", folder.display()))?;
     let peers = Peers::open(&config, inbound.clone()).await.map_err(|e| format!("peer_listen: {e}"))?;
     let (notices, owed) = unbounded_channel();
-    let whole_list = Rc::new(Notify::new());
+    let wanted = Rc::new(platform::Wanted::default());
     let sides = config.sockets.saturating_sub(own_sockets) / 2;
     let names = Rc::new(RefCell::new(config.names));
     let limits = limits(&config.settings, &names.borrow(), sides.max(1));
@@ -156,7 +156,7 @@
         figures,
         peers,
         notices,
-        whole_list: whole_list.clone(),
+        wanted: wanted.clone(),
         inbound: inbound.clone(),
         standing,
         stop_at: None,
@@ -192,10 +192,11 @@
     let address = listener.local_addr().map_err(|e| format!("listen: {e}"))?;
     let intake = Rc::new(Intake::new(clock, names, inbound.clone(), stand));
     driver.standing.send_replace(Standing::InService);
+    let following = platform::Following::new(&driver.settings, driver.index, config.seed);
     let mut tasks = vec![
         tokio::task::spawn_local(intake.clone().listen(listener, sides.max(1))),
         tokio::task::spawn_local(platform::notices(discovery.clone(), owed, inbound.clone())),
-        tokio::task::spawn_local(platform::watch(discovery, driver.index, whole_list, inbound.clone())),
+        tokio::task::spawn_local(platform::follow(discovery, following, wanted, inbound.clone())),
     ];
     if claim.is_some() {
         let inbound = inbound.clone();
@@ -623,9 +624,8 @@
                     }
                 },
                 Action::CloseIdle(endpoint) => self.calls.close_idle(endpoint),
-                // The watch goes on all the time.
-                Action::Watch => {}
-                Action::FetchList => self.whole_list.notify_one(),
+                Action::Watch => self.wanted.watch.notify_one(),
+                Action::FetchList => self.wanted.whole.notify_one(),
                 Action::Tell { to, content } => {
                     if let Some(peers) = &self.peers {
                         peers.tell(to, &content);
--- a/src/net/platform.rs
+++ b/src/net/platform.rs
@@ -8,7 +8,7 @@
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::{Request, StatusCode};
-use myrtleyard::interface::{Event, MessageId};
+use myrtleyard::interface::{Event, MessageId, Settings};
 use serde::{Deserialize, Serialize};
 use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender};
 use tokio::sync::{Notify, watch};
@@ -20,9 +20,10 @@
 
 /// How long a watch may be held open.
 const HOLD: Duration = Duration::from_secs(20);
-/// How much later its answer may come.
+/// How much later its answer may come, and how long an answer may take that is not held.
 const HOLD_SLACK: Duration = Duration::from_secs(3);
-/// Rest before a failed request is made again: a watch goes on if it comes back within 200 ms.
+/// Rest before a failed request is made again, unless the module says when: a watch goes on if it comes back
+/// within 200 ms.
 const AGAIN: Duration = Duration::from_millis(50);
 /// How long a notice may take; it is sent again after that.
 const NOTICE_TIMEOUT: Duration = Duration::from_millis(500);
@@ -86,29 +87,63 @@
     Ok((head.status, body))
 }
 
-/// Watches the list from the version that is known, for as long as the process runs.
-/// Moves when discovery does.
-pub async fn watch(
+/// What the module wants of the list.
+#[derive(Debug, Default)]
+pub struct Wanted {
+    /// All of it, now.
+    pub whole: Notify,
+    /// To be told of it from now on, for the first time or after that failed.
+    pub watch: Notify,
+}
+
+/// How the list is followed.
+pub enum Following {
+    /// By a watch from the version that is known.
+    Watch(u64),
+    /// By asking for the whole list, and again after about such a rest. A watch would be answered, and asked
+    /// for again, by all senders at once at each change, and discovery has not the room for that; what changes
+    /// just after the answer to a watch that does not go on counts as told all the same.
+    Ask(Duration, fastrand::Rng),
+}
+
+impl Following {
+    /// As the settings have it.
+    pub fn new(settings: &Settings, known: u64, seed: u64) -> Self {
+        match settings.must_ask {
+            true => Self::Ask(Duration::from_micros(settings.ask_round()), fastrand::Rng::with_seed(seed)),
+            false => Self::Watch(known),
+        }
+    }
+}
+
+/// Follows the list for as long as the process runs. Moves when discovery does.
+pub async fn follow(
     mut discovery: watch::Receiver<SocketAddr>,
-    known: u64,
-    whole: Rc<Notify>,
+    mut following: Following,
+    wanted: Rc<Wanted>,
     inbound: UnboundedSender<Inbound>,
 ) {
-    let mut from = Some(known);
+    let mut whole = false;
     let mut conn = None;
+    if matches!(following, Following::Ask(..)) {
+        wanted.watch.notified().await;
+    }
     loop {
         let address = *discovery.borrow_and_update();
-        let path = match from {
-            Some(from) => format!("/v1/endpoints?from={from}&hold_ms={}", HOLD.as_millis()),
-            None => "/v1/endpoints".to_owned(),
+        let path = match following {
+            Following::Watch(from) if !whole => {
+                format!("/v1/endpoints?from={from}&hold_ms={}", HOLD.as_millis())
+            }
+            _ => "/v1/endpoints".to_owned(),
         };
+        let patience = if path.contains('?') { HOLD + HOLD_SLACK } else { HOLD_SLACK };
         let Ok(request) = Request::get(path).header("host", address.to_string()).body(Full::default()) else {
             return;
         };
         let answer = tokio::select! {
-            answer = timeout(HOLD + HOLD_SLACK, ask(&mut conn, address, request)) => answer,
-            () = whole.notified() => {
-                from = None;
+            answer = timeout(patience, ask(&mut conn, address, request)) => answer,
+            () = wanted.whole.notified() => {
+                whole = true;
                 continue;
             }
             Ok(()) = discovery.changed() => {
@@ -120,20 +155,29 @@
             Ok(Ok((StatusCode::OK, body))) => serde_json::from_slice::<ListBody>(&body).ok(),
             _ => None,
         };
-        let said = match list {
-            Some(list) => {
-                from = Some(list.index);
-                Inbound::Listed(Listed(list))
-            }
-            None => {
-                conn = None;
-                tokio::time::sleep(AGAIN).await;
-                Inbound::Event(Event::ListFailed)
+        let rest = match (&list, &mut following) {
+            (Some(list), Following::Watch(from)) => {
+                *from = list.index;
+                Some(Duration::ZERO)
             }
+            (Some(_), Following::Ask(rest, rng)) => Some(rest.mul_f64(0.86 + 0.28 * rng.f64())),
+            (None, Following::Watch(_)) => Some(AGAIN),
+            (None, Following::Ask(..)) => None,
         };
+        if list.is_none() {
+            conn = None;
+        }
+        whole = false;
+        let said = list.map_or(Inbound::Event(Event::ListFailed), |list| Inbound::Listed(Listed(list)));
         if inbound.send(said).is_err() {
             return;
         }
+        tokio::select! {
+            () = tokio::time::sleep(rest.unwrap_or_default()), if rest.is_some() => {}
+            () = wanted.watch.notified(), if rest.is_none() => {}
+            () = wanted.whole.notified() => whole = true,
+            Ok(()) = discovery.changed() => conn = None,
+        }
     }
 }
 
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -421,6 +421,8 @@
     lines: BTreeMap<u64, Line>,
     /// When to ask for the list (again).
     ask_at: Option<Micros>,
+    /// Times in a row that asking failed.
+    asks_failed: u32,
     reminder: Option<Micros>,
     /// Connections that are used no more often than this are closed after use.
     keep: Micros,
@@ -433,12 +435,15 @@
 impl Policy {
     /// A sender that knows nothing but its settings.
     pub fn new(settings: Settings, seed: u64, now: Micros) -> Self {
+        let mut rng = fastrand::Rng::with_seed(seed);
+        let turn = rng.u64(0..=settings.ask_round());
         Self {
-            ask_at: settings.must_ask.then_some(now),
+            ask_at: settings.must_ask.then_some(now + turn),
+            asks_failed: 0,
             tenants: vec![(0.0, now); settings.tenants.len()],
             keep: settings.idle_close,
             settings,
-            rng: fastrand::Rng::with_seed(seed),
+            rng,
             now,
             endpoints: BTreeMap::new(),
             cells: BTreeMap::new(),
@@ -455,7 +460,8 @@
 
     /// What an earlier process of this sender decided by goes on in this one, with nothing known of its end.
     pub fn taken_over(self, seed: u64) -> Self {
-        Self { rng: fastrand::Rng::with_seed(seed), stop_at: None, ..self }
+        let ask_at = self.settings.must_ask.then_some(self.now);
+        Self { rng: fastrand::Rng::with_seed(seed), stop_at: None, ask_at, ..self }
     }
 
     /// Attempts without an outcome, and where they went.
@@ -486,14 +492,20 @@
                 }
                 Event::Left(message) => self.forget(*message),
                 Event::List(entries) => {
+                    self.asks_failed = 0;
                     self.endpoints.values_mut().for_each(|e| e.ready = false);
                     self.list(entries);
                 }
-                Event::Changes(entries) => self.list(entries),
+                Event::Changes(entries) => {
+                    self.asks_failed = 0;
+                    self.list(entries);
+                }
                 Event::ListFailed if self.settings.must_ask => {
                     // Asked again well inside the interval after which we would be deemed told.
                     let every = self.settings.rules.ask_every.unwrap_or(RESET_TIMEOUT);
-                    self.ask_at = Some(now + every / 8 + self.rng.u64(0..=every / 8));
+                    let pause = (self.settings.ask_round() << self.asks_failed.min(6)).min(every / 2);
+                    self.asks_failed += 1;
+                    self.ask_at = Some(now + pause + self.rng.u64(0..=pause));
                 }
                 Event::Probed { endpoint, report, .. } => self.note_report(*endpoint, report),
                 Event::Settings(settings) => self.adopt(settings),
--- a/tests/node/main.rs
+++ b/tests/node/main.rs
@@ -142,6 +142,20 @@
     call.reply(status(200));
 }
 
+/// Found on the large fleet: watches that discovery answers at each change are asked for again by all senders
+/// at once, and it had room for none of them.
+#[test]
+fn a_list_that_must_be_asked_for_is_not_watched() {
+    let platform = Platform::new();
+    let _node = Node::start(&platform, &[], |config| {
+        config["settings"]["discovery"] = json!("ask");
+        config["settings"]["obligations"]["ask_every_us"] = json!(1_000_000);
+    });
+    for _ in 0..3 {
+        assert_eq!(platform.asks.recv_timeout(PATIENCE).expect("it asks again"), "/v1/endpoints");
+    }
+}
+
 /// Guards against a sender that ends on SIGHUP or goes on listening to where discovery was.
 #[test]
 fn a_reload_moves_the_watch_and_the_notices_to_the_new_discovery() {
--- a/tests/node/world.rs
+++ b/tests/node/world.rs
@@ -170,6 +170,8 @@
     pub address: SocketAddr,
     list: Arc<(Mutex<Value>, Condvar)>,
     pub notices: Receiver<Asked>,
+    /// Paths by which the list was asked for.
+    pub asks: Receiver<String>,
 }
 
 impl Platform {
@@ -177,6 +179,7 @@
         let served = Served::new();
         let list = Arc::new((Mutex::new(json!({"index": 1})), Condvar::new()));
         let (notice, notices) = channel();
+        let (ask, asks) = channel();
         let told = list.clone();
         let address = served.address;
         thread::spawn(move || {
@@ -186,6 +189,7 @@
                     continue;
                 }
                 let path = asked.http.first.split(' ').nth(1).unwrap().to_owned();
+                let _ = ask.send(path.clone());
                 let from = path.split("from=").nth(1).and_then(|f| f.split('&').next());
                 let from: u64 = from.map_or(0, |from| from.parse().unwrap());
                 let told = told.clone();
@@ -199,7 +203,7 @@
                 });
             }
         });
-        Self { address, list, notices }
+        Self { address, list, notices, asks }
     }
 
     /// The whole list is this from now on.
--- a/tests/policy.rs
+++ b/tests/policy.rs
@@ -4,6 +4,7 @@
 
 use common::*;
 use myrtleyard::interface::*;
+use myrtleyard::policy::Policy;
 
 fn one() -> Sender {
     Sender::new(settings(), &[entry(1, 0)])
@@ -345,12 +346,39 @@
     let mut settings = settings();
     settings.must_ask = true;
     let mut s = Sender::new(settings, &[entry(1, 0)]);
+    s.pass(SECOND);
     assert_eq!(s.other, [Action::Watch]);
     s.tell(vec![Event::ListFailed]);
     s.pass(10 * SECOND);
     assert_eq!(s.other, [Action::Watch, Action::Watch]);
 }
 
+/// Found on the large fleet: all senders asked at once, and again 50 ms after each failure, so that discovery
+/// answered none of them for as long as the day lasted.
+#[test]
+fn the_senders_of_a_large_fleet_ask_for_the_list_one_after_the_other() {
+    let mut settings = settings();
+    (settings.must_ask, settings.senders) = (true, 100);
+    let mut fleet: Vec<_> = (0..100).map(|seed| Policy::new(settings.clone(), seed, START)).collect();
+    let mut most = 0;
+    // Every ask fails at once.
+    for second in 0..40 {
+        let mut asks = 0;
+        for policy in &mut fleet {
+            let mut failed = false;
+            for tenth in 0..10 {
+                let mut actions = vec![];
+                let events = if failed { vec![Event::ListFailed] } else { vec![] };
+                policy.handle(START + second * SECOND + tenth * SECOND / 10, &events, &mut actions);
+                failed = actions.contains(&Action::Watch);
+                asks += usize::from(failed);
+            }
+        }
+        most = most.max(asks);
+    }
+    assert!((10..30).contains(&most), "{most} in a second");
+}
+
 #[test]
 fn waits_hold_for_every_message_and_endpoint() {
     let mut s = Sender::new(settings(), &[entry(1, 0), entry(2, 0)]);
