--- a/src/policy.rs
+++ b/src/policy.rs
@@ -27,8 +27,8 @@
 const PACE_GROWTH: f64 = 0.3;
 /// A limit that is told so many times higher than at the last refusal has risen.
 const TOLD_RISE: f64 = 1.5;
-/// Part of a told limit that the senders together plan to use, and how far ahead of it they may be: reports are
-/// off by some percent, and what is refused uses the limit up as well.
+/// Part of a told limit that the senders together plan to use, and how far ahead of it they may be: reports
+/// are off by some percent, and what is refused uses the limit up as well.
 const LIMIT_MARGIN: f64 = 0.95;
 const LIMIT_AHEAD: Micros = 500_000;
 /// Notes: what is told, with the version of their form.
@@ -137,7 +137,7 @@
     told: f64,
     /// What a report told last, however the list has it since.
     reported: f64,
-    /// When the limit is used up until, by the calls that this sender and the others have told of, and our turn.
+    /// Until when the limit is used up by the calls that this sender and the others told of, and our turn.
     booked: Micros,
     slot: Option<Micros>,
     /// Pace in calls a second, without bound until a refusal; what it allows now, and as of when.
