Tell the other senders of a limit that has changed

Line at fault: note_report in policy.rs kept what it learnt to itself. Ruled out: waits told (refusals told none there), breakers (no error, no time-out at those destinations).

--- a/src/interface.rs
+++ b/src/interface.rs
@@ -146,6 +146,7 @@
     /// Endpoints may be probed.
     pub probing: bool,
     /// Notes may go to the other senders.
+    #[serde(default)]
     pub peers: bool,
     /// Price of a probe, in the unit of a message's worth.
     pub probe_price: f64,
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -36,6 +36,9 @@
 const NOTE_SENDERS: usize = 32;
 const NOTE_TURN: u8 = 0x11;
 const NOTE_FULL: u8 = 0x12;
+const NOTE_LIMIT: u8 = 0x13;
+/// A report that is further off from what is known of a limit, up or down, tells of another limit.
+const LIMIT_CHANGE: f64 = 1.5;
 /// What each further message adds to the weight of a call at a cold destination.
 const BUNDLE_WEIGHT: f64 = 0.25;
 
@@ -461,6 +464,7 @@
     /// When to ask for the list (again).
     ask_at: Option<Micros>,
     /// Times in a row that asking failed.
+    #[serde(default)]
     asks_failed: u32,
     reminder: Option<Micros>,
     /// Connections that are used no more often than this are closed after use.
@@ -581,9 +585,15 @@
         self.dispatch(actions);
         self.close_idle(events, actions);
         self.remind(actions);
-        for (kind, destination) in std::mem::take(&mut self.news) {
-            let [low, high] = destination.0.to_le_bytes();
-            actions.push(Action::Tell { to: None, content: vec![kind, low, high] });
+        let news = std::mem::take(&mut self.news);
+        for (kind, destination) in news.into_iter().filter(|_| self.settings.peers) {
+            let mut content = vec![kind];
+            content.extend(destination.0.to_le_bytes());
+            if kind == NOTE_LIMIT {
+                let limit = self.routes.get(&(destination, None)).map_or(0.0, |route| route.reported);
+                content.extend(((limit * 8.0) as u16).to_le_bytes());
+            }
+            actions.push(Action::Tell { to: None, content });
         }
     }
 
@@ -673,10 +683,15 @@
 
     fn note_report(&mut self, endpoint: EndpointId, report: &[f32]) {
         let limit = self.settings.report.1.and_then(|at| report.get(at)).copied().unwrap_or(0.0);
-        let route = self.route_of(endpoint).and_then(|id| self.routes.get_mut(&id));
+        let id = self.route_of(endpoint);
+        let route = id.and_then(|id| self.routes.get_mut(&id));
         if let (true, Some(route)) = (limit > 0.0, route) {
             route.told = f64::from(limit);
-            route.reported = route.told;
+            let (known, limit) = (std::mem::replace(&mut route.reported, route.told), route.told);
+            let changed = limit > known * LIMIT_CHANGE || limit * LIMIT_CHANGE < known;
+            if let (true, Some(id)) = (changed && known > 0.0, id) {
+                self.news.insert((NOTE_LIMIT, id.0));
+            }
             // What was learnt of a limit does not hold once that has risen, by more than reports are off.
             if route.told > route.told_at_cut * TOLD_RISE {
                 route.refill(self.now);
@@ -688,18 +703,23 @@
 
     /// Takes up a note from another sender, a hint that costs a wait of at most a round if it is wrong.
     fn note(&mut self, content: &[u8]) {
-        let [kind, low, high] = *content else { return };
+        let [kind, low, high, ref limit @ ..] = *content else { return };
         let destination = DestinationId(u16::from_le_bytes([low, high]));
+        let (now, senders) = (self.now, self.settings.senders);
         let Some(route) = self.routes.get_mut(&(destination, None)).filter(|r| r.limit() > 0.0) else {
             return;
         };
-        match kind {
-            NOTE_TURN => {
-                for _ in 0..turns_a_note(self.settings.senders) {
-                    route.book(self.now, self.settings.senders);
+        match (kind, limit) {
+            (NOTE_TURN, []) => {
+                for _ in 0..turns_a_note(senders) {
+                    route.book(now, senders);
                 }
             }
-            NOTE_FULL => route.book_full(self.now),
+            (NOTE_FULL, []) => route.book_full(now),
+            (NOTE_LIMIT, [low, high]) => {
+                let limit = f64::from(u16::from_le_bytes([*low, *high])) / 8.0;
+                route.reported = if limit > 0.0 { limit } else { route.reported };
+            }
             _ => {}
         }
     }
--- a/tests/policy.rs
+++ b/tests/policy.rs
@@ -726,3 +726,30 @@
     }
     assert_eq!(s.sent.len(), 2, "held for a second and half a second ahead");
 }
+
+/// Found on the large fleet: a sender that hears of a destination once in four seconds went on by a limit that
+/// had fallen, or risen again, long before.
+#[test]
+fn a_limit_that_has_changed_is_told_to_the_others() {
+    let mut s = one_of(10, 100.0);
+    let probed =
+        Event::Probed { endpoint: endpoint(1), outcome: Outcome::Delivered, report: vec![1.0, 110.0] };
+    s.tell(vec![probed]);
+    assert_eq!(s.other, [], "no more than reports are off");
+    let probed = Event::Probed { endpoint: endpoint(1), outcome: Outcome::Delivered, report: vec![1.0, 1.0] };
+    s.tell(vec![probed]);
+    let [Action::Tell { to: None, content }] = &s.other[..] else { panic!("{:?}", s.other) };
+
+    let mut peer = one_of(10, 100.0);
+    peer.tell(vec![Event::Note { from: 1, content: content.clone() }]);
+    for _ in 0..3 {
+        peer.accept(SAFE);
+    }
+    assert_eq!(peer.sent.len(), 1);
+    let mut unaware = one_of(10, 100.0);
+    unaware.tell(vec![Event::Note { from: 1, content: vec![0x13, 7, 0, 0, 0] }]);
+    for _ in 0..3 {
+        unaware.accept(SAFE);
+    }
+    assert_eq!(unaware.sent.len(), 3, "no limit is none");
+}
