Write no call within a wait that was told while its connection came up

To blame: Shared::exchange in calls.rs, which wrote whatever was decided before the connection came up.

The calls keep the waits that were told, by route, and end a call as not sent where one is in force when the connection is up; the module decides anew. The connection is kept.

The test was seen to fail without.

--- a/src/net/calls.rs
+++ b/src/net/calls.rs
@@ -21,6 +21,7 @@
 use hyper::{Method, Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
 use myrtleyard::interface::{EndpointId, Event, MessageId, Micros, Outcome};
+use myrtleyard::policy::RouteId;
 use serde::{Deserialize, Serialize};
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
@@ -192,6 +193,8 @@
     pub endpoint: EndpointId,
     /// Its address.
     pub address: SocketAddr,
+    /// What a wait that it tells is about.
+    pub route: RouteId,
 }
 
 /// A message of a call.
@@ -237,6 +240,8 @@
     idle: RefCell<HashMap<Line, Vec<Idle>>>,
     /// Connections that are in use.
     busy: Cell<usize>,
+    /// Waits that were told. A connection may come up long after its call was decided on.
+    waits: RefCell<HashMap<RouteId, Instant>>,
     /// For each attempt that is out, what calls it off.
     out: RefCell<HashMap<(MessageId, u16), CallOff>>,
 }
@@ -282,7 +287,8 @@
     pub fn new(limits: Limits, figures: Rc<Figures>, inbound: UnboundedSender<Inbound>) -> Self {
         let limits = RefCell::new(limits);
         let (idle, busy, out) = (RefCell::default(), Cell::new(0), RefCell::default());
-        let calls = Self(Rc::new(Shared { limits, figures, inbound, idle, busy, out }));
+        let waits = RefCell::default();
+        let calls = Self(Rc::new(Shared { limits, figures, inbound, idle, busy, waits, out }));
         let swept = calls.clone();
         tokio::task::spawn_local(async move {
             let mut tick = tokio::time::interval(Duration::from_millis(250));
@@ -303,6 +309,11 @@
         self.0.limits.replace(limits);
     }
 
+    /// A wait was told: nothing more is written there before it is over, whatever was decided before.
+    pub fn hold(&self, route: RouteId, wait: Micros) {
+        self.0.hold(route, wait);
+    }
+
     /// Attempts that are out.
     pub fn out(&self) -> usize {
         self.0.out.borrow().len()
@@ -427,6 +438,18 @@
 }
 
 impl Shared {
+    fn hold(&self, route: RouteId, wait: Micros) {
+        let now = Instant::now();
+        let until = now + Duration::from_micros(wait);
+        let mut waits = self.waits.borrow_mut();
+        waits.retain(|_, until| *until > now);
+        waits.entry(route).and_modify(|told| *told = until.max(*told)).or_insert(until);
+    }
+
+    fn held(&self, route: RouteId) -> bool {
+        self.waits.borrow().get(&route).is_some_and(|until| *until > Instant::now())
+    }
+
     fn fresh(&self, idle: &Idle) -> bool {
         // Guards against writing to a connection that the endpoint closes at that moment.
         idle.since.elapsed().as_micros() < u128::from(self.limits.borrow().idle / 5 * 4)
@@ -483,6 +506,10 @@
         let mut may_reuse = true;
         loop {
             let (mut conn, reused) = self.connect(line, until, may_reuse).await?;
+            if self.held(line.route) {
+                self.keep(line, conn).await;
+                return Err(Outcome::Moot { no_slot: false });
+            }
             let before = conn.0.traffic.written.get();
             let figures = self.figures.clone();
             let due = Due { messages, before, length: length as u64, figures };
@@ -575,6 +602,7 @@
             over.push(AttemptOver { message, attempt, endpoint, outcome, gone, took, report });
         }
         if let Some(wait) = answered.wait {
+            self.hold(line.route, wait);
             let _ = self.inbound.send(Inbound::Event(Event::Wait { endpoint, wait }));
         }
         let _ = self.inbound.send(Inbound::CallOver(over));
--- a/src/net/driver.rs
+++ b/src/net/driver.rs
@@ -406,7 +406,15 @@
                 }
             }
             Inbound::CallOver(ends) => ends.into_iter().for_each(|end| said.push(self.ended(end))),
-            Inbound::Event(event) => said.push(event),
+            Inbound::Event(event) => {
+                // It may have been told to the process before.
+                if let Event::Wait { endpoint, wait } = &event
+                    && let Some(route) = self.policy.route_of(*endpoint)
+                {
+                    self.calls.hold(route, *wait);
+                }
+                said.push(event);
+            }
             Inbound::Listed(platform::Listed(list)) => said.push(self.listed(list)),
             Inbound::NoticesKept(messages) => {
                 for MessageId(number) in messages {
@@ -714,7 +722,7 @@
 
     fn line(&self, endpoint: EndpointId) -> Option<Line> {
         let address = self.endpoints.get(&endpoint)?.address?;
-        Some(Line { endpoint, address })
+        Some(Line { endpoint, address, route: self.policy.route_of(endpoint)? })
     }
 
     /// Starts the calls of a turn: what goes to one endpoint travels together as far as its kind allows.
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -46,7 +46,7 @@
 const RESTART: Micros = 2_000_000;
 
 /// What a breaker guards: a destination, or one endpoint of it where its routes are apart.
-type RouteId = (DestinationId, Option<EndpointId>);
+pub type RouteId = (DestinationId, Option<EndpointId>);
 
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 enum State {
@@ -676,7 +676,8 @@
         }
     }
 
-    fn route_of(&self, endpoint: EndpointId) -> Option<RouteId> {
+    /// What a wait that this endpoint tells is about.
+    pub fn route_of(&self, endpoint: EndpointId) -> Option<RouteId> {
         let e = self.endpoints.get(&endpoint)?;
         Some((e.destination, e.kind.routes_apart.then_some(endpoint)))
     }
--- a/tests/node/main.rs
+++ b/tests/node/main.rs
@@ -256,6 +256,48 @@
     }
 }
 
+/// Found on a zone day of the full fleet: a connection that took a second to come up carried its call into a wait
+/// that another endpoint of the destination had told meanwhile.
+#[test]
+fn a_call_whose_connection_comes_up_within_a_wait_is_not_written() {
+    let (platform, other) = (Platform::new(), Served::new());
+    // Its backlog is full, so that a connection comes up when the kernel asks once more, after a second.
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_io().build().unwrap();
+    let crowded = runtime.block_on(async {
+        let socket = tokio::net::TcpSocket::new_v4().unwrap();
+        socket.bind("127.0.0.1:0".parse().unwrap()).unwrap();
+        socket.listen(0).unwrap().into_std().unwrap()
+    });
+    crowded.set_nonblocking(false).unwrap();
+    let address = crowded.local_addr().unwrap();
+    let first = std::net::TcpStream::connect(address).unwrap();
+    let known = [listing("e1", 7, "plain", address), listing("e2", 7, "plain", other.address)];
+    let node = Node::start(&platform, &known[..1], |config| {
+        config["mgmt"] = json!("127.0.0.1:0");
+        config["settings"]["limits"]["connect_timeout_us"] = json!(20_000_000);
+        config["settings"]["classes"][1]["on_time_us"] = json!(20_000_000);
+    });
+    assert_eq!(node.hand_in("connecting", "order", 7, 24_000).status(), 202);
+    let begun = std::time::Instant::now();
+    platform.tell(&known);
+    wait_until(|| node.call("GET", "/control/counters").json()["cluster_size"] == 2);
+    let wait = std::time::Duration::from_millis(2500);
+    assert_eq!(node.hand_in("told", "order", 7, 24_000).status(), 202);
+    let call = other.next();
+    assert_eq!(call.http.headers["req-id"], "told");
+    let told = std::time::Instant::now();
+    assert!(told - begun < std::time::Duration::from_millis(900), "before the connection can come up");
+    call.reply(Reply::Answer(429, vec![("retry-after", "2.5".into())], "".into()));
+    // There is room now: both connections come out of the backlog, and nothing comes over the second.
+    drop(crowded.accept().unwrap());
+    let (mut second, _) = crowded.accept().unwrap();
+    assert!(told.elapsed() < wait, "it came up within the wait");
+    second.set_read_timeout(Some(wait.saturating_sub(told.elapsed()))).unwrap();
+    let read = std::io::Read::read(&mut second, &mut [0; 64]);
+    assert!(read.is_err() || matches!(read, Ok(0)) || told.elapsed() >= wait, "{read:?} after {told:?}");
+    drop((first, second));
+}
+
 /// Guards against a second copy while the first may still be read: the connection is closed at the time-out.
 #[test]
 fn a_time_out_closes_the_connection() {
