Check a configuration in full before it is taken, at one place for all who ask

Need: a file was turned down at SIGHUP with its first fault, and could be tried only by taking it.

Design: src/check.rs, without I/O, has the known form as tables of key, kind and need, and tells all faults at once with key, value and what is expected; it sees keys given twice, which the reader let the last one win. A part's section may be left out and has no unknown keys.

Not taken: a JSON schema and a crate for it. Its faults come in words of the schema, and it can't tell a key twice.

Generations, confirmation and rollback are still to come.

--- /dev/null
+++ b/src/check.rs
@@ -0,0 +1,500 @@
+//! Checking a configuration before it is taken: all that is wrong with it at once, each fault with its key, what
+//! stands there and what is expected, and what a valid one would change. No I/O; what is read here is what the
+//! platform writes, so that keys beyond those known are let be, but for the sections of optional parts.
+
+use std::cell::RefCell;
+use std::collections::BTreeSet;
+use std::fmt;
+
+use serde::Serialize;
+use serde::de::{DeserializeSeed, Deserializer, Error, MapAccess, SeqAccess, Visitor};
+use serde_json::{Map, Number, Value};
+
+/// A larger document is not read.
+pub const LARGEST: usize = 256 * 1024;
+/// Faults and changes that are told at most.
+pub const MOST_TOLD: usize = 64;
+/// A value is shown up to so many characters.
+const SHOWN: usize = 60;
+
+/// Something that is wrong.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize)]
+pub struct Fault {
+    /// Where, as keys and positions: `settings.classes[1].effect`. Empty for the document as a whole.
+    pub key: String,
+    /// What stands there, shortened; `missing` if nothing does.
+    pub value: String,
+    /// What should.
+    pub expected: String,
+}
+
+impl Fault {
+    fn new(key: impl Into<String>, value: impl Into<String>, expected: impl Into<String>) -> Self {
+        Self { key: key.into(), value: value.into(), expected: expected.into() }
+    }
+}
+
+impl fmt::Display for Fault {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let key = if self.key.is_empty() { "the document" } else { &self.key };
+        write!(f, "{key}: {} where {} is expected", self.value, self.expected)
+    }
+}
+
+/// When a change takes effect.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize)]
+pub enum Takes {
+    /// With the next turn.
+    #[serde(rename = "at once")]
+    AtOnce,
+    /// Not in this process.
+    #[serde(rename = "with a new process")]
+    NewProcess,
+}
+
+/// What a document changes.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize)]
+pub struct Change {
+    /// Where.
+    pub key: String,
+    /// What is in force; `missing` if nothing is.
+    pub before: String,
+    /// What would be.
+    pub after: String,
+    /// When.
+    pub takes: Takes,
+    /// What it means for messages under way.
+    pub under_way: &'static str,
+}
+
+fn shown(value: &Value) -> String {
+    let text = value.to_string();
+    if text.chars().count() <= SHOWN { text } else { text.chars().take(SHOWN).chain(['…']).collect() }
+}
+
+/// Reads any JSON, and notes keys that an object has twice: the last one would win unseen.
+struct Read<'a> {
+    path: String,
+    twice: &'a RefCell<Vec<String>>,
+}
+
+impl<'de> DeserializeSeed<'de> for Read<'_> {
+    type Value = Value;
+    fn deserialize<D: Deserializer<'de>>(self, deserializer: D) -> Result<Value, D::Error> {
+        deserializer.deserialize_any(self)
+    }
+}
+
+impl<'de> Visitor<'de> for Read<'_> {
+    type Value = Value;
+    fn expecting(&self, f: &mut fmt::Formatter) -> fmt::Result {
+        f.write_str("JSON")
+    }
+    fn visit_unit<E>(self) -> Result<Value, E> {
+        Ok(Value::Null)
+    }
+    fn visit_bool<E>(self, value: bool) -> Result<Value, E> {
+        Ok(value.into())
+    }
+    fn visit_i64<E>(self, value: i64) -> Result<Value, E> {
+        Ok(value.into())
+    }
+    fn visit_u64<E>(self, value: u64) -> Result<Value, E> {
+        Ok(value.into())
+    }
+    fn visit_f64<E: Error>(self, value: f64) -> Result<Value, E> {
+        Number::from_f64(value).map(Value::Number).ok_or_else(|| E::custom("a number out of range"))
+    }
+    fn visit_str<E>(self, value: &str) -> Result<Value, E> {
+        Ok(value.into())
+    }
+    fn visit_seq<A: SeqAccess<'de>>(self, mut seq: A) -> Result<Value, A::Error> {
+        let mut values = Vec::new();
+        loop {
+            let path = format!("{}[{}]", self.path, values.len());
+            match seq.next_element_seed(Read { path, twice: self.twice })? {
+                Some(value) => values.push(value),
+                None => return Ok(Value::Array(values)),
+            }
+        }
+    }
+    fn visit_map<A: MapAccess<'de>>(self, mut map: A) -> Result<Value, A::Error> {
+        let mut values = Map::new();
+        while let Some(key) = map.next_key::<String>()? {
+            let path = join(&self.path, &key);
+            if values.contains_key(&key) {
+                self.twice.borrow_mut().push(path.clone());
+            }
+            let value = map.next_value_seed(Read { path, twice: self.twice })?;
+            values.insert(key, value);
+        }
+        Ok(Value::Object(values))
+    }
+}
+
+fn join(path: &str, key: &str) -> String {
+    if path.is_empty() { key.to_owned() } else { format!("{path}.{key}") }
+}
+
+/// The document that a text holds.
+///
+/// # Errors
+/// Tells what keeps it from being read.
+pub fn read(text: &[u8]) -> Result<Value, Vec<Fault>> {
+    let whole = |value: String, expected: &str| vec![Fault::new("", value, expected)];
+    if text.len() > LARGEST {
+        return Err(whole(format!("{} bytes", text.len()), &format!("at most {LARGEST} bytes")));
+    }
+    if text.iter().all(u8::is_ascii_whitespace) {
+        return Err(whole("nothing".into(), "a JSON object"));
+    }
+    if let Err(e) = std::str::from_utf8(text) {
+        return Err(whole(format!("byte {} is not UTF-8", e.valid_up_to()), "UTF-8"));
+    }
+    let twice = RefCell::default();
+    let mut parser = serde_json::Deserializer::from_slice(text);
+    let read = Read { path: String::new(), twice: &twice }.deserialize(&mut parser);
+    let document = read.and_then(|document| parser.end().map(|()| document));
+    let document = document.map_err(|e| whole(e.to_string(), "JSON"))?;
+    if !document.is_object() {
+        return Err(whole(shown(&document), "a JSON object"));
+    }
+    let twice = twice.into_inner().into_iter().take(MOST_TOLD);
+    let twice: Vec<Fault> = twice.map(|key| Fault::new(key, "given twice", "each key once")).collect();
+    if twice.is_empty() { Ok(document) } else { Err(twice) }
+}
+
+/// What a value has to be.
+#[derive(Debug, Clone, Copy, PartialEq)]
+enum Is {
+    Text,
+    Address,
+    Addresses,
+    Hex,
+    /// Any number.
+    Number,
+    /// A number that comes to at least 1 when it is cut to a whole one: a time that is not none.
+    Time,
+    /// A number over 0.
+    Over0,
+    /// A whole number from the first to the second.
+    Whole(u64, u64),
+    Flag,
+    Texts,
+    Flags,
+    Wholes,
+    Numbers,
+    Object,
+    Array,
+    OneOf(&'static [&'static str]),
+}
+
+impl Is {
+    fn expected(self) -> String {
+        match self {
+            Self::Text => "a text".into(),
+            Self::Address => "an address and port".into(),
+            Self::Addresses => "a list of addresses and ports".into(),
+            Self::Hex => "a hexadecimal number of 64 bits".into(),
+            Self::Number => "a number".into(),
+            Self::Time => "a number of microseconds from 1".into(),
+            Self::Over0 => "a number over 0".into(),
+            Self::Whole(0, u64::MAX) => "a whole number from 0".into(),
+            Self::Whole(least, u64::MAX) => format!("a whole number from {least}"),
+            Self::Whole(least, most) => format!("a whole number from {least} to {most}"),
+            Self::Flag => "true or false".into(),
+            Self::Texts => "a list of texts".into(),
+            Self::Flags => "a list of true or false".into(),
+            Self::Wholes => "a list of whole numbers from 0".into(),
+            Self::Numbers => "a list of numbers".into(),
+            Self::Object => "an object".into(),
+            Self::Array => "a list".into(),
+            Self::OneOf(names) => format!("one of {}", names.join(", ")),
+        }
+    }
+
+    fn holds(self, value: &Value) -> bool {
+        let all = |is: Self| value.as_array().is_some_and(|list| list.iter().all(|value| is.holds(value)));
+        match self {
+            Self::Text => value.is_string(),
+            Self::Address => value.as_str().is_some_and(|t| t.parse::<std::net::SocketAddr>().is_ok()),
+            Self::Addresses => all(Self::Address),
+            Self::Hex => value.as_str().is_some_and(|text| u64::from_str_radix(text, 16).is_ok()),
+            Self::Number => value.is_number(),
+            Self::Time => value.as_f64().is_some_and(|number| number >= 1.0),
+            Self::Over0 => value.as_f64().is_some_and(|number| number > 0.0),
+            Self::Whole(least, most) => value.as_u64().is_some_and(|n| (least..=most).contains(&n)),
+            Self::Flag => value.is_boolean(),
+            Self::Texts => all(Self::Text),
+            Self::Flags => all(Self::Flag),
+            Self::Wholes => all(Self::Whole(0, u64::MAX)),
+            Self::Numbers => all(Self::Number),
+            Self::Object => value.is_object(),
+            Self::Array => value.is_array(),
+            Self::OneOf(names) => value.as_str().is_some_and(|text| names.contains(&text)),
+        }
+    }
+}
+
+/// Whether a key may be left out.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Need {
+    Must,
+    May,
+    /// It may be null, too.
+    Null,
+}
+
+use Is::{Address, Addresses, Array, Flag, Flags, Hex, Numbers, Object, OneOf, Over0, Text, Texts, Time};
+use Is::{Number as Figure, Whole, Wholes};
+use Need::{May, Must, Null};
+
+const ANY: Is = Whole(0, u64::MAX);
+
+/// The platform's form as far as it is known.
+const TOP: &[(&str, Is, Need)] = &[
+    ("name", Text, Must),
+    ("listen", Address, Must),
+    ("discovery", Address, Must),
+    ("seed", Hex, Must),
+    ("limits", Object, Must),
+    ("mgmt", Address, Null),
+    ("peer_listen", Address, Null),
+    ("peers", Addresses, May),
+    ("peers_all", Address, Null),
+    ("known", Object, May),
+    ("settings", Object, Must),
+    ("draining", Object, Null),
+];
+const LIMITS: &[(&str, Is, Need)] = &[("sockets", ANY, May), ("disk_mb", Over0, Must)];
+const SETTINGS: &[(&str, Is, Need)] = &[
+    ("classes", Array, Must),
+    ("realms", Array, May),
+    ("skus", Array, May),
+    ("family_info", Object, Must),
+    ("limits", Object, Must),
+    ("obligations", Object, Must),
+    ("load_report", Object, May),
+    ("charges", Object, May),
+    ("balancers", ANY, Null),
+    ("discovery", Text, Null),
+    ("weights", Text, Null),
+    ("over_share_worth", Figure, May),
+    ("period_us", Figure, Must),
+];
+const CLASS: &[(&str, Is, Need)] = &[
+    ("name", Text, Must),
+    ("effect", OneOf(&["repeatable", "once", "by_key"]), Must),
+    ("group", Text, Null),
+    ("dedup_window_us", Figure, Null),
+    ("on_time_us", Time, Must),
+    ("hard_limit_us", Time, Must),
+    ("importance", Figure, May),
+    ("late_worth", Figure, Null),
+    ("in_order", Flag, Null),
+];
+const REALM: &[(&str, Is, Need)] = &[("quota_per_s", Figure, Must)];
+const FAMILY: &[(&str, Is, Need)] = &[
+    ("calls_out", ANY, Must),
+    ("own_limits", Flags, May),
+    ("bundle_max", Wholes, May),
+    ("decay", OneOf(&["line", "halves"]), Null),
+    ("turned_away_price", Figure, Null),
+    ("toll", Numbers, May),
+];
+const SETTINGS_LIMITS: &[(&str, Is, Need)] = &[
+    ("cancelling", Flag, May),
+    ("probing", Flag, May),
+    ("peers", Flag, May),
+    ("second_copies", Flag, May),
+    ("connect_timeout_us", Figure, May),
+    ("idle_close_us", Figure, Null),
+    ("max_open", ANY, Must),
+    ("max_retry_after_us", Figure, May),
+    ("try_limit", Whole(1, u32::MAX as u64), Must),
+];
+const OBLIGATIONS: &[(&str, Is, Need)] = &[
+    ("answer_slack_us", Figure, Must),
+    ("ask_every_us", Figure, Null),
+    ("cold_share", Figure, Must),
+    ("warm_within_us", Figure, Must),
+    ("fall_multiple", Figure, Must),
+    ("overload_for_us", Figure, Must),
+    ("stop_sending_within_us", Figure, Must),
+    ("order_pause_us", Figure, Null),
+];
+const REPORT: &[(&str, Is, Need)] = &[("fields", Texts, May)];
+const CHARGES: &[(&str, Is, Need)] = &[("probe", Figure, May)];
+const DRAINING: &[(&str, Is, Need)] = &[("max_marks", Whole(1, crate::drain::MOST_MARKS as u64), May)];
+
+fn object(faults: &mut Vec<Fault>, path: &str, value: Option<&Value>, keys: &[(&str, Is, Need)]) {
+    // What is no object is told where its own key is looked at.
+    let Some(Value::Object(object)) = value else { return };
+    for (key, is, need) in keys {
+        let at = join(path, key);
+        match object.get(*key) {
+            None if *need == Must => faults.push(Fault::new(at, "missing", is.expected())),
+            Some(Value::Null) if *need == Null => {}
+            Some(value) if !is.holds(value) => faults.push(Fault::new(at, shown(value), is.expected())),
+            None | Some(_) => {}
+        }
+    }
+}
+
+fn entries(faults: &mut Vec<Fault>, path: &str, list: Option<&Value>, keys: &[(&str, Is, Need)]) {
+    for (at, entry) in list.and_then(Value::as_array).into_iter().flatten().enumerate() {
+        let path = format!("{path}[{at}]");
+        if !entry.is_object() {
+            faults.push(Fault::new(&path, shown(entry), Object.expected()));
+        }
+        object(faults, &path, Some(entry), keys);
+    }
+}
+
+/// All that is wrong with a document, as far as that can be told without the one in force.
+pub fn faults(document: &Value) -> Vec<Fault> {
+    let mut faults = Vec::new();
+    let at = |path: &str| document.pointer(path);
+    object(&mut faults, "", Some(document), TOP);
+    object(&mut faults, "limits", at("/limits"), LIMITS);
+    object(&mut faults, "settings", at("/settings"), SETTINGS);
+    entries(&mut faults, "settings.classes", at("/settings/classes"), CLASS);
+    entries(&mut faults, "settings.realms", at("/settings/realms"), REALM);
+    object(&mut faults, "settings.family_info", at("/settings/family_info"), FAMILY);
+    object(&mut faults, "settings.limits", at("/settings/limits"), SETTINGS_LIMITS);
+    object(&mut faults, "settings.obligations", at("/settings/obligations"), OBLIGATIONS);
+    object(&mut faults, "settings.load_report", at("/settings/load_report"), REPORT);
+    object(&mut faults, "settings.charges", at("/settings/charges"), CHARGES);
+    object(&mut faults, "draining", at("/draining"), DRAINING);
+    let classes = at("/settings/classes").and_then(Value::as_array);
+    if classes.is_some_and(Vec::is_empty) {
+        faults.push(Fault::new("settings.classes", "[]", "at least one class"));
+    }
+    let mut names = BTreeSet::new();
+    for (n, class) in classes.into_iter().flatten().enumerate() {
+        let path = |key: &str| format!("settings.classes[{n}].{key}");
+        match class.get("name").and_then(Value::as_str) {
+            Some("") => faults.push(Fault::new(path("name"), "\"\"", "a name")),
+            Some(name) if !names.insert(name) => {
+                faults.push(Fault::new(
+                    path("name"),
+                    shown(&class["name"]),
+                    "a name that no other class has",
+                ));
+            }
+            _ => {}
+        }
+        let window = class.get("dedup_window_us").unwrap_or(&Value::Null);
+        let by_key = class.get("effect").and_then(Value::as_str) == Some("by_key");
+        if by_key && !Time.holds(window) && (window.is_number() || window.is_null()) {
+            let value = if window.is_null() { "missing".into() } else { shown(window) };
+            faults.push(Fault::new(path("dedup_window_us"), value, Time.expected()));
+        }
+    }
+    // A part's section is its own: what it does not know was meant otherwise.
+    for key in at("/draining").and_then(Value::as_object).into_iter().flatten().map(|(key, _)| key) {
+        if !DRAINING.iter().any(|known| known.0 == key) {
+            let known: Vec<&str> = DRAINING.iter().map(|known| known.0).collect();
+            faults.push(Fault::new(join("draining", key), "unknown", format!("one of {}", known.join(", "))));
+        }
+    }
+    faults.truncate(MOST_TOLD);
+    faults
+}
+
+/// Keys that the document in force has and this one lacks. Entries of lists come and go; a class is held against
+/// its namesake, unless its effect changed and with it what it needs.
+pub fn lacking(document: &Value, in_force: &Value) -> Vec<Fault> {
+    fn walk(path: &str, here: &Value, there: &Value, faults: &mut Vec<Fault>) {
+        match (here, there) {
+            (Value::Object(here), Value::Object(there)) => {
+                for (key, value) in there {
+                    let at = join(path, key);
+                    match here.get(key) {
+                        None if path.is_empty() && OPTIONAL.contains(&key.as_str()) => {}
+                        None => faults.push(Fault::new(at, "missing", "a key that the one in force has")),
+                        Some(found) => walk(&at, found, value, faults),
+                    }
+                }
+            }
+            (Value::Array(here), Value::Array(there)) => {
+                for (at, entry) in here.iter().enumerate() {
+                    let alike =
+                        |other: &&Value| ["name", "effect"].iter().all(|k| other.get(k) == entry.get(k));
+                    if let Some(other) = there.iter().find(alike) {
+                        walk(&format!("{path}[{at}]"), entry, other, faults);
+                    }
+                }
+            }
+            _ => {}
+        }
+    }
+    let mut faults = Vec::new();
+    walk("", document, in_force, &mut faults);
+    faults.truncate(MOST_TOLD);
+    faults
+}
+
+/// Sections of optional parts: leaving one out turns the part off.
+const OPTIONAL: &[&str] = &["draining"];
+
+/// What a document changes against another, key by key; a class is named, and goes as a whole.
+pub fn changes(before: &Value, after: &Value) -> Vec<Change> {
+    fn walk(path: &str, before: Option<&Value>, after: Option<&Value>, changes: &mut Vec<Change>) {
+        if before == after {
+            return;
+        }
+        if let (Some(Value::Object(b)), Some(Value::Object(a))) = (before, after) {
+            let keys: BTreeSet<&String> = b.keys().chain(a.keys()).collect();
+            for key in keys {
+                walk(&join(path, key), b.get(key), a.get(key), changes);
+            }
+            return;
+        }
+        let (Some(Value::Array(b)), Some(Value::Array(a)), true) =
+            (before, after, path == "settings.classes")
+        else {
+            let show = |value: Option<&Value>| value.map_or("missing".into(), shown);
+            let (takes, under_way) = meaning(path);
+            let (before, after) = (show(before), show(after));
+            changes.push(Change { key: path.to_owned(), before, after, takes, under_way });
+            return;
+        };
+        let named = |list: &[Value], name: &str| {
+            list.iter().find(|class| class.get("name").and_then(Value::as_str) == Some(name)).cloned()
+        };
+        let names = a.iter().chain(b).filter_map(|class| class.get("name")?.as_str());
+        for name in names.collect::<BTreeSet<_>>() {
+            let (b, a) = (named(b, name), named(a, name));
+            let show = |value: &Option<Value>| value.as_ref().map_or("missing".into(), shown);
+            if a != b {
+                let (takes, under_way) = meaning(path);
+                let key = format!("{path}[{name}]");
+                changes.push(Change { key, before: show(&b), after: show(&a), takes, under_way });
+            }
+        }
+    }
+    let mut changes = Vec::new();
+    walk("", Some(before), Some(after), &mut changes);
+    changes.truncate(MOST_TOLD);
+    changes
+}
+
+/// When a change of a key takes effect, and what it means for messages under way.
+fn meaning(path: &str) -> (Takes, &'static str) {
+    let under_way = match path {
+        p if p.starts_with("settings.classes") => "those under way keep the class that they came with",
+        "settings.limits.try_limit" => "those that have had as many attempts are answered at once",
+        "settings.limits.max_open" => "those held beyond it are handed back, the least of worth first",
+        "settings.family_info.calls_out" => "calls that are out go on; no new one begins above it",
+        "discovery" => "notices that are owed go to the new address",
+        p if p.starts_with("settings") => "they go on by the new figure from the next turn on",
+        _ => "none",
+    };
+    // The pace of asking for the list is set when the process starts.
+    let at_once = path == "discovery" || path.starts_with("settings.");
+    match at_once && path != "settings.discovery" {
+        true => (Takes::AtOnce, under_way),
+        false => (Takes::NewProcess, "none"),
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -48,6 +48,7 @@
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
+pub mod check;
 pub mod drain;
 pub mod interface;
 pub mod policy;
--- a/src/main.rs
+++ b/src/main.rs
@@ -4,9 +4,13 @@
 
 mod net;
 
+use std::cell::RefCell;
 use std::net::TcpListener;
 use std::os::fd::FromRawFd;
+use std::path::Path;
 use std::process::ExitCode;
+use std::rc::Rc;
+use std::sync::Arc;
 
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::{mpsc, watch};
@@ -14,6 +18,15 @@
 use net::{Inbound, config, driver};
 
 fn main() -> ExitCode {
+    let arguments: Vec<_> = std::env::args_os().skip(1).collect();
+    match arguments.as_slice() {
+        [] => {}
+        [option, file] if option == "--check" => return check(file.as_ref()),
+        _ => {
+            eprintln!("myrtleyard: no arguments, or --check FILE, are expected");
+            return ExitCode::from(2);
+        }
+    }
     match run() {
         Ok(()) => ExitCode::SUCCESS,
         Err(e) => {
@@ -23,6 +36,20 @@
     }
 }
 
+/// Tells all that is wrong with a configuration. It needs no running sender, and changes nothing.
+fn check(file: &Path) -> ExitCode {
+    let text = match std::fs::read(file) {
+        Ok(text) => text,
+        Err(e) => {
+            eprintln!("myrtleyard: {}: {e}", file.display());
+            return ExitCode::from(2);
+        }
+    };
+    let faults = config::check(&text, None).err().unwrap_or_default();
+    println!("{}", serde_json::json!({"valid": faults.is_empty(), "faults": faults}));
+    if faults.is_empty() { ExitCode::SUCCESS } else { ExitCode::FAILURE }
+}
+
 /// The socket that the platform holds for clients and that every process of the sender inherits, if it does.
 #[allow(unsafe_code)]
 fn inherited() -> Result<Option<TcpListener>, String> {
@@ -51,21 +78,22 @@
             });
         }
         let (moves, discovery) = watch::channel(config.discovery);
-        let (mut in_force, reloaded) = (config.document.clone(), inbound.clone());
+        let in_force = Rc::new(RefCell::new(Arc::new(config.document.clone())));
+        let (checked, reloaded) = (in_force.clone(), inbound.clone());
         let mut reload = signal(SignalKind::hangup()).map_err(|e| format!("signals: {e}"))?;
         tokio::task::spawn_local(async move {
             while reload.recv().await.is_some() {
                 // What can't be taken as a whole changes nothing: the sender goes on as it was.
-                let before = in_force.clone();
+                let before = checked.borrow().clone();
                 let read = tokio::task::spawn_blocking(move || config::reread(&before)).await;
                 let read = read.map_err(|e| e.to_string()).and_then(|read| read);
                 if let Ok(config) = &read {
-                    in_force = config.document.clone();
+                    checked.replace(Arc::new(config.document.clone()));
                     moves.send_replace(config.discovery);
                 }
                 let _ = reloaded.send(Inbound::Reloaded(read.map(Box::new)));
             }
         });
-        driver::run(config, inherited, discovery, inbound, events).await
+        driver::run(config, inherited, discovery, in_force, inbound, events).await
     })
 }
--- a/src/net/config.rs
+++ b/src/net/config.rs
@@ -1,12 +1,16 @@
 //! What a sender is told at its start: the environment and the configuration file.
 
+use std::cell::RefCell;
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::os::fd::RawFd;
 use std::path::PathBuf;
+use std::rc::Rc;
+use std::sync::Arc;
 
-use myrtleyard::drain::{MOST_MARKS, Marks};
-use myrtleyard::interface::{Class, Effect, Settings};
+use myrtleyard::check::{self, Fault};
+use myrtleyard::drain::Marks;
+use myrtleyard::interface::Settings;
 use serde::{Deserialize, Serialize};
 use serde_json::Value;
 
@@ -62,6 +66,9 @@
     64
 }
 
+/// The document in force, for those who hold another against it.
+pub type InForce = Rc<RefCell<Arc<Value>>>;
+
 /// Names in the settings, by position.
 #[derive(Debug, Default, Clone, Serialize, Deserialize)]
 pub struct Names {
@@ -114,23 +121,6 @@
     (settings, names)
 }
 
-/// The first key that another document has and this one lacks. Entries of lists come and go; a class is
-/// held against its namesake, unless its effect changed and with it what it needs.
-fn lacks(document: &Value, other: &Value) -> Option<String> {
-    match (document, other) {
-        (Value::Object(here), Value::Object(there)) => there.iter().find_map(|(key, value)| {
-            let Some(found) = here.get(key) else { return Some(key.clone()) };
-            lacks(found, value).map(|inner| format!("{key}.{inner}"))
-        }),
-        (Value::Array(here), Value::Array(there)) => here.iter().find_map(|entry| {
-            let alike =
-                |other: &&Value| ["name", "effect"].iter().all(|key| other.get(key) == entry.get(key));
-            lacks(entry, there.iter().find(alike)?)
-        }),
-        _ => None,
-    }
-}
-
 #[derive(Deserialize)]
 struct RawLimits {
     #[serde(default = "plenty")]
@@ -221,13 +211,38 @@
 }
 
 fn parse(text: &[u8], in_force: Option<&Value>) -> Result<Config, String> {
-    let document: Value = serde_json::from_slice(text).map_err(|e| e.to_string())?;
-    if let Some(key) = in_force.and_then(|in_force| lacks(&document, in_force)) {
-        return Err(format!("{key} is missing"));
+    check(text, in_force).map_err(|faults| {
+        let faults: Vec<String> = faults.iter().map(Fault::to_string).collect();
+        faults.join("; ")
+    })
+}
+
+/// Reads a configuration, and holds it against the one in force if there is one. Start, SIGHUP, the operators'
+/// call and the command line all come here.
+///
+/// # Errors
+/// Tells all that is wrong with it.
+pub fn check(text: &[u8], in_force: Option<&Value>) -> Result<Config, Vec<Fault>> {
+    let document = check::read(text)?;
+    let mut faults = check::faults(&document);
+    if let Some(in_force) = in_force {
+        let lacking = check::lacking(&document, in_force);
+        let known: BTreeSet<String> = faults.iter().map(|fault| fault.key.clone()).collect();
+        faults.extend(lacking.into_iter().filter(|fault| !known.contains(&fault.key)));
+    }
+    if !faults.is_empty() {
+        return Err(faults);
     }
-    let raw = Raw::deserialize(&document).map_err(|e| e.to_string())?;
-    let settings = serde_json::to_vec(&raw.settings).map_err(|e| e.to_string())?;
-    let settings = myrtleyard::wire::settings(&settings).map_err(|e| e.to_string())?;
+    config(document).map_err(|(key, why)| {
+        vec![Fault { key: key.to_owned(), value: why, expected: "what can be read".to_owned() }]
+    })
+}
+
+/// What the table of keys does not know of is read here, and nowhere else.
+fn config(document: Value) -> Result<Config, (&'static str, String)> {
+    let raw = Raw::deserialize(&document).map_err(|e| ("", e.to_string()))?;
+    let settings = serde_json::to_vec(&raw.settings).map_err(|e| ("settings", e.to_string()))?;
+    let settings = myrtleyard::wire::settings(&settings).map_err(|e| ("settings", e.to_string()))?;
     let texts = |list: &Value, field: Option<&str>| {
         let entries = list.as_array().map(Vec::as_slice).unwrap_or_default();
         let name = |e: &serde_json::Value| {
@@ -245,34 +260,18 @@
         zones: texts(&s["azs"], None),
         report: texts(&s["load_report"]["fields"], None),
     };
-    if settings.classes.is_empty() || names.classes.iter().any(String::is_empty) {
-        return Err("settings: each class needs a name, and there must be one".into());
-    }
-    if settings.try_limit == 0 || settings.classes.iter().any(|c| c.aim == 0 || c.deadline == 0) {
-        return Err("settings: attempts, aims and deadlines must be over 0".into());
-    }
-    let no_window = |class: &Class| matches!(class.effect, Effect::Keyed { window: 0, .. });
-    if settings.classes.iter().any(no_window) {
-        return Err("settings: a class by key needs a dedup_window_us over 0".into());
-    }
-    if !raw.limits.disk_mb.is_finite() || raw.limits.disk_mb <= 0.0 {
-        return Err(format!("limits: disk_mb {} is no size", raw.limits.disk_mb));
-    }
     let disk = (raw.limits.disk_mb * 1e6) as u64;
-    if let Some(Draining { max_marks }) = raw.draining {
-        if !(1..=MOST_MARKS).contains(&max_marks) {
-            return Err(format!("draining: max_marks {max_marks} is not from 1 to {MOST_MARKS}"));
-        }
-        if Marks::room(max_marks) > disk / 4 {
-            return Err(format!("draining: max_marks {max_marks} takes over a quarter of disk_mb"));
-        }
+    if let Some(Draining { max_marks }) = raw.draining
+        && Marks::room(max_marks) > disk / 4
+    {
+        return Err(("draining.max_marks", format!("{max_marks}, which takes over a quarter of disk_mb,")));
     }
     Ok(Config {
         name: raw.name,
         listen: raw.listen,
         discovery: raw.discovery,
         state: PathBuf::new(),
-        seed: u64::from_str_radix(&raw.seed, 16).map_err(|e| format!("seed {:?}: {e}", raw.seed))?,
+        seed: u64::from_str_radix(&raw.seed, 16).map_err(|e| ("seed", e.to_string()))?,
         sockets: raw.limits.sockets,
         disk,
         mgmt: raw.mgmt,
@@ -289,6 +288,7 @@
 
 #[cfg(test)]
 mod tests {
+    use myrtleyard::interface::Effect;
     use serde_json::json;
 
     use super::*;
--- a/src/net/driver.rs
+++ b/src/net/driver.rs
@@ -20,7 +20,7 @@
 use tokio::task::JoinHandle;
 
 use super::calls::{Calls, Limits, Line, Part};
-use super::config::{Config, Names, following};
+use super::config::{Config, InForce, Names, following};
 use super::figures::{End, Figures, Now};
 use super::handover::{self, Claim, Knowledge, Order, Predecessor, Relay};
 use super::intake::{Answer, HandedIn, Intake};
@@ -147,6 +147,7 @@
     config: Config,
     inherited: Option<std::net::TcpListener>,
     discovery: watch::Receiver<SocketAddr>,
+    in_force: InForce,
     inbound: UnboundedSender<Inbound>,
     mut events: UnboundedReceiver<Inbound>,
 ) -> Result<(), String> {
@@ -161,7 +162,7 @@
         let bound = listener.local_addr().map_err(|e| format!("mgmt: {e}"))?;
         called_at = format!(", operators call at {bound}");
         tokio::task::spawn_local(
-            Rc::new(Mgmt::new(stand.clone(), figures.clone(), inbound.clone())).listen(listener),
+            Rc::new(Mgmt::new(stand.clone(), figures.clone(), in_force, inbound.clone())).listen(listener),
         );
     }
     let folder = config.state.clone();
--- a/src/net/mgmt.rs
+++ b/src/net/mgmt.rs
@@ -14,12 +14,15 @@
 use hyper::service::service_fn;
 use hyper::{Method, Request, Response, StatusCode};
 use hyper_util::rt::{TokioIo, TokioTimer};
+use myrtleyard::check;
 use myrtleyard::interface::Micros;
 use serde::de::DeserializeOwned;
+use serde_json::json;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{Semaphore, mpsc::UnboundedSender, oneshot, watch};
 use tokio::time::timeout;
 
+use super::config::{self, InForce};
 use super::control::{Ask, Reply};
 use super::figures::Figures;
 use super::intake::{closing, plain, readiness};
@@ -41,6 +44,7 @@
 pub struct Mgmt {
     standing: watch::Receiver<Standing>,
     figures: Rc<Figures>,
+    in_force: InForce,
     inbound: UnboundedSender<Inbound>,
 }
 
@@ -49,9 +53,10 @@
     pub fn new(
         standing: watch::Receiver<Standing>,
         figures: Rc<Figures>,
+        in_force: InForce,
         inbound: UnboundedSender<Inbound>,
     ) -> Self {
-        Self { standing, figures, inbound }
+        Self { standing, figures, in_force, inbound }
     }
 
     /// Takes calls for as long as the process runs.
@@ -100,24 +105,26 @@
             "/control/out-of-service" if post => match within(request.uri().query()) {
                 Ok(None) => self.service(false).await,
                 Ok(within) => self.ask(Ask::OutOfService(within)).await,
-                Err(why) => json(Reply::no(StatusCode::BAD_REQUEST, why)),
+                Err(why) => answered(Reply::no(StatusCode::BAD_REQUEST, why)),
             },
             "/control/in-service" if post => self.service(true).await,
             "/control/drain" if get => self.ask(Ask::Drain).await,
             "/control/endpoints" if get => self.ask(Ask::Endpoints).await,
             "/control/endpoints/drain" if post => {
-                self.ask_with(request, SMALL_BODY, |body| read(body).map(Ask::DrainEndpoints)).await
+                self.ask_with(request, |body| read(body).map(Ask::DrainEndpoints)).await
             }
             "/control/endpoints/restore" if post => {
-                self.ask_with(request, SMALL_BODY, |body| read(body).map(Ask::RestoreEndpoints)).await
+                self.ask_with(request, |body| read(body).map(Ask::RestoreEndpoints)).await
             }
+            "/control/config/check" if post => answered(self.check(request).await),
             "/control/ready" | "/control/counters" | "/control/drain" | "/control/endpoints" => {
                 not_allowed("GET")
             }
             "/control/out-of-service"
             | "/control/in-service"
             | "/control/endpoints/drain"
-            | "/control/endpoints/restore" => not_allowed("POST"),
+            | "/control/endpoints/restore"
+            | "/control/config/check" => not_allowed("POST"),
             _ => plain(StatusCode::NOT_FOUND, "not found\n"),
         }))
     }
@@ -137,34 +144,59 @@
     /// What the driver makes of it. A process that has not started yet has nobody to ask.
     async fn ask(&self, ask: Ask) -> Response<Full<Bytes>> {
         if *self.standing.borrow() == Standing::Starting {
-            return json(Reply::no(StatusCode::SERVICE_UNAVAILABLE, "starting"));
+            return answered(Reply::no(StatusCode::SERVICE_UNAVAILABLE, "starting"));
         }
         let (reply, replied) = oneshot::channel();
         let _ = self.inbound.send(Inbound::Control(ask, reply));
         let gone = || Reply::no(StatusCode::SERVICE_UNAVAILABLE, "stopping");
-        json(replied.await.unwrap_or_else(|_| gone()))
+        answered(replied.await.unwrap_or_else(|_| gone()))
     }
 
     /// The same for a call with a body, which is read whole before anything is done.
     async fn ask_with(
         &self,
         request: Request<Incoming>,
-        most: usize,
         read: impl FnOnce(&[u8]) -> Result<Ask, String>,
     ) -> Response<Full<Bytes>> {
-        let body = timeout(BODY_WITHIN, Limited::new(request.into_body(), most).collect()).await;
-        let no = |status, why: String| json(Reply::no(status, why));
-        match body {
-            Err(_) => no(StatusCode::REQUEST_TIMEOUT, "the body did not come whole in time".into()),
-            Ok(Err(e)) if e.is::<LengthLimitError>() => {
-                no(StatusCode::PAYLOAD_TOO_LARGE, format!("the body is over {most} bytes"))
-            }
-            Ok(Err(_)) => no(StatusCode::BAD_REQUEST, "the body broke off".into()),
-            Ok(Ok(body)) => match read(&body.to_bytes()) {
+        match whole(request, SMALL_BODY).await {
+            Ok(body) => match read(&body) {
                 Ok(ask) => self.ask(ask).await,
-                Err(why) => no(StatusCode::BAD_REQUEST, why),
+                Err(why) => answered(Reply::no(StatusCode::BAD_REQUEST, why)),
             },
+            Err(no) => answered(no),
+        }
+    }
+
+    /// What is wrong with a configuration, or what it would change. It is not taken, and counts nowhere.
+    async fn check(&self, request: Request<Incoming>) -> Reply {
+        let text = match whole(request, check::LARGEST).await {
+            Ok(text) => text,
+            Err(no) => return no,
+        };
+        let in_force = self.in_force.borrow().clone();
+        // Beside the loop that serves clients: a large one takes milliseconds.
+        let checked = tokio::task::spawn_blocking(move || {
+            config::check(&text, Some(&in_force)).map(|config| check::changes(&in_force, &config.document))
+        });
+        match checked.await {
+            Ok(Ok(changes)) => Reply::yes(&json!({"valid": true, "changes": changes})),
+            Ok(Err(faults)) => {
+                Reply::new(StatusCode::BAD_REQUEST, &json!({"valid": false, "faults": faults}))
+            }
+            Err(e) => Reply::no(StatusCode::INTERNAL_SERVER_ERROR, e),
+        }
+    }
+}
+
+/// A call's body, if it comes whole, in time, and is no longer than that.
+async fn whole(request: Request<Incoming>, most: usize) -> Result<Bytes, Reply> {
+    match timeout(BODY_WITHIN, Limited::new(request.into_body(), most).collect()).await {
+        Ok(Ok(body)) => Ok(body.to_bytes()),
+        Err(_) => Err(Reply::no(StatusCode::REQUEST_TIMEOUT, "the body did not come whole in time")),
+        Ok(Err(e)) if e.is::<LengthLimitError>() => {
+            Err(Reply::no(StatusCode::PAYLOAD_TOO_LARGE, format!("the body is over {most} bytes")))
         }
+        Ok(Err(_)) => Err(Reply::no(StatusCode::BAD_REQUEST, "the body broke off")),
     }
 }
 
@@ -180,7 +212,7 @@
     serde_json::from_slice(body).map_err(|e| format!("the body can't be read: {e}"))
 }
 
-fn json(reply: Reply) -> Response<Full<Bytes>> {
+fn answered(reply: Reply) -> Response<Full<Bytes>> {
     let mut response = Response::new(Full::new(Bytes::from(reply.body)));
     *response.status_mut() = reply.status;
     response.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
@@ -208,7 +240,9 @@
         let listener = TcpListener::bind("127.0.0.1:0").await?;
         let address = listener.local_addr()?;
         let local = tokio::task::LocalSet::new();
-        local.spawn_local(Rc::new(Mgmt::new(standing, Rc::default(), inbound)).listen(listener));
+        local.spawn_local(
+            Rc::new(Mgmt::new(standing, Rc::default(), Rc::default(), inbound)).listen(listener),
+        );
         local
             .run_until(async {
                 let mut silent = Vec::new();
--- /dev/null
+++ b/tests/node/configuration.rs
@@ -0,0 +1,87 @@
+//! The check of a configuration by the running program, at the management address and on the command line.
+
+use std::process::Command;
+
+use serde_json::{Value, json};
+
+use super::world::*;
+
+fn check(node: &Node, candidate: &Value) -> Http {
+    node.post("/control/config/check", &candidate.to_string())
+}
+
+#[test]
+fn a_candidate_is_checked_against_what_is_in_force_and_not_taken() {
+    let platform = Platform::new();
+    let node = Node::start(&platform, &[], |config| config["mgmt"] = json!("127.0.0.1:0"));
+    let in_force = node.configuration();
+    let told = check(&node, &in_force);
+    assert_eq!((told.status(), told.json()), (200, json!({"valid": true, "changes": []})));
+    let mut fewer = in_force.clone();
+    fewer["settings"]["limits"]["try_limit"] = json!(2);
+    let told = check(&node, &fewer).json();
+    assert_eq!(told["changes"][0]["key"], "settings.limits.try_limit");
+    assert_eq!(told["changes"][0]["takes"], "at once");
+    let mut broken = fewer.clone();
+    broken["settings"]["limits"]["try_limit"] = json!(0);
+    broken["settings"]["classes"][0]["on_time_us"] = json!("soon");
+    broken["settings"].as_object_mut().unwrap().remove("azs");
+    let told = check(&node, &broken);
+    let faults = told.json()["faults"].as_array().unwrap().clone();
+    let keys: Vec<_> = faults.iter().map(|fault| fault["key"].as_str().unwrap()).collect();
+    assert_eq!(told.status(), 400);
+    assert_eq!(keys, ["settings.classes[0].on_time_us", "settings.limits.try_limit", "settings.azs"]);
+    let figures = node.call("GET", "/control/counters").json();
+    assert_eq!(
+        (&figures["conf_loaded"], &figures["conf_invalid"]),
+        (&json!(0), &json!(0)),
+        "nothing was taken"
+    );
+    // Once it is taken, the next is held against it.
+    node.reload(|config| *config = fewer.clone());
+    wait_until(|| check(&node, &fewer).json()["changes"] == json!([]));
+}
+
+#[test]
+fn what_is_no_candidate_gets_a_line_and_does_no_harm() {
+    let platform = Platform::new();
+    let node = Node::start(&platform, &[], |config| config["mgmt"] = json!("127.0.0.1:0"));
+    for (body, code) in
+        [("", 400), ("{\"name\":", 400), ("\u{1}", 400), ("{\"name\":1,\"name\":2}", 400), ("[]", 400)]
+    {
+        let told = node.post("/control/config/check", body);
+        assert_eq!(told.status(), code, "{body}");
+        assert_eq!(told.json()["faults"].as_array().unwrap().len(), 1, "{body}");
+    }
+    let over = " ".repeat((256 << 10) + (64 << 10));
+    assert_eq!(node.post("/control/config/check", &over).status(), 413);
+    let half =
+        node.operator("POST /control/config/check HTTP/1.1\r\nHost: m\r\nContent-Length: 99\r\n\r\n{\"na");
+    assert_eq!(half.status(), 408);
+    assert_eq!(node.call("GET", "/control/config/check").status(), 405);
+    assert_eq!(node.call("GET", "/control/ready").status(), 200);
+}
+
+#[test]
+fn a_file_is_checked_without_a_sender() {
+    let platform = Platform::new();
+    let node = Node::start(&platform, &[], |_| {});
+    let folder = tempfile::tempdir().unwrap();
+    let file = folder.path().join("candidate.json");
+    let run = |arguments: &[&std::ffi::OsStr]| {
+        let output = Command::new(env!("CARGO_BIN_EXE_myrtleyard")).args(arguments).output().unwrap();
+        (output.status.code(), String::from_utf8(output.stdout).unwrap())
+    };
+    let option = std::ffi::OsStr::new("--check");
+    std::fs::write(&file, node.configuration().to_string()).unwrap();
+    assert_eq!(run(&[option, file.as_os_str()]), (Some(0), "{\"faults\":[],\"valid\":true}\n".into()));
+    let mut broken = node.configuration();
+    broken["seed"] = json!(3);
+    broken["draining"] = json!({"max_mark": 3});
+    std::fs::write(&file, broken.to_string()).unwrap();
+    let (code, told) = run(&[option, file.as_os_str()]);
+    let told: Value = serde_json::from_str(&told).unwrap();
+    assert_eq!((code, told["faults"].as_array().unwrap().len()), (Some(1), 2), "{told}");
+    assert_eq!(run(&[option, folder.path().join("none").as_os_str()]).0, Some(2));
+    assert_eq!(run(&[option]).0, Some(2));
+}
--- a/tests/node/main.rs
+++ b/tests/node/main.rs
@@ -1,5 +1,6 @@
 //! The real program over loopback sockets: each promise, and each failure found, in small.
 
+mod configuration;
 mod draining;
 mod world;
 
--- a/tests/node/world.rs
+++ b/tests/node/world.rs
@@ -383,6 +383,11 @@
         names
     }
 
+    /// The configuration as the platform wrote it.
+    pub fn configuration(&self) -> Value {
+        serde_json::from_slice(&std::fs::read(self.folder.path().join("config.json")).unwrap()).unwrap()
+    }
+
     /// Where operators call.
     pub fn mgmt(&self) -> SocketAddr {
         self.mgmt.expect("the configuration has mgmt")
