--- /dev/null
+++ b/fleet/tests/spoilt.rs
@@ -0,0 +1,179 @@
+//! The checker's own worth: a history that keeps every rule, spoilt in one place for each rule.
+
+use linenwing_fleet::ledger::checker::{Rule, check};
+use linenwing_fleet::ledger::{Asked, CallEnd, ClassRules, Entry, Head, History, What};
+
+const S: u64 = 1_000_000;
+
+fn head() -> Head {
+    let class = |name: &str, once, window| ClassRules { name: name.into(), once, aim: 3 * S, window };
+    Head {
+        scenario: "made".into(),
+        seed: 1,
+        senders: 2,
+        classes: vec![class("notice", false, 15 * S), class("disbursement", true, 0)],
+        try_limit: 6,
+        drain_grace: 2 * S,
+    }
+}
+
+fn offered(id: &str, class: usize, meant: u64) -> What {
+    let (id, root) = (id.to_owned(), id.to_owned());
+    What::Offered { id, root, sender: 0, class, dest: 3, meant, deadline: meant + 10 * S }
+}
+
+fn call(call: u64, id: &str, first: u64) -> What {
+    let (endpoint, ids) = ("s-003-0".to_owned(), vec![id.to_owned()]);
+    What::Call { call, sender: 0, endpoint, dest: 3, ids, first, last: first }
+}
+
+/// A call to the destination's other endpoint, which does not drain.
+fn other(call: u64, id: &str, first: u64) -> What {
+    let (endpoint, ids) = ("s-003-1".to_owned(), vec![id.to_owned()]);
+    What::Call { call, sender: 0, endpoint, dest: 3, ids, first, last: first }
+}
+
+fn answered(call: u64, status: u16, written: u64, wait: Option<u64>, end: CallEnd) -> What {
+    What::Answered { call, status, written, wait, ends: vec![end] }
+}
+
+fn notice(id: &str, status: &str) -> What {
+    What::Notice { sender: 0, id: id.into(), status: status.into() }
+}
+
+fn effect(call: u64, id: &str) -> What {
+    What::Effect { call, id: id.into(), repeat: false }
+}
+
+/// All that an ordinary run has: messages of both classes that are delivered, refused or failed, a wait that is
+/// heeded, a drain, a process that is killed and comes back with what it owed.
+fn whole() -> Vec<(u64, What)> {
+    let heard = |id: &str, status| What::Heard { id: id.into(), status };
+    let told = |status: &str| What::Told { sender: 0, endpoint: "s-003-0".into(), status: status.into() };
+    vec![
+        (0, What::Started { sender: 0, generation: 0, empty: false }),
+        (0, What::Started { sender: 1, generation: 0, empty: false }),
+        (S / 10, What::Ready { sender: 0, generation: 0 }),
+        (S / 10, What::Ready { sender: 1, generation: 0 }),
+        (S / 5, told("active")),
+        (S, offered("n", 0, S)),
+        (S + 5_000, heard("n", 202)),
+        (S + 20_000, call(1, "n", S + 10_000)),
+        (S + 50_000, answered(1, 500, S + 40_000, None, CallEnd::Maybe)),
+        (3 * S, call(2, "n", 3 * S)),
+        (3 * S + 100, effect(2, "n")),
+        (3 * S + 200, answered(2, 200, 3 * S + 150, None, CallEnd::Done)),
+        (4 * S, offered("d", 1, 4 * S)),
+        (4 * S + 5_000, heard("d", 202)),
+        (4 * S + 20_000, call(3, "d", 4 * S + 10_000)),
+        (4 * S + 50_000, answered(3, 429, 4 * S + 40_000, Some(S), CallEnd::Never)),
+        (6 * S, call(4, "d", 6 * S)),
+        (6 * S + 100, effect(4, "d")),
+        (6 * S + 200, answered(4, 200, 6 * S + 150, None, CallEnd::Done)),
+        (7 * S, offered("k", 1, 7 * S)),
+        (7 * S + 5_000, heard("k", 202)),
+        (7 * S + 50_000, call(5, "k", 7 * S + 50_000)),
+        (8 * S, What::Signal { sender: 0, generation: 0, signal: "SIGKILL".into() }),
+        (8 * S, What::Ended { sender: 0, generation: 0, asked: Asked::Kill, code: None }),
+        (9 * S, What::Started { sender: 0, generation: 1, empty: false }),
+        (9 * S + 50_000, What::Ready { sender: 0, generation: 1 }),
+        (9 * S + 60_000, notice("k", "undeliverable")),
+        (10 * S, told("leaving")),
+        (11 * S, offered("r", 1, 11 * S)),
+        (11 * S + 5_000, heard("r", 202)),
+        (12 * S, notice("r", "deferred")),
+        (13 * S, offered("x", 1, 13 * S)),
+        (13 * S + 5_000, heard("x", 503)),
+        (20 * S, told("active")),
+        (60 * S, What::Over),
+    ]
+}
+
+fn broken(entries: Vec<(u64, What)>) -> Vec<Rule> {
+    let entries = entries.into_iter().map(|(t, what)| Entry { t, what }).collect();
+    let mut rules: Vec<Rule> = check(&History::new(head(), entries)).into_iter().map(|b| b.rule).collect();
+    rules.dedup();
+    rules
+}
+
+fn with(more: Vec<(u64, What)>) -> Vec<(u64, What)> {
+    whole().into_iter().chain(more).collect()
+}
+
+fn without(left_out: impl Fn(&What) -> bool) -> Vec<(u64, What)> {
+    whole().into_iter().filter(|(_, what)| !left_out(what)).collect()
+}
+
+#[test]
+fn an_ordinary_history_breaks_no_rule() {
+    assert_eq!(broken(whole()), []);
+}
+
+/// Guards against a checker that finds nothing: one spoilt place for each way in which each rule is broken, and
+/// the rule that is named is the one that was spoilt.
+#[test]
+fn each_spoilt_place_is_found_as_what_it_is() {
+    let oversize = What::Oversize { sender: 1, bytes: 257 };
+    let fell = |knew| What::Fell { dest: 3, by: vec![(0, 20, knew), (1, 9, false)] };
+    let ended = |asked, code| What::Ended { sender: 1, generation: 0, asked, code };
+    let unanswered = What::Heard { id: "n".into(), status: 0 };
+    let elsewhere = What::Call {
+        call: 20,
+        sender: 1,
+        endpoint: "s-004-0".into(),
+        dest: 4,
+        ids: vec!["n".into()],
+        first: 3 * S,
+        last: 3 * S,
+    };
+    let many = (0..6).map(|n| (2 * S + n, call(30 + n, "n", 2 * S + n))).collect();
+    let spoilt = [
+        ("no notice of what a kill left", without(|w| *w == notice("k", "undeliverable")), Rule::Lost),
+        ("a notice too late", with_late_notice(), Rule::Lost),
+        ("two ends that differ", with(vec![(13 * S, notice("r", "undeliverable"))]), Rule::OneEnd),
+        ("deferred, with an effect", with(vec![(11 * S + 9_000, effect(9, "r"))]), Rule::OneEnd),
+        ("called after its end", with(vec![(14 * S, other(9, "r", 12 * S + 200_000))]), Rule::OneEnd),
+        ("called after its refusal", with(vec![(14 * S, other(9, "x", 13 * S + 200_000))]), Rule::OneEnd),
+        ("a second effect", with(vec![(6 * S + 300, effect(4, "d"))]), Rule::Duplicate),
+        (
+            "called though it may have run",
+            with(vec![(7 * S + 80_000, call(9, "k", 7 * S + 80_000))]),
+            Rule::Duplicate,
+        ),
+        ("called after its window", with(vec![(17 * S, other(9, "n", 17 * S))]), Rule::Window),
+        ("called within a wait", with(vec![(5 * S, call(9, "n", 4 * S + 300_000))]), Rule::Wait),
+        ("called a drained endpoint", with(vec![(13 * S, call(9, "n", 12 * S + 100_000))]), Rule::Drain),
+        ("to another destination", with(vec![(3 * S, elsewhere)]), Rule::Misdirected),
+        ("nobody handed it in", with(vec![(3 * S, call(9, "nobody", 3 * S))]), Rule::Misdirected),
+        ("too many attempts", with(many), Rule::Attempts),
+        ("no answer", with(vec![(2 * S, unanswered)]), Rule::Unanswered),
+        ("a large datagram", with(vec![(S, oversize)]), Rule::Oversize),
+        ("a crash", with(vec![(59 * S, ended(Asked::No, Some(0)))]), Rule::Process),
+        ("a bad end", with(vec![(59 * S, ended(Asked::Terminate, Some(1)))]), Rule::Process),
+        ("pushed over", with(vec![(30 * S, fell(true))]), Rule::Fallback),
+    ];
+    for (name, entries, rule) in spoilt {
+        assert_eq!(broken(entries), [rule], "{name}");
+    }
+    assert_eq!(broken(with(vec![(30 * S, fell(false))])), [], "they could not know");
+    assert_eq!(broken(with(vec![(59 * S, ended(Asked::Terminate, Some(0)))])), [], "a good end");
+}
+
+fn with_late_notice() -> Vec<(u64, What)> {
+    let late = notice("r", "deferred");
+    let moved = without(|w| *w == late);
+    moved.into_iter().chain([(21 * S + 400_000, late)]).collect()
+}
+
+/// Guards those who can't help it: a sender that is away or stopped owes nothing until it is back.
+#[test]
+fn a_stop_is_no_lost_message() {
+    let signal = |signal: &str| What::Signal { sender: 0, generation: 1, signal: signal.into() };
+    let late = notice("r", "deferred");
+    let mut entries = without(|w| *w == late);
+    entries.extend([(20 * S, signal("SIGSTOP")), (30 * S, signal("SIGCONT")), (30 * S + 100_000, late)]);
+    assert_eq!(broken(entries.clone()), []);
+    entries.retain(|(_, what)| *what != signal("SIGCONT") && *what != notice("r", "deferred"));
+    entries.push((25 * S, signal("SIGCONT")));
+    assert_eq!(broken(entries), [Rule::Lost], "back, and no notice comes");
+}
