--- a/fleet/src/lib.rs
+++ b/fleet/src/lib.rs
@@ -4,6 +4,7 @@
 #![warn(missing_docs)]
 
 pub mod ledger;
+pub mod links;
 
 /// Time in microseconds since the run began, on the monotonic clock: a wall clock that steps moves nothing.
 pub type Micros = u64;
--- /dev/null
+++ b/fleet/src/links/tcp.rs
@@ -0,0 +1,261 @@
+//! Relays for connections: a listener for one sender, behind which stands an endpoint or discovery in this
+//! process. Bytes take the link's delay in each direction, and carry the time at which the sender wrote them.
+
+use std::io;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::{mpsc, oneshot, watch};
+
+use super::Connections;
+use crate::Micros;
+use crate::ledger::Recorder;
+
+/// Pieces of a connection that may be under way in one direction; the writer waits beyond that.
+const PIECES: usize = 64;
+
+/// Bytes that came, and when they were written.
+#[derive(Debug, Clone)]
+pub struct Piece {
+    /// The bytes.
+    pub bytes: Bytes,
+    /// When the sender wrote them.
+    pub written: Micros,
+}
+
+/// The far end of a connection.
+pub struct Conduit {
+    incoming: mpsc::Receiver<Piece>,
+    outgoing: mpsc::Sender<Outgoing>,
+}
+
+enum Outgoing {
+    Bytes(Bytes, oneshot::Sender<Micros>),
+    Reset,
+}
+
+impl Conduit {
+    /// The next bytes; nothing once the sender has closed, or the link has cut it.
+    pub async fn receive(&mut self) -> Option<Piece> {
+        self.incoming.recv().await
+    }
+
+    /// Writes bytes and waits until the sender has them; tells when, if it ever got them.
+    pub async fn send(&mut self, bytes: impl Into<Bytes>) -> Option<Micros> {
+        let (told, arrived) = oneshot::channel();
+        self.outgoing.send(Outgoing::Bytes(bytes.into(), told)).await.ok()?;
+        arrived.await.ok()
+    }
+
+    /// Resets the connection.
+    pub async fn reset(self) {
+        let _ = self.outgoing.send(Outgoing::Reset).await;
+    }
+}
+
+/// A relay's listener and its condition.
+pub struct Relay {
+    /// Where the sender dials.
+    pub address: SocketAddr,
+    condition: watch::Sender<Connections>,
+}
+
+impl Relay {
+    /// Opens one; connections that come up go to `arrived`.
+    ///
+    /// # Errors
+    /// Fails when no address is to be had.
+    pub async fn open(
+        host: std::net::IpAddr,
+        usual: [f64; 2],
+        recorder: Recorder,
+        seed: u64,
+        arrived: impl Fn(Conduit) + Send + Sync + 'static,
+    ) -> io::Result<Self> {
+        let listener = TcpListener::bind((host, 0)).await?;
+        let address = listener.local_addr()?;
+        let (condition, conditions) = watch::channel(Connections::default());
+        tokio::spawn(listen(listener, address, usual, conditions, recorder, seed, arrived));
+        Ok(Self { address, condition })
+    }
+
+    /// How connections fare from now on.
+    pub fn condition(&self, condition: Connections) {
+        self.condition.send_if_modified(|current| std::mem::replace(current, condition) != condition);
+    }
+}
+
+async fn listen(
+    first: TcpListener,
+    address: SocketAddr,
+    usual: [f64; 2],
+    mut conditions: watch::Receiver<Connections>,
+    recorder: Recorder,
+    seed: u64,
+    arrived: impl Fn(Conduit) + Send + Sync + 'static,
+) {
+    let mut rng = ChaCha8Rng::seed_from_u64(seed);
+    let mut listener = Some(first);
+    loop {
+        let condition = *conditions.borrow_and_update();
+        if condition.cut {
+            // Without a listener the system refuses connections, as a dead machine's neighbour would.
+            listener = None;
+        } else if listener.is_none() {
+            listener = TcpListener::bind(address).await.ok();
+            if listener.is_none() {
+                tokio::time::sleep(Duration::from_millis(20)).await;
+                continue;
+            }
+        }
+        let accept = async {
+            match &listener {
+                // While nothing passes, connections stay where the system holds them.
+                Some(listener) if !condition.silent => listener.accept().await,
+                _ => std::future::pending().await,
+            }
+        };
+        tokio::select! {
+            changed = conditions.changed() => if changed.is_err() { return },
+            accepted = accept => {
+                let Ok((stream, _)) = accepted else { continue };
+                let delay = (rng.random_range(usual[0]..=usual[1]) * 1000.0) as Micros;
+                arrived(connect(stream, delay, conditions.clone(), recorder.clone()));
+            }
+        }
+    }
+}
+
+fn connect(
+    stream: TcpStream,
+    delay: Micros,
+    conditions: watch::Receiver<Connections>,
+    recorder: Recorder,
+) -> Conduit {
+    let _ = stream.set_nodelay(true);
+    let (read, write) = stream.into_split();
+    let (came, incoming) = mpsc::channel(PIECES);
+    let (under_way, due) = mpsc::channel(PIECES);
+    let (outgoing, going) = mpsc::channel(PIECES);
+    tokio::spawn(inward(read, delay, conditions.clone(), recorder.clone(), under_way));
+    tokio::spawn(deliver(due, came, conditions.clone(), recorder.clone()));
+    tokio::spawn(outward(write, going, delay, conditions, recorder));
+    Conduit { incoming, outgoing }
+}
+
+/// Waits while nothing passes; tells whether the connection is cut.
+async fn passes(conditions: &mut watch::Receiver<Connections>) -> bool {
+    loop {
+        let condition = *conditions.borrow_and_update();
+        if condition.cut {
+            return false;
+        }
+        if !condition.silent {
+            return true;
+        }
+        if conditions.changed().await.is_err() {
+            return false;
+        }
+    }
+}
+
+async fn inward(
+    mut read: OwnedReadHalf,
+    delay: Micros,
+    mut conditions: watch::Receiver<Connections>,
+    recorder: Recorder,
+    under_way: mpsc::Sender<(Micros, Piece)>,
+) {
+    let mut buffer = vec![0; 16 * 1024];
+    let mut last = 0;
+    loop {
+        let size = tokio::select! {
+            read = read.read(&mut buffer) => read.unwrap_or(0),
+            changed = conditions.changed() => {
+                if changed.is_err() || conditions.borrow_and_update().cut {
+                    return;
+                }
+                continue;
+            }
+            // The far end has gone: with both halves dropped the connection is closed.
+            () = under_way.closed() => return,
+        };
+        if size == 0 {
+            return;
+        }
+        let written = recorder.now();
+        // Bytes of a connection don't overtake each other.
+        last = last.max(written + delay + conditions.borrow().delay);
+        let piece = Piece { bytes: Bytes::copy_from_slice(&buffer[..size]), written };
+        if under_way.send((last, piece)).await.is_err() {
+            return;
+        }
+    }
+}
+
+async fn deliver(
+    mut due: mpsc::Receiver<(Micros, Piece)>,
+    came: mpsc::Sender<Piece>,
+    mut conditions: watch::Receiver<Connections>,
+    recorder: Recorder,
+) {
+    loop {
+        let next = tokio::select! {
+            next = due.recv() => next,
+            () = came.closed() => None,
+        };
+        let Some((at, piece)) = next else { return };
+        recorder.until(at).await;
+        if !passes(&mut conditions).await || came.send(piece).await.is_err() {
+            return;
+        }
+    }
+}
+
+async fn outward(
+    mut write: OwnedWriteHalf,
+    mut going: mpsc::Receiver<Outgoing>,
+    delay: Micros,
+    mut conditions: watch::Receiver<Connections>,
+    recorder: Recorder,
+) {
+    loop {
+        let next = tokio::select! {
+            next = going.recv() => next,
+            changed = conditions.changed() => {
+                if changed.is_err() || conditions.borrow_and_update().cut {
+                    return reset(write);
+                }
+                continue;
+            }
+        };
+        match next {
+            // The endpoint closes as a server does.
+            None => return,
+            Some(Outgoing::Reset) => return reset(write),
+            Some(Outgoing::Bytes(bytes, told)) => {
+                let added = conditions.borrow().delay;
+                recorder.until(recorder.now() + delay + added).await;
+                if !passes(&mut conditions).await {
+                    return reset(write);
+                }
+                if write.write_all(&bytes).await.is_err() {
+                    return;
+                }
+                let _ = told.send(recorder.now());
+            }
+        }
+    }
+}
+
+fn reset(write: OwnedWriteHalf) {
+    // Closing with this set sends a reset in place of an end; a shutdown before would be an end.
+    let _ = write.as_ref().set_zero_linger();
+    write.forget();
+}
