Play the world round many senders, and faults drawn or written down

Need: what a sender meets has to be there for many at once, with limits, queues, cold returns and deaths.

Clients are open loop. A scenario is a TOML file, refused with all its faults at once; nemesis.rs draws more from a named mix by the seed. What faults that overlap amount to is worked out anew from those that are on at each change, so that one that ends leaves nothing behind.

Not taken: undoing each fault by its opposite, which goes wrong as soon as two overlap.

--- a/fleet/src/lib.rs
+++ b/fleet/src/lib.rs
@@ -5,6 +5,9 @@
 
 pub mod ledger;
 pub mod links;
+pub mod nemesis;
+pub mod scenario;
+pub mod world;
 
 /// Time in microseconds since the run began, on the monotonic clock: a wall clock that steps moves nothing.
 pub type Micros = u64;
--- /dev/null
+++ b/fleet/src/nemesis.rs
@@ -0,0 +1,352 @@
+//! Faults: which there are in a run, what they make of links, destinations and discovery at a time, and how
+//! processes are struck. What faults that overlap amount to is worked out anew at each change, from those
+//! that are on, so that one that ends leaves nothing behind.
+
+use std::collections::BTreeMap;
+use std::sync::{Arc, Mutex};
+
+use nix::sys::signal::Signal;
+use rand::seq::IndexedRandom;
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+use crate::ledger::{Recorder, What};
+use crate::links::{Connections, Datagrams};
+use crate::scenario::{Fault, Kind, MixName, Mode, Scenario};
+use crate::world::discovery;
+use crate::world::endpoints::Condition;
+use crate::world::senders::{BACK_AFTER, Tier};
+use crate::{Micros, micros};
+
+/// What the faults that are on make of everything but processes.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Conditions {
+    /// Datagrams, by sender and receiver.
+    pub datagrams: Vec<Vec<Datagrams>>,
+    /// Connections, by sender and destination.
+    pub connections: Vec<Vec<Connections>>,
+    /// Destinations.
+    pub partners: Vec<Condition>,
+    /// Discovery, by sender.
+    pub discovery: Vec<discovery::Condition>,
+    /// Destinations whose first endpoint drains.
+    pub draining: Vec<u16>,
+}
+
+/// The senders that are named, or all.
+fn named(named: &[usize], senders: usize) -> Vec<usize> {
+    if named.is_empty() { (0..senders).collect() } else { named.to_vec() }
+}
+
+fn destinations(named: &[u16], partners: u16) -> Vec<u16> {
+    if named.is_empty() { (0..partners).collect() } else { named.to_vec() }
+}
+
+impl Conditions {
+    /// What these faults amount to together.
+    pub fn of<'a>(faults: impl IntoIterator<Item = &'a Fault>, senders: usize, partners: u16) -> Self {
+        let count = usize::from(partners);
+        let mut all = Self {
+            datagrams: vec![vec![Datagrams::default(); senders]; senders],
+            connections: vec![vec![Connections::default(); count]; senders],
+            partners: vec![Condition::default(); count],
+            discovery: vec![discovery::Condition::default(); senders],
+            draining: vec![],
+        };
+        for fault in faults {
+            all.add(fault, senders, partners);
+        }
+        all
+    }
+
+    fn add(&mut self, fault: &Fault, senders: usize, partners: u16) {
+        let from = named(&fault.senders, senders);
+        let dests = destinations(&fault.partners, partners);
+        let delay = fault.delay_ms.map_or(0, |ms| micros(ms / 1000.0));
+        let share = fault.share.unwrap_or(1.0);
+        match fault.kind {
+            Kind::Link => {
+                for a in &from {
+                    for b in named(&fault.to, senders) {
+                        self.link(*a, b, fault, share, delay);
+                        if fault.both_ways {
+                            self.link(b, *a, fault, share, delay);
+                        }
+                    }
+                }
+            }
+            Kind::Partition => {
+                let group = |n: usize| fault.groups.iter().position(|group| group.contains(&n));
+                for a in 0..senders {
+                    for b in (0..senders).filter(|b| group(a) != group(*b)) {
+                        self.datagrams[a][b].drop = 1.0;
+                        self.datagrams[a][b].flap = 0;
+                    }
+                }
+            }
+            Kind::Discovery => {
+                for a in from {
+                    match fault.mode {
+                        Some(Mode::Silent) => self.discovery[a].silent = true,
+                        _ => self.discovery[a].delay += delay,
+                    }
+                }
+            }
+            Kind::Wire => {
+                for a in from {
+                    for dest in &dests {
+                        let link = &mut self.connections[a][usize::from(*dest)];
+                        match fault.mode {
+                            Some(Mode::Cut) => link.cut = true,
+                            Some(Mode::Silent) => link.silent = true,
+                            _ => link.delay += delay,
+                        }
+                    }
+                }
+            }
+            Kind::Partner => {
+                for dest in dests.iter().map(|dest| usize::from(*dest)) {
+                    let partner = &mut self.partners[dest];
+                    match fault.mode {
+                        Some(Mode::Down) => {
+                            partner.down = true;
+                            self.connections.iter_mut().for_each(|links| links[dest].cut = true);
+                        }
+                        Some(Mode::Shut) => partner.shut = true,
+                        Some(Mode::Silent) => partner.silent = true,
+                        Some(Mode::Wrong) => partner.wrong = true,
+                        Some(Mode::Failing) => partner.failing = partner.failing.max(share),
+                        _ => partner.slow *= fault.factor.unwrap_or(2.0),
+                    }
+                }
+            }
+            Kind::Limit => {
+                let factor = fault.factor.unwrap_or(1.0);
+                dests.iter().for_each(|dest| self.partners[usize::from(*dest)].limit *= factor);
+            }
+            Kind::Drain => self.draining.extend(dests),
+            Kind::Kill | Kind::Restart | Kind::Stop | Kind::Handover | Kind::Load => {}
+        }
+    }
+
+    fn link(&mut self, a: usize, b: usize, fault: &Fault, share: f64, delay: Micros) {
+        let link = &mut self.datagrams[a][b];
+        match fault.mode {
+            Some(Mode::Drop) => link.drop = 1.0 - (1.0 - link.drop) * (1.0 - share),
+            Some(Mode::Repeat) => link.repeat = link.repeat.max(share),
+            Some(Mode::Reorder) => link.reorder = (share, if delay == 0 { 100_000 } else { delay }),
+            Some(Mode::Spoil) => link.spoil = link.spoil.max(share),
+            Some(Mode::Short) => link.short = link.short.max(share),
+            _ => link.delay += delay,
+        }
+        link.flap = fault.flap_ms.map_or(link.flap, |ms| micros(ms / 1000.0));
+    }
+}
+
+/// How many times the usual load there is at a time, in seconds.
+pub fn load(faults: &[Fault], t: f64) -> f64 {
+    let on = |fault: &&Fault| {
+        fault.kind == Kind::Load && fault.at_s <= t && fault.for_s.is_none_or(|len| t < fault.at_s + len)
+    };
+    faults.iter().filter(on).filter_map(|fault| fault.factor).product()
+}
+
+/// The faults of a run: those that are listed, and those that the seed draws.
+pub fn schedule(scenario: &Scenario, seed: u64) -> Vec<Fault> {
+    let mut faults = scenario.fault.clone();
+    if let Some(mix) = &scenario.mix {
+        // Not the stream that arrivals are drawn from.
+        let mut rng = ChaCha8Rng::seed_from_u64(seed ^ 0x6e65_6d65_7369_7300);
+        faults.extend((0..mix.faults).filter_map(|_| drawn(scenario, mix.name, &mut rng)));
+    }
+    faults.sort_by(|a, b| a.at_s.total_cmp(&b.at_s));
+    faults
+}
+
+fn drawn(scenario: &Scenario, mix: MixName, rng: &mut ChaCha8Rng) -> Option<Fault> {
+    use Kind::*;
+    let processes: &[Kind] = &[Kill, Kill, Restart, Stop, Handover];
+    let links: &[Kind] = &[Link, Link, Link, Partition, Wire];
+    let partners: &[Kind] = &[Partner, Partner, Limit, Drain, Load];
+    let all = [processes, links, partners, &[Discovery]].concat();
+    let kinds = match mix {
+        MixName::Processes => processes,
+        MixName::Links => links,
+        MixName::Partners => partners,
+        MixName::All => &all,
+    };
+    let senders = scenario.senders;
+    let round = |x: f64| (x * 100.0).round() / 100.0;
+    // All of it is over, and settled, before the clients go.
+    let last = scenario.length_s * 0.6;
+    let mut fault = Fault::new(*kinds.choose(rng)?, round(rng.random_range(0.1..=1.0) * last));
+    let some = |rng: &mut ChaCha8Rng| {
+        let many = rng.random_range(1..=senders.div_ceil(3));
+        let mut chosen = rand::seq::index::sample(rng, senders, many).into_vec();
+        chosen.sort_unstable();
+        chosen
+    };
+    let length = round(rng.random_range(0.5..=6.0));
+    fault.for_s = Some(length);
+    match fault.kind {
+        Kill => {
+            fault.senders = some(rng);
+            fault.for_s = rng.random_bool(0.9).then_some(length);
+            fault.folder_lost = fault.for_s.is_some() && rng.random_bool(0.2);
+        }
+        Restart | Handover => {
+            fault.for_s = None;
+            fault.senders = some(rng);
+            fault.every_s = rng.random_bool(0.5).then_some(round(rng.random_range(0.5..=2.0)));
+        }
+        Stop => fault.senders = some(rng),
+        Link => {
+            fault.senders = some(rng);
+            fault.to = some(rng);
+            fault.mode = Kind::Link.any_mode(rng);
+            fault.share = Some(round(rng.random_range(0.2..=1.0)));
+            fault.both_ways = rng.random_bool(0.5);
+            fault.flap_ms = rng.random_bool(0.2).then(|| rng.random_range(200..2000).into());
+            if matches!(fault.mode, Some(Mode::Delay | Mode::Reorder)) {
+                fault.delay_ms = Some(rng.random_range(50..1500).into());
+            }
+        }
+        Partition => {
+            let one = some(rng);
+            let other: Vec<usize> = (0..senders).filter(|n| !one.contains(n)).collect();
+            fault.groups = [one, other].into_iter().filter(|group| !group.is_empty()).collect();
+        }
+        Discovery | Wire => {
+            fault.senders = some(rng);
+            fault.mode = fault.kind.any_mode(rng);
+            if fault.mode == Some(Mode::Delay) {
+                fault.delay_ms = Some(rng.random_range(100..2000).into());
+            }
+            if fault.kind == Wire {
+                fault.partners = vec![rng.random_range(0..scenario.partners.count)];
+            }
+        }
+        Partner => {
+            fault.partners = vec![rng.random_range(0..scenario.partners.count)];
+            fault.mode = fault.kind.any_mode(rng);
+            fault.share = (fault.mode == Some(Mode::Failing)).then(|| round(rng.random_range(0.5..=1.0)));
+            fault.factor = (fault.mode == Some(Mode::Slow)).then(|| round(rng.random_range(2.0..=10.0)));
+        }
+        Limit => {
+            fault.partners = vec![rng.random_range(0..scenario.partners.count)];
+            fault.factor = Some(round(rng.random_range(0.2..=0.8)));
+        }
+        Drain => fault.partners = vec![rng.random_range(0..scenario.partners.count)],
+        Load => fault.factor = Some(round(rng.random_range(1.2..=2.0))),
+    }
+    Some(fault)
+}
+
+/// What the nemesis strikes.
+pub struct Struck {
+    /// The senders.
+    pub tier: Arc<Tier>,
+    /// What to do when conditions change.
+    pub apply: Box<dyn Fn(&Conditions) + Send + Sync>,
+    /// What to do when a sender's folder is about to be emptied, or it will not come back.
+    pub lost: Box<dyn Fn(usize) + Send + Sync>,
+    /// Senders and destinations.
+    pub size: (usize, u16),
+    /// Where it is all taken down.
+    pub recorder: Recorder,
+    /// Things that did not go as they should have.
+    pub troubles: Arc<Mutex<Vec<String>>>,
+}
+
+/// Plays the faults; comes back once those that end have ended.
+pub async fn play(struck: Arc<Struck>, faults: Vec<Fault>, begin: Micros) {
+    let active: Arc<Mutex<BTreeMap<usize, Fault>>> = Arc::default();
+    // What befalls one sender comes one after another, as it would with one operator a machine.
+    let turns: Arc<Vec<tokio::sync::Mutex<()>>> =
+        Arc::new((0..struck.size.0).map(|_| Default::default()).collect());
+    let mut tasks = tokio::task::JoinSet::new();
+    for (number, fault) in faults.into_iter().enumerate() {
+        let (struck, active, turns) = (struck.clone(), active.clone(), turns.clone());
+        tasks.spawn(async move {
+            struck.recorder.until(begin + micros(fault.at_s)).await;
+            let told = |on| struck.recorder.see(What::Fault { number, on, what: fault.to_string() });
+            told(true);
+            match fault.kind {
+                Kind::Kill | Kind::Restart | Kind::Stop | Kind::Handover => {
+                    let mut each = tokio::task::JoinSet::new();
+                    for (n, sender) in named(&fault.senders, struck.size.0).into_iter().enumerate() {
+                        let (struck, fault, turns) = (struck.clone(), fault.clone(), turns.clone());
+                        let at = begin + micros(fault.at_s + fault.every_s.unwrap_or(0.0) * n as f64);
+                        each.spawn(async move {
+                            struck.recorder.until(at).await;
+                            let _turn = turns[sender].lock().await;
+                            strike(&struck, &fault, sender).await;
+                        });
+                    }
+                    while each.join_next().await.is_some() {}
+                    if fault.kind != Kind::Kill || fault.for_s.is_some() {
+                        told(false);
+                    }
+                }
+                _ => {
+                    let change = |on: bool| {
+                        let Ok(mut active) = active.lock() else { return };
+                        match on {
+                            true => drop(active.insert(number, fault.clone())),
+                            false => drop(active.remove(&number)),
+                        }
+                        let (senders, partners) = struck.size;
+                        (struck.apply)(&Conditions::of(active.values(), senders, partners));
+                    };
+                    change(true);
+                    if let Some(length) = fault.for_s {
+                        struck.recorder.until(begin + micros(fault.at_s + length)).await;
+                        change(false);
+                        told(false);
+                    }
+                }
+            }
+        });
+    }
+    while tasks.join_next().await.is_some() {}
+}
+
+async fn strike(struck: &Struck, fault: &Fault, sender: usize) {
+    let tier = &struck.tier;
+    if !tier.running(sender) {
+        // It went for good before.
+        return;
+    }
+    let length = fault.for_s.map(std::time::Duration::from_secs_f64);
+    let started = match (fault.kind, length) {
+        (Kind::Kill, None) => {
+            tier.kill(sender).await;
+            struck.recorder.see(What::Away { sender });
+            Ok(())
+        }
+        (Kind::Kill, Some(length)) => {
+            tier.kill(sender).await;
+            if fault.folder_lost {
+                (struck.lost)(sender);
+            }
+            tokio::time::sleep(length).await;
+            tier.start(sender, fault.folder_lost).await
+        }
+        (Kind::Restart, _) => {
+            tier.terminate(sender).await;
+            tokio::time::sleep(BACK_AFTER).await;
+            tier.start(sender, false).await
+        }
+        (Kind::Stop, length) => {
+            tier.signal(sender, Signal::SIGSTOP);
+            tokio::time::sleep(length.unwrap_or_default()).await;
+            tier.signal(sender, Signal::SIGCONT);
+            Ok(())
+        }
+        (Kind::Handover, _) => tier.hand_over(sender).await,
+        _ => Ok(()),
+    };
+    if let (Err(e), Ok(mut troubles)) = (started, struck.troubles.lock()) {
+        troubles.push(e);
+    }
+}
--- /dev/null
+++ b/fleet/src/scenario.rs
@@ -0,0 +1,535 @@
+//! Scenario files: what is played, in TOML. A bad one is refused with every fault in it, by key.
+
+use std::fmt;
+
+use serde::{Deserialize, Serialize};
+
+/// Senders of a run at most.
+pub const MOST_SENDERS: usize = 30;
+/// Faults of a scenario at most.
+pub const MOST_FAULTS: usize = 200;
+/// Destinations of a run at most.
+pub const MOST_PARTNERS: u16 = 60;
+
+/// What is played.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Scenario {
+    /// Its name.
+    pub name: String,
+    /// What it shows, in a sentence.
+    #[serde(default)]
+    pub about: String,
+    /// Clients hand messages in for so many seconds; the run lasts until all is ended.
+    pub length_s: f64,
+    /// Senders, 1 to [`MOST_SENDERS`]; every second one is in the second zone.
+    pub senders: usize,
+    /// The bench's own lateness at the 99th percentile, beyond which the run is not to be trusted.
+    #[serde(default = "lateness")]
+    pub lateness_ms: f64,
+    /// What clients hand in.
+    #[serde(default)]
+    pub load: Load,
+    /// Times of the class `notice`.
+    #[serde(default = "notice")]
+    pub notice: Times,
+    /// Times of the class `disbursement`.
+    #[serde(default = "disbursement")]
+    pub disbursement: Times,
+    /// The destinations.
+    #[serde(default)]
+    pub partners: Partners,
+    /// Delays of the links when nothing is wrong.
+    #[serde(default)]
+    pub network: Network,
+    /// Sections for optional parts of the sender, put into its configuration as they are.
+    #[serde(default, skip_serializing_if = "toml::Table::is_empty")]
+    pub sections: toml::Table,
+    /// Faults drawn by the seed beside those that are listed.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub mix: Option<Mix>,
+    /// Faults.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub fault: Vec<Fault>,
+}
+
+fn lateness() -> f64 {
+    20.0
+}
+
+/// Arrivals: a Poisson process, open loop.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Load {
+    /// Messages a second, over all senders.
+    pub per_s: f64,
+    /// Share of class `notice`.
+    pub notice_share: f64,
+    /// Exponent of the Zipf law by which senders and destinations get their part; 0 is even.
+    pub skew: f64,
+    /// Bytes of a body.
+    pub body_bytes: usize,
+    /// Further tries after a refusal.
+    pub retries: u32,
+}
+
+impl Default for Load {
+    fn default() -> Self {
+        Self { per_s: 40.0, notice_share: 0.64, skew: 0.5, body_bytes: 200, retries: 1 }
+    }
+}
+
+/// Times of a class, in seconds.
+#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Times {
+    /// Wanted within.
+    pub aim_s: f64,
+    /// Given up after.
+    pub deadline_s: f64,
+    /// For how long a destination remembers a key; not used for `disbursement`.
+    #[serde(default = "window")]
+    pub window_s: f64,
+}
+
+fn window() -> f64 {
+    15.0
+}
+
+fn notice() -> Times {
+    Times { aim_s: 3.0, deadline_s: 28.0, window_s: 15.0 }
+}
+
+fn disbursement() -> Times {
+    Times { aim_s: 3.0, deadline_s: 16.0, window_s: 15.0 }
+}
+
+/// Destinations: every third is of kind `bank-partner`, the only one that takes disbursements.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Partners {
+    /// How many.
+    pub count: u16,
+    /// Endpoints of each.
+    pub endpoints: usize,
+    /// The limit of each over the calls that it gets at this load.
+    pub headroom: f64,
+    /// Least limit, calls a second.
+    pub least_per_s: f64,
+    /// Mean time of a call, milliseconds.
+    pub work_ms: f64,
+    /// Share of calls that fail when nothing is wrong.
+    pub error_share: f64,
+    /// Share of refusals that tell a wait.
+    pub tells_wait: f64,
+    /// Share of its capacity with which a destination comes back from an outage.
+    pub cold_share: f64,
+    /// Time until it is warm, seconds.
+    pub warm_s: f64,
+}
+
+impl Default for Partners {
+    fn default() -> Self {
+        Self {
+            count: 9,
+            endpoints: 2,
+            headroom: 2.0,
+            least_per_s: 4.0,
+            work_ms: 90.0,
+            error_share: 0.005,
+            tells_wait: 0.5,
+            cold_share: 0.2,
+            warm_s: 10.0,
+        }
+    }
+}
+
+/// One-way delays in milliseconds, each drawn evenly from its range.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Network {
+    /// Calls within a zone.
+    pub same_ms: [f64; 2],
+    /// Calls from one zone to the other.
+    pub cross_ms: [f64; 2],
+    /// Datagrams within a zone.
+    pub peer_same_ms: [f64; 2],
+    /// Datagrams from one zone to the other.
+    pub peer_cross_ms: [f64; 2],
+}
+
+impl Default for Network {
+    fn default() -> Self {
+        Self {
+            same_ms: [1.0, 4.0],
+            cross_ms: [68.0, 110.0],
+            peer_same_ms: [3.1, 21.0],
+            peer_cross_ms: [68.0, 110.0],
+        }
+    }
+}
+
+/// Faults drawn by the seed.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Mix {
+    /// Which kinds.
+    pub name: MixName,
+    /// How many.
+    pub faults: usize,
+}
+
+/// Named mixes of faults.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum MixName {
+    /// Processes that are killed, stopped, restarted or handed over.
+    Processes,
+    /// Links that lose, delay, repeat, or are cut.
+    Links,
+    /// Destinations that fail, shut, or fall silent.
+    Partners,
+    /// All of it, and discovery.
+    All,
+}
+
+/// A fault; which keys go with which kind is in [`Kind::takes`].
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Fault {
+    /// What kind.
+    pub kind: Kind,
+    /// When it begins, seconds.
+    pub at_s: f64,
+    /// How long it lasts; without it, it is permanent.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub for_s: Option<f64>,
+    /// Senders that it strikes, from 0; on links those that send; none named are all.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub senders: Vec<usize>,
+    /// Senders that are sent to; none named are all.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub to: Vec<usize>,
+    /// Groups of senders that don't hear each other.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub groups: Vec<Vec<usize>>,
+    /// Destinations that it strikes; none named are all.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub partners: Vec<u16>,
+    /// Seconds between one sender and the next.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub every_s: Option<f64>,
+    /// The folder is emptied before the next start.
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    pub folder_lost: bool,
+    /// How a destination, a link or discovery fails.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub mode: Option<Mode>,
+    /// Share of what is lost or fails.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub share: Option<f64>,
+    /// By how much.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub factor: Option<f64>,
+    /// Added delay, milliseconds.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub delay_ms: Option<f64>,
+    /// It comes and goes in turns of so many milliseconds.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub flap_ms: Option<f64>,
+    /// The same in the other direction.
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    pub both_ways: bool,
+}
+
+/// Kinds of fault.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Kind {
+    /// SIGKILL; back after `for_s`, or never.
+    Kill,
+    /// SIGTERM, SIGKILL 3.7 s later, back 0.6 s after its end.
+    Restart,
+    /// SIGSTOP, and SIGCONT after `for_s`.
+    Stop,
+    /// A new process is started beside the old one and takes over.
+    Handover,
+    /// Datagrams from `senders` to `to`.
+    Link,
+    /// Senders hear only those of their own group.
+    Partition,
+    /// Discovery, at `senders`.
+    Discovery,
+    /// Connections from `senders` to `partners`.
+    Wire,
+    /// Destinations.
+    Partner,
+    /// The limit of destinations is `factor` of the usual.
+    Limit,
+    /// The first endpoint of each of `partners` leaves the list, draining, and comes back.
+    Drain,
+    /// Clients hand in `factor` times as much.
+    Load,
+}
+
+/// How something fails.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Mode {
+    /// Datagrams: `share` of them are lost. All are, where no share is given.
+    Drop,
+    /// Datagrams: `share` of them come twice.
+    Repeat,
+    /// Datagrams: `share` of them are held back, up to `delay_ms`, so that later ones come first.
+    Reorder,
+    /// Datagrams: `share` of them have a byte changed.
+    Spoil,
+    /// Datagrams: `share` of them are cut short.
+    Short,
+    /// Datagrams and connections: they take `delay_ms` longer. Discovery: news come so much later.
+    Delay,
+    /// Connections are reset, and new ones too.
+    Cut,
+    /// Connections: nothing passes. Discovery and destinations: no answer.
+    Silent,
+    /// Destinations: no connection is taken.
+    Down,
+    /// Destinations: every call is refused, with a wait in some.
+    Shut,
+    /// Destinations: `share` of the calls fail quickly.
+    Failing,
+    /// Destinations: calls take `factor` times as long.
+    Slow,
+    /// Destinations: quick answers that can't be read.
+    Wrong,
+}
+
+impl Kind {
+    /// The keys that a fault of this kind takes beside `kind` and `at_s`: needed and allowed ones.
+    fn takes(self) -> (&'static [&'static str], &'static [&'static str]) {
+        match self {
+            Self::Kill => (&[], &["for_s", "senders", "every_s", "folder_lost"]),
+            Self::Restart | Self::Handover => (&[], &["senders", "every_s"]),
+            Self::Stop => (&["for_s"], &["senders", "every_s"]),
+            Self::Link => {
+                (&["mode"], &["for_s", "senders", "to", "share", "delay_ms", "flap_ms", "both_ways"])
+            }
+            Self::Partition => (&["groups"], &["for_s"]),
+            Self::Discovery => (&["mode", "for_s"], &["senders", "delay_ms"]),
+            Self::Wire => (&["mode", "for_s"], &["senders", "partners", "delay_ms"]),
+            Self::Partner => (&["mode"], &["for_s", "partners", "share", "factor"]),
+            Self::Limit | Self::Load => (&["factor"], &["for_s", "partners"]),
+            Self::Drain => (&["partners"], &["for_s"]),
+        }
+    }
+
+    /// The ways in which a fault of this kind shows itself.
+    pub fn modes(self) -> &'static [Mode] {
+        use Mode::*;
+        match self {
+            Self::Link => &[Drop, Repeat, Reorder, Spoil, Short, Delay],
+            Self::Discovery => &[Silent, Delay],
+            Self::Wire => &[Cut, Silent, Delay],
+            Self::Partner => &[Down, Shut, Failing, Slow, Silent, Wrong],
+            _ => &[],
+        }
+    }
+
+    /// One of them.
+    pub fn any_mode(self, rng: &mut impl rand::Rng) -> Option<Mode> {
+        rand::seq::IndexedRandom::choose(self.modes(), rng).copied()
+    }
+}
+
+impl Fault {
+    /// One of this kind, at this time, without anything else.
+    pub fn new(kind: Kind, at_s: f64) -> Self {
+        Self {
+            kind,
+            at_s,
+            for_s: None,
+            senders: vec![],
+            to: vec![],
+            groups: vec![],
+            partners: vec![],
+            every_s: None,
+            folder_lost: false,
+            mode: None,
+            share: None,
+            factor: None,
+            delay_ms: None,
+            flap_ms: None,
+            both_ways: false,
+        }
+    }
+
+    fn given(&self) -> Vec<&'static str> {
+        [
+            ("for_s", self.for_s.is_some()),
+            ("senders", !self.senders.is_empty()),
+            ("to", !self.to.is_empty()),
+            ("groups", !self.groups.is_empty()),
+            ("partners", !self.partners.is_empty()),
+            ("every_s", self.every_s.is_some()),
+            ("folder_lost", self.folder_lost),
+            ("mode", self.mode.is_some()),
+            ("share", self.share.is_some()),
+            ("factor", self.factor.is_some()),
+            ("delay_ms", self.delay_ms.is_some()),
+            ("flap_ms", self.flap_ms.is_some()),
+            ("both_ways", self.both_ways),
+        ]
+        .into_iter()
+        .filter_map(|(key, given)| given.then_some(key))
+        .collect()
+    }
+}
+
+impl fmt::Display for Fault {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        // The form of the file, on one line, is what a reader can play again.
+        let text = toml::to_string(self).map_err(|_| fmt::Error)?;
+        f.write_str(text.trim_end().replace('\n', ", ").as_str())
+    }
+}
+
+/// What is wrong with a scenario.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Wrong {
+    /// The key's path.
+    pub key: String,
+    /// What stands there.
+    pub value: String,
+    /// What is expected.
+    pub expected: String,
+}
+
+impl fmt::Display for Wrong {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{} = {}: expected {}", self.key, self.value, self.expected)
+    }
+}
+
+impl Scenario {
+    /// Reads and checks one.
+    ///
+    /// # Errors
+    /// Tells all that is wrong with it; what is no TOML of this form, only the first.
+    pub fn read(text: &str) -> Result<Self, Vec<Wrong>> {
+        let scenario: Self = toml::from_str(text).map_err(|e| {
+            let place = e.span().and_then(|span| text.get(..span.start)).map_or(1, |t| t.lines().count());
+            let expected = e.message().replace('\n', " ");
+            vec![Wrong { key: format!("line {place}"), value: "what stands there".into(), expected }]
+        })?;
+        let wrong = scenario.wrong();
+        if wrong.is_empty() { Ok(scenario) } else { Err(wrong) }
+    }
+
+    /// The file's text.
+    ///
+    /// # Errors
+    /// Fails when a section can't be written.
+    pub fn text(&self) -> Result<String, toml::ser::Error> {
+        toml::to_string(self)
+    }
+
+    fn wrong(&self) -> Vec<Wrong> {
+        let mut all = Vec::new();
+        let mut figure = |key: &str, value: f64, low: f64, high: f64| {
+            if !(low..=high).contains(&value) {
+                let expected = format!("{low} to {high}");
+                all.push(Wrong { key: key.into(), value: value.to_string(), expected });
+            }
+        };
+        figure("length_s", self.length_s, 1.0, 3600.0);
+        figure("senders", self.senders as f64, 1.0, MOST_SENDERS as f64);
+        figure("lateness_ms", self.lateness_ms, 1.0, 10_000.0);
+        figure("load.per_s", self.load.per_s, 0.0, 2000.0);
+        figure("load.notice_share", self.load.notice_share, 0.0, 1.0);
+        figure("load.skew", self.load.skew, 0.0, 3.0);
+        figure("load.body_bytes", self.load.body_bytes as f64, 0.0, 65536.0);
+        figure("load.retries", self.load.retries.into(), 0.0, 10.0);
+        for (name, times) in [("notice", self.notice), ("disbursement", self.disbursement)] {
+            figure(&format!("{name}.aim_s"), times.aim_s, 0.1, 600.0);
+            figure(&format!("{name}.deadline_s"), times.deadline_s, times.aim_s, 600.0);
+            figure(&format!("{name}.window_s"), times.window_s, 0.1, 3600.0);
+        }
+        let partners = &self.partners;
+        figure("partners.count", partners.count.into(), 1.0, MOST_PARTNERS.into());
+        figure("partners.endpoints", partners.endpoints as f64, 1.0, 4.0);
+        figure("partners.headroom", partners.headroom, 0.1, 100.0);
+        figure("partners.least_per_s", partners.least_per_s, 0.1, 10_000.0);
+        figure("partners.work_ms", partners.work_ms, 0.1, 60_000.0);
+        figure("partners.error_share", partners.error_share, 0.0, 1.0);
+        figure("partners.tells_wait", partners.tells_wait, 0.0, 1.0);
+        figure("partners.cold_share", partners.cold_share, 0.01, 1.0);
+        figure("partners.warm_s", partners.warm_s, 0.0, 600.0);
+        let network = &self.network;
+        for (name, range) in [
+            ("same_ms", network.same_ms),
+            ("cross_ms", network.cross_ms),
+            ("peer_same_ms", network.peer_same_ms),
+            ("peer_cross_ms", network.peer_cross_ms),
+        ] {
+            figure(&format!("network.{name}[0]"), range[0], 0.0, 10_000.0);
+            figure(&format!("network.{name}[1]"), range[1], range[0], 10_000.0);
+        }
+        if let Some(mix) = &self.mix {
+            figure("mix.faults", mix.faults as f64, 0.0, MOST_FAULTS as f64);
+        }
+        figure("number of faults", self.fault.len() as f64, 0.0, MOST_FAULTS as f64);
+        for (n, fault) in self.fault.iter().enumerate() {
+            all.extend(self.wrong_fault(&format!("fault[{n}]"), fault));
+        }
+        for part in self.sections.keys() {
+            let own = ["name", "listen", "discovery", "seed", "limits", "known", "settings", "mgmt", "peers"];
+            if own.contains(&part.as_str()) || part.starts_with("peer") {
+                let expected = "an optional part of the sender".into();
+                all.push(Wrong { key: format!("sections.{part}"), value: "a section".into(), expected });
+            }
+        }
+        all
+    }
+
+    fn wrong_fault(&self, at: &str, fault: &Fault) -> Vec<Wrong> {
+        let mut all = Vec::new();
+        let mut wrong = |key: &str, value: String, expected: String| {
+            all.push(Wrong { key: format!("{at}.{key}"), value, expected });
+        };
+        let (needed, allowed) = fault.kind.takes();
+        let given = fault.given();
+        for key in needed.iter().filter(|key| !given.contains(key)) {
+            wrong(key, "nothing".into(), format!("a value, for {:?}", fault.kind));
+        }
+        for key in given.iter().filter(|key| !needed.contains(key) && !allowed.contains(key)) {
+            wrong(key, "a value".into(), format!("nothing, for {:?}", fault.kind));
+        }
+        if let Some(mode) = fault.mode
+            && !fault.kind.modes().contains(&mode)
+        {
+            wrong("mode", format!("{mode:?}"), format!("one of {:?}", fault.kind.modes()));
+        }
+        let mut figure = |key: &str, value: Option<f64>, low: f64, high: f64| {
+            if let Some(value) = value
+                && !(low..=high).contains(&value)
+            {
+                wrong(key, value.to_string(), format!("{low} to {high}"));
+            }
+        };
+        figure("at_s", Some(fault.at_s), 0.0, 3600.0);
+        figure("for_s", fault.for_s, 0.05, 3600.0);
+        figure("every_s", fault.every_s, 0.0, 600.0);
+        figure("share", fault.share, 0.0, 1.0);
+        figure("factor", fault.factor, 0.01, 100.0);
+        figure("delay_ms", fault.delay_ms, 0.0, 60_000.0);
+        figure("flap_ms", fault.flap_ms, 10.0, 60_000.0);
+        let groups = fault.groups.iter().flatten();
+        for sender in fault.senders.iter().chain(&fault.to).chain(groups).filter(|n| **n >= self.senders) {
+            wrong("senders", sender.to_string(), format!("0 to {}", self.senders.saturating_sub(1)));
+        }
+        for partner in fault.partners.iter().filter(|n| **n >= self.partners.count) {
+            wrong("partners", partner.to_string(), format!("0 to {}", self.partners.count.saturating_sub(1)));
+        }
+        all
+    }
+}
--- /dev/null
+++ b/fleet/src/world/clients.rs
@@ -0,0 +1,383 @@
+//! Clients: arrivals that don't wait for answers, one more try after a refusal, and what they do when a
+//! sender dies. Latency counts from the time at which a message was meant to be handed in.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use rand_distr::{Distribution, Exp, Zipf};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+use tokio::sync::watch;
+use tokio::time::timeout;
+
+use super::endpoints::digest;
+use super::{End, Message, Registry};
+use crate::ledger::{Recorder, What};
+use crate::scenario::Scenario;
+use crate::{Micros, micros};
+
+/// A client waits so long for its answer.
+const ANSWER: Duration = Duration::from_millis(400);
+/// Until a connection is there.
+const CONNECT: Duration = Duration::from_millis(400);
+/// After a sender died, what it was handed comes again within this range, milliseconds.
+const AGAIN_MS: (u64, u64) = (400, 1500);
+/// After a refusal, milliseconds.
+const BACKOFF_MS: (u64, u64) = (640, 1300);
+/// Tries that a sender's death may cost, over those that a refusal may.
+const LOST_TRIES: u32 = 4;
+/// Looks at readiness a second, and how many must go unanswered until a sender counts as dead.
+const LOOK_EVERY: Duration = Duration::from_millis(100);
+const UNSEEN: u32 = 10;
+/// Idle connections kept to a sender.
+const KEPT: usize = 64;
+/// So long after its time a client still listens for a message's end.
+const LISTEN_ON: Micros = 3_000_000;
+/// Bytes of an answer's head and body at most.
+const ANSWER_LIMIT: usize = 16 * 1024;
+
+/// A message that is to be handed in.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Arrival {
+    /// When.
+    pub at: Micros,
+    /// At which sender, unless that one is away.
+    pub home: usize,
+    /// Its class.
+    pub class: usize,
+    /// Its destination.
+    pub dest: u16,
+}
+
+/// Draws the arrivals of a run; `factor` is how many times the usual load there is at a time.
+pub fn arrivals(scenario: &Scenario, seed: u64, factor: impl Fn(f64) -> f64) -> Vec<Arrival> {
+    let mut rng = ChaCha8Rng::seed_from_u64(seed);
+    let mut all = Vec::new();
+    let (load, partners) = (&scenario.load, scenario.partners.count);
+    let banks: Vec<u16> = (0..partners).filter(|dest| bank(*dest)).collect();
+    let drawn = |n: usize, rng: &mut ChaCha8Rng| match Zipf::new(n as f64, load.skew) {
+        Ok(law) => (law.sample(rng) as usize).clamp(1, n) - 1,
+        Err(_) => rng.random_range(0..n),
+    };
+    let mut t = 0.0;
+    loop {
+        let rate = load.per_s * factor(t);
+        let Ok(gap) = Exp::new(rate) else { return all };
+        // A rate of nothing has gaps without end.
+        t += f64::min(gap.sample(&mut rng), 3600.0);
+        if t >= scenario.length_s {
+            return all;
+        }
+        let notice = rng.random_bool(load.notice_share);
+        let dest = match notice {
+            true => drawn(usize::from(partners), &mut rng) as u16,
+            false => banks[drawn(banks.len(), &mut rng)],
+        };
+        let home = drawn(scenario.senders, &mut rng);
+        all.push(Arrival { at: micros(t), home, class: usize::from(!notice), dest });
+    }
+}
+
+/// Whether a destination is of kind `bank-partner`.
+pub fn bank(dest: u16) -> bool {
+    dest.is_multiple_of(3)
+}
+
+/// All clients of a run.
+pub struct Clients {
+    senders: Vec<SocketAddr>,
+    usable: Vec<AtomicBool>,
+    kept: Vec<Mutex<Vec<TcpStream>>>,
+    registry: Arc<Registry>,
+    recorder: Recorder,
+    body_bytes: usize,
+    retries: u32,
+    /// Aim-independent times of the classes: how long a message may be delivered.
+    lives: [Micros; 2],
+    names: [&'static str; 2],
+    open: AtomicUsize,
+    done: watch::Sender<bool>,
+}
+
+enum Told {
+    Taken,
+    Refused(Option<Micros>),
+    Failed,
+    Nobody,
+}
+
+impl Clients {
+    /// Clients of these senders.
+    pub fn new(
+        scenario: &Scenario,
+        senders: Vec<SocketAddr>,
+        registry: Arc<Registry>,
+        recorder: Recorder,
+    ) -> Arc<Self> {
+        Arc::new(Self {
+            usable: senders.iter().map(|_| AtomicBool::new(true)).collect(),
+            kept: senders.iter().map(|_| Mutex::default()).collect(),
+            senders,
+            registry,
+            recorder,
+            body_bytes: scenario.load.body_bytes,
+            retries: scenario.load.retries,
+            lives: [scenario.notice, scenario.disbursement].map(|times| micros(times.deadline_s)),
+            names: ["notice", "disbursement"],
+            open: AtomicUsize::new(0),
+            done: watch::Sender::new(false),
+        })
+    }
+
+    /// Looks at each sender's readiness for as long as the run lasts.
+    pub fn watch(self: &Arc<Self>) -> tokio::task::JoinSet<()> {
+        let mut looking = tokio::task::JoinSet::new();
+        for sender in 0..self.senders.len() {
+            let clients = self.clone();
+            looking.spawn(async move {
+                let mut unseen = 0;
+                loop {
+                    tokio::time::sleep(LOOK_EVERY).await;
+                    match timeout(ANSWER, clients.look(sender)).await.ok().flatten() {
+                        Some(ready) => {
+                            unseen = 0;
+                            clients.usable[sender].store(ready, Ordering::Relaxed);
+                        }
+                        None => unseen += 1,
+                    }
+                    if unseen >= UNSEEN {
+                        clients.usable[sender].store(false, Ordering::Relaxed);
+                    }
+                }
+            });
+        }
+        looking
+    }
+
+    async fn look(&self, sender: usize) -> Option<bool> {
+        let mut stream = TcpStream::connect(self.senders[sender]).await.ok()?;
+        stream.write_all(b"GET /ready HTTP/1.1\r\nHost: origin.svc\r\n\r\n").await.ok()?;
+        Some(answer(&mut stream).await?.0 == 200)
+    }
+
+    /// Hands all of them in at their times; comes back once each has its end.
+    pub async fn play(self: &Arc<Self>, arrivals: Vec<Arrival>, seed: u64, begin: Micros) {
+        for (n, arrival) in arrivals.into_iter().enumerate() {
+            self.recorder.until(begin + arrival.at).await;
+            self.open.fetch_add(1, Ordering::Relaxed);
+            let clients = self.clone();
+            tokio::spawn(async move {
+                clients.message(n, arrival, begin, ChaCha8Rng::seed_from_u64(seed ^ n as u64)).await;
+                clients.open.fetch_sub(1, Ordering::Relaxed);
+                clients.done.send_replace(true);
+            });
+        }
+        let mut done = self.done.subscribe();
+        let _ = done.wait_for(|_| self.open.load(Ordering::Relaxed) == 0).await;
+    }
+
+    /// Messages that are not over.
+    pub fn open(&self) -> usize {
+        self.open.load(Ordering::Relaxed)
+    }
+
+    /// One message, from its first try to its end.
+    async fn message(&self, n: usize, arrival: Arrival, begin: Micros, mut rng: ChaCha8Rng) {
+        let root = format!("m{n}");
+        let meant = begin + arrival.at;
+        let deadline = meant + self.lives[arrival.class];
+        let key = (arrival.class == 0).then(|| format!("key-{n}"));
+        let mut body = format!("message {n} ").into_bytes();
+        body.resize(self.body_bytes.max(body.len()), b'.');
+        let (mut refusals, mut losses, mut mark) = (0, 0, "");
+        let mut at = arrival.home;
+        for n in 0u32.. {
+            if n > 0 || !self.usable[at].load(Ordering::Relaxed) {
+                at = self.other(at, n > 0 && mark == "again", &mut rng);
+            }
+            let id = if n == 0 { root.clone() } else { format!("{root}-{n}") };
+            let message = Message {
+                root: root.clone(),
+                sender: at,
+                class: arrival.class,
+                dest: arrival.dest,
+                key: key.clone(),
+                body: digest(&body),
+                deadline,
+                taken: false,
+                void: false,
+                called: false,
+                calls: 0,
+                ended: false,
+                delivered: false,
+            };
+            let end = self.registry.offer(&id, message);
+            self.recorder.see(What::Offered {
+                id: id.clone(),
+                root: root.clone(),
+                sender: at,
+                class: arrival.class,
+                dest: arrival.dest,
+                meant,
+                deadline,
+            });
+            let told = self.hand_in(at, &id, &arrival, key.as_deref(), deadline, mark, &body).await;
+            let end = match told {
+                Told::Taken => {
+                    let until = self.recorder.instant(deadline + LISTEN_ON);
+                    match tokio::time::timeout_at(until, end).await {
+                        Ok(Ok(end)) => end,
+                        _ => End::Failed,
+                    }
+                }
+                Told::Refused(again) => End::Deferred(again),
+                Told::Failed => End::Failed,
+                Told::Nobody => End::Orphaned,
+            };
+            let rest = match end {
+                End::Delivered | End::Failed => break,
+                End::Deferred(again) => {
+                    refusals += 1;
+                    if refusals > self.retries {
+                        break;
+                    }
+                    mark = "1";
+                    again.unwrap_or(0).max(rng.random_range(BACKOFF_MS.0..=BACKOFF_MS.1) * 1000)
+                }
+                End::Orphaned => {
+                    losses += 1;
+                    if losses > LOST_TRIES {
+                        break;
+                    }
+                    mark = "again";
+                    rng.random_range(AGAIN_MS.0..=AGAIN_MS.1) * 1000
+                }
+            };
+            let next = self.recorder.now() + rest;
+            if next >= deadline {
+                break;
+            }
+            tokio::time::sleep_until(self.recorder.instant(next)).await;
+        }
+        self.recorder.see(What::Closed { root });
+    }
+
+    /// Another sender that takes clients, or the same if there is none.
+    fn other(&self, at: usize, leave: bool, rng: &mut ChaCha8Rng) -> usize {
+        if !leave && self.usable[at].load(Ordering::Relaxed) {
+            return at;
+        }
+        let usable = |n: &usize| *n != at && self.usable[*n].load(Ordering::Relaxed);
+        let others: Vec<usize> = (0..self.senders.len()).filter(usable).collect();
+        if others.is_empty() { at } else { others[rng.random_range(0..others.len())] }
+    }
+
+    #[allow(clippy::too_many_arguments)]
+    async fn hand_in(
+        &self,
+        at: usize,
+        id: &str,
+        arrival: &Arrival,
+        key: Option<&str>,
+        deadline: Micros,
+        mark: &str,
+        body: &[u8],
+    ) -> Told {
+        let left = deadline.saturating_sub(self.recorder.now()) / 1000;
+        let class = self.names[arrival.class];
+        let key = key.map_or(String::new(), |key| format!("Idempotency-Key: {key}\r\n"));
+        let mark = if mark.is_empty() { String::new() } else { format!("Req-Retry: {mark}\r\n") };
+        let mut request = format!(
+            "POST /{class} HTTP/1.1\r\nHost: origin.svc\r\nReq-Id: {id}\r\nReq-Kind: {class}\r\n\
+             Req-Owner: weatherization\r\n{key}{mark}Req-Deadline-Ms: {left}\r\nX-Consignee: dest={}\r\n\
+             Content-Length: {}\r\n\r\n",
+            arrival.dest,
+            body.len()
+        )
+        .into_bytes();
+        request.extend_from_slice(body);
+        let void = || {
+            self.registry.with(id, |message| message.void = true);
+            self.recorder.see(What::GaveUp { id: id.to_owned() });
+            Told::Nobody
+        };
+        let kept = self.kept[at].lock().ok().and_then(|mut kept| kept.pop());
+        let mut fresh = kept.is_none();
+        let mut stream = match kept {
+            Some(stream) => stream,
+            None => match timeout(CONNECT, TcpStream::connect(self.senders[at])).await {
+                Ok(Ok(stream)) => stream,
+                _ => return void(),
+            },
+        };
+        loop {
+            let _ = stream.set_nodelay(true);
+            let asked = async {
+                stream.write_all(&request).await.ok()?;
+                answer(&mut stream).await
+            };
+            match timeout(ANSWER, asked).await {
+                Err(_) => return void(),
+                Ok(Some((status, headers, keep))) => {
+                    if let (true, Ok(mut kept)) = (keep, self.kept[at].lock())
+                        && kept.len() < KEPT
+                    {
+                        kept.push(stream);
+                    }
+                    let taken = matches!(status, 200 | 202);
+                    self.registry.with(id, |message| message.taken = taken);
+                    self.recorder.see(What::Heard { id: id.to_owned(), status });
+                    let again = headers.get("retry-after").and_then(|s| s.parse().ok()).map(micros);
+                    return match status {
+                        200 | 202 => Told::Taken,
+                        429 | 503 => Told::Refused(again),
+                        _ => Told::Failed,
+                    };
+                }
+                Ok(None) if fresh => {
+                    self.registry.with(id, |message| message.void = true);
+                    self.recorder.see(What::Heard { id: id.to_owned(), status: 0 });
+                    return Told::Nobody;
+                }
+                // An idle connection may be closed as a request crosses; it is sent once more on a new one.
+                Ok(None) => {
+                    fresh = true;
+                    stream = match timeout(CONNECT, TcpStream::connect(self.senders[at])).await {
+                        Ok(Ok(stream)) => stream,
+                        _ => return void(),
+                    };
+                }
+            }
+        }
+    }
+}
+
+/// An answer's status and headers, and whether its connection goes on; nothing if it ends before.
+async fn answer(stream: &mut TcpStream) -> Option<(u16, HashMap<String, String>, bool)> {
+    let mut buffer = Vec::with_capacity(512);
+    loop {
+        let mut headers = [httparse::EMPTY_HEADER; 32];
+        let mut parsed = httparse::Response::new(&mut headers);
+        if let httparse::Status::Complete(head) = parsed.parse(&buffer).ok()? {
+            let status = parsed.code?;
+            let headers: HashMap<String, String> = parsed
+                .headers
+                .iter()
+                .map(|h| (h.name.to_ascii_lowercase(), String::from_utf8_lossy(h.value).into_owned()))
+                .collect();
+            let length = headers.get("content-length").map_or(Some(0), |n| n.parse::<usize>().ok())?;
+            if buffer.len() >= head + length {
+                let close = headers.get("connection").is_some_and(|c| c.eq_ignore_ascii_case("close"));
+                return Some((status, headers, !close));
+            }
+        }
+        if buffer.len() > ANSWER_LIMIT || stream.read_buf(&mut buffer).await.ok()? == 0 {
+            return None;
+        }
+    }
+}
