--- /dev/null
+++ b/fleet/src/report/mod.rs
@@ -0,0 +1,120 @@
+//! What a run shows: `report.json` with all figures, a page with plots that needs no network, and a table.
+
+mod page;
+
+use std::fs::File;
+use std::io::{self, Read};
+use std::path::Path;
+
+use comfy_table::{Table, presets};
+use serde_json::json;
+use sha2::{Digest, Sha256};
+
+use crate::experiment::{Outcome, Play};
+use crate::ledger::History;
+use crate::ledger::figures::Tally;
+
+/// A file's SHA-256, as hexadecimal text.
+///
+/// # Errors
+/// Fails when it can't be read.
+pub fn digest(path: &Path) -> io::Result<String> {
+    let (mut file, mut digest) = (File::open(path)?, Sha256::new());
+    let mut buffer = vec![0; 64 * 1024];
+    loop {
+        let size = file.read(&mut buffer)?;
+        if size == 0 {
+            return Ok(digest.finalize().iter().map(|byte| format!("{byte:02x}")).collect());
+        }
+        digest.update(&buffer[..size]);
+    }
+}
+
+/// Writes `report.json` and `page.html` into the run's folder.
+///
+/// # Errors
+/// Fails when a file can't be written.
+pub fn write(play: &Play, outcome: &Outcome, history: &History) -> io::Result<()> {
+    let report = json!({
+        "scenario": play.scenario.name, "seed": play.seed, "code": outcome.code(),
+        "version": env!("CARGO_PKG_VERSION"),
+        "binary": {"path": play.binary, "sha256": digest(&play.binary)?},
+        "scenario_sha256": digest(&play.out.join("scenario.toml"))?,
+        "outcome": outcome,
+    });
+    std::fs::write(play.out.join("report.json"), serde_json::to_vec_pretty(&report)?)?;
+    std::fs::write(play.out.join("page.html"), page::page(play, outcome, history)?)
+}
+
+/// An empty table in this project's form.
+pub fn table(header: &[&str]) -> Table {
+    let mut table = Table::new();
+    table.load_style(presets::UTF8_HORIZONTAL_ONLY).set_header(header.to_vec());
+    table
+}
+
+/// The run's table, as text.
+pub fn summary(play: &Play, outcome: &Outcome) -> String {
+    let figures = &outcome.figures;
+    let mut rows = table(&[
+        "class",
+        "messages",
+        "in time %",
+        "late %",
+        "deferred %",
+        "failed %",
+        "no end",
+        "p50 ms",
+        "p90 ms",
+        "p99 ms",
+    ]);
+    let mut row = |name: &str, tally: &Tally| {
+        let share = |count| format!("{:.1}", tally.share(count));
+        let ms = |n: usize| format!("{:.0}", tally.latency_ms[n]);
+        rows.add_row(vec![
+            name.to_owned(),
+            tally.messages.to_string(),
+            share(tally.in_time),
+            share(tally.late),
+            share(tally.deferred),
+            share(tally.failed),
+            tally.without.to_string(),
+            ms(0),
+            ms(1),
+            ms(2),
+        ]);
+    };
+    row("all", &figures.all);
+    figures.classes.iter().for_each(|(name, tally)| row(name, tally));
+    let mut text = format!("{}, seed {}\n{rows}\n", play.scenario.name, play.seed);
+    let [median, most, _] = outcome.lateness_us.map(|us| us as f64 / 1000.0);
+    text += &format!(
+        "calls {}, repeats dropped by key {}, datagrams {} ({} bytes), the bench late by {median:.1} ms \
+         (median), {most:.1} ms (99th percentile)\n",
+        figures.calls, figures.repeats, figures.datagrams[0], figures.datagrams[1]
+    );
+    if figures.orphaned > 0 {
+        text += &format!(
+            "owed by senders that went for good or lost their folder: {}, ended in time {}, delivered {}\n",
+            figures.orphaned, figures.orphaned_ended, figures.orphaned_delivered
+        );
+    }
+    for breach in outcome.broken.iter().take(SHOWN) {
+        text += &format!("BROKEN {breach}\n");
+    }
+    if outcome.broken.len() > SHOWN {
+        text += &format!("and {} more, in report.json\n", outcome.broken.len() - SHOWN);
+    }
+    for trouble in &outcome.troubles {
+        text += &format!("FAILED {trouble}\n");
+    }
+    text += &match (&outcome.doubt, outcome.code()) {
+        (Some(doubt), _) => format!("not to be trusted: {doubt}\n"),
+        (None, 0) => "all rules kept\n".to_owned(),
+        (None, _) => "rules broken\n".to_owned(),
+    };
+    text
+}
+
+/// Broken rules that are shown on the terminal.
+const SHOWN: usize = 10;
--- /dev/null
+++ b/fleet/tests/small.rs
@@ -0,0 +1,204 @@
+//! Real processes of the sender, small and short, in tests that judge only what a noisy machine doesn't shift:
+//! counts, effects and ends, not how soon.
+
+use std::collections::BTreeSet;
+use std::os::unix::fs::PermissionsExt;
+use std::path::{Path, PathBuf};
+use std::process::{Command, Stdio};
+use std::time::{Duration, Instant};
+
+use linenwing_fleet::experiment::{Outcome, Play, judge, play};
+use linenwing_fleet::ledger::checker::Rule;
+use linenwing_fleet::ledger::{History, What};
+use linenwing_fleet::scenario::Scenario;
+use linenwing_fleet::{explain, report, sweep};
+
+const TOOL: &str = env!("CARGO_BIN_EXE_linenwing-fleet");
+
+/// A scenario of five seconds with three senders, whose messages live so short that it ends soon.
+fn small(more: &str) -> Scenario {
+    let text = format!(
+        "name = \"small\"\nlength_s = 5\nsenders = 3\nlateness_ms = 10000\n\
+         notice = {{ aim_s = 3, deadline_s = 6 }}\ndisbursement = {{ aim_s = 3, deadline_s = 5 }}\n{more}"
+    );
+    Scenario::read(&text).unwrap_or_else(|wrong| panic!("{wrong:?}"))
+}
+
+fn played(scenario: Scenario, out: &Path) -> (Play, Outcome) {
+    let binary = sweep::own_binary().unwrap();
+    let what = Play { scenario, seed: 7, binary, out: out.to_owned(), progress: false };
+    let outcome = play(&what).unwrap();
+    assert_eq!(outcome.troubles, Vec::<String>::new());
+    let timed = [Rule::Lost, Rule::Wait, Rule::Drain, Rule::Window, Rule::Fallback];
+    let sure: BTreeSet<Rule> = sweep::rules(&outcome).into_iter().filter(|r| !timed.contains(r)).collect();
+    assert!(sure.is_empty(), "{:?}", outcome.broken);
+    (what, outcome)
+}
+
+#[test]
+fn calm_senders_bring_every_message_to_its_end_and_the_history_shows_it() {
+    let out = tempfile::tempdir().unwrap();
+    let (what, outcome) = played(small(""), out.path());
+    let all = &outcome.figures.all;
+    assert!(all.messages > 100, "{all:?}");
+    assert_eq!((all.without, outcome.figures.orphaned), (0, 0));
+    // Judged again alone, it is the same.
+    let file = out.path().join("history.jsonl");
+    let (broken, figures) = judge(&file).unwrap();
+    assert_eq!((broken, figures.all.messages), (outcome.broken.clone(), all.messages));
+    let history = History::read(&file).unwrap();
+    report::write(&what, &outcome, &history).unwrap();
+    let page = std::fs::read_to_string(out.path().join("page.html")).unwrap();
+    assert!(page.matches("<svg").count() == 4 && !page.contains("src=") && !page.contains("href="));
+    let delivered = history.entries.iter().find_map(|entry| match &entry.what {
+        What::Effect { id, .. } => Some(id.clone()),
+        _ => None,
+    });
+    let story = explain::story(out.path(), &delivered.unwrap()).unwrap();
+    for part in
+        ["is handed to sender", "its client hears 202", "comes to s-", "takes effect", "is answered 200"]
+    {
+        assert!(story.contains(part), "{part}: {story}");
+    }
+    assert!(explain::story(out.path(), "nobody").is_err());
+}
+
+/// Guards what a sender took on against its death: held for a destination that is down, it is killed, and comes
+/// back with its folder.
+#[test]
+fn what_a_killed_sender_owed_has_its_end_once_it_is_back() {
+    let out = tempfile::tempdir().unwrap();
+    let more = "[[fault]]\nkind = \"partner\"\nmode = \"down\"\nat_s = 0.5\nfor_s = 3\npartners = [0, 3]\n\
+                [[fault]]\nkind = \"kill\"\nat_s = 2\nfor_s = 1\n";
+    let (_, outcome) = played(small(more), out.path());
+    assert_eq!((outcome.figures.all.without, outcome.figures.orphaned), (0, 0), "{:?}", outcome.figures.all);
+    let history = History::read(&out.path().join("history.jsonl")).unwrap();
+    let starts = history.entries.iter().filter(|e| matches!(e.what, What::Started { .. })).count();
+    assert_eq!(starts, 6, "all three were killed and started again");
+}
+
+/// What is owed by a sender that stays away has no end today; the bench counts it as that.
+#[test]
+fn what_is_owed_by_a_sender_that_stays_away_is_counted() {
+    let out = tempfile::tempdir().unwrap();
+    let more = "[[fault]]\nkind = \"partner\"\nmode = \"down\"\nat_s = 0.5\nfor_s = 3\n\
+                [[fault]]\nkind = \"kill\"\nat_s = 2.5\nsenders = [0]\n";
+    let (_, outcome) = played(small(more), out.path());
+    let figures = &outcome.figures;
+    assert!(figures.orphaned > 0);
+    assert!(figures.all.without <= figures.orphaned, "nobody else's is without an end: {figures:?}");
+}
+
+/// Guards the ordinary ways in which processes change: handover, restart, a stop, a folder that is lost; and two
+/// runs side by side, which must not meet.
+#[test]
+fn processes_that_change_keep_the_rules_and_runs_side_by_side_do_not_meet() {
+    let changes = [
+        "[[fault]]\nkind = \"handover\"\nat_s = 1\nevery_s = 1\n",
+        "[[fault]]\nkind = \"restart\"\nat_s = 1\nsenders = [0, 1]\n\
+         [[fault]]\nkind = \"stop\"\nat_s = 1\nfor_s = 2\nsenders = [2]\n",
+        "[[fault]]\nkind = \"kill\"\nat_s = 2\nfor_s = 1\nsenders = [1]\nfolder_lost = true\n",
+    ];
+    std::thread::scope(|scope| {
+        for more in changes {
+            scope.spawn(move || {
+                let out = tempfile::tempdir().unwrap();
+                let (_, outcome) = played(small(more), out.path());
+                assert_eq!(outcome.figures.all.without, 0, "{more}: {:?}", outcome.figures.all);
+            });
+        }
+    });
+}
+
+#[test]
+fn a_run_with_nobody_to_talk_to_comes_to_its_end() {
+    let out = tempfile::tempdir().unwrap();
+    let mut scenario = small("[load]\nper_s = 0\n");
+    (scenario.senders, scenario.length_s) = (1, 1.0);
+    let (_, outcome) = played(scenario, out.path());
+    assert_eq!((outcome.code(), outcome.figures.all.messages, outcome.figures.calls), (0, 0, 0));
+}
+
+fn script(folder: &Path, text: &str) -> PathBuf {
+    let path = folder.join("program");
+    std::fs::write(&path, text).unwrap();
+    std::fs::set_permissions(&path, std::fs::Permissions::from_mode(0o755)).unwrap();
+    path
+}
+
+/// Guards whoever looks for the reason: a program that ends at once is named, with its last lines.
+#[test]
+fn a_program_that_ends_at_once_is_told_with_its_last_lines() {
+    let out = tempfile::tempdir().unwrap();
+    let binary = script(out.path(), "#!/bin/sh\necho first line\necho 'no such key' >&2\nexit 4\n");
+    let what = Play { scenario: small(""), seed: 1, binary, out: out.path().join("run"), progress: false };
+    let outcome = play(&what).unwrap();
+    assert_eq!((outcome.code(), outcome.troubles.len()), (1, 3));
+    for trouble in &outcome.troubles {
+        assert!(
+            trouble.contains("ended before it was ready") && trouble.contains("no such key"),
+            "{trouble}"
+        );
+    }
+}
+
+#[test]
+fn a_bad_scenario_is_refused_with_every_fault_in_it() {
+    let out = tempfile::tempdir().unwrap();
+    let file = out.path().join("bad.toml");
+    let text = "name = \"bad\"\nlength_s = -1\nsenders = 90\n[load]\nskew = 9\n\
+                [[fault]]\nkind = \"link\"\nat_s = 1\nmode = \"shut\"\nfactor = 2\nsenders = [95]\n";
+    std::fs::write(&file, text).unwrap();
+    let told = Command::new(TOOL).args(["run", file.to_str().unwrap()]).output().unwrap();
+    assert_eq!(told.status.code(), Some(2));
+    let told = String::from_utf8(told.stderr).unwrap();
+    for key in ["length_s", "senders", "load.skew", "fault[0].mode", "fault[0].factor", "fault[0].senders"] {
+        assert!(told.contains(&format!(": {key} = ")), "{key}: {told}");
+    }
+    for text in ["", "name = 3", "nonsense", "name = \"x\"\nlength_s = 5\nsenders = 2\nmore = 1"] {
+        std::fs::write(&file, text).unwrap();
+        let told = Command::new(TOOL).args(["run", file.to_str().unwrap()]).output().unwrap();
+        assert_eq!(told.status.code(), Some(2), "{text}");
+    }
+}
+
+/// Processes whose configuration lies in this folder.
+fn left(folder: &Path) -> Vec<u32> {
+    let processes = std::fs::read_dir("/proc").unwrap().filter_map(|entry| {
+        let pid: u32 = entry.ok()?.file_name().to_str()?.parse().ok()?;
+        let surroundings = std::fs::read(format!("/proc/{pid}/environ")).ok()?;
+        let wanted = format!("NODE_CONFIG={}", folder.display());
+        let names = surroundings.split(|b| *b == 0).any(|v| v.starts_with(wanted.as_bytes()));
+        names.then_some(pid)
+    });
+    processes.collect()
+}
+
+fn until(what: &str, so: impl Fn() -> bool) {
+    let begun = Instant::now();
+    while !so() {
+        assert!(begun.elapsed() < Duration::from_secs(30), "{what}");
+        std::thread::sleep(Duration::from_millis(20));
+    }
+}
+
+/// Guards the machine: however a run is cut off, none of its senders is left, stopped ones among them.
+#[test]
+fn a_run_that_is_cut_off_leaves_no_process_behind() {
+    for signal in ["-KILL", "-INT", "-TERM"] {
+        let out = tempfile::tempdir().unwrap();
+        let folder = out.path().canonicalize().unwrap();
+        let file = folder.join("scenario.toml");
+        let stop = "[[fault]]\nkind = \"stop\"\nat_s = 0\nfor_s = 60\nsenders = [0]\n";
+        std::fs::write(&file, small(stop).text().unwrap()).unwrap();
+        let mut command = Command::new(TOOL);
+        command.args(["run", file.to_str().unwrap(), "--out", folder.to_str().unwrap()]);
+        command.arg("--binary").arg(sweep::own_binary().unwrap());
+        let mut tool = command.stdout(Stdio::null()).stderr(Stdio::null()).spawn().unwrap();
+        until("its senders come", || left(&folder).len() == 3);
+        let id = tool.id().to_string();
+        assert!(Command::new("kill").args([signal, &id]).status().unwrap().success());
+        tool.wait().unwrap();
+        until("none is left", || left(&folder).is_empty());
+    }
+}
