Join the view of the fleet to the sender: optional parts of one shape, and GET /control/members

Need: the view's core was not in the sender, and draining, the one optional part there was, had its marks and its file as fields of the loop that serves clients; a second one would have gone in beside it.

Change: net/parts: a part is made from its section, told of time and datagrams, says what to send and when to call it, and reports. Draining and the view are two of them. The section "membership" (period_ms, tier) turns the view on; it is checked by the one check, and taken, changed or left at SIGHUP, as is a changed list of peers. Datagrams are told apart by their first byte; strangers' are counted. A process that drains or is asked to end says that it leaves; one that is put back into service begins a new life. GET /control/members tells each member's state, life, host, zone, when it was heard and who accuses it, the last 256 changes, and whether this sender is isolated or in a minority.

Not taken: a thread of its own for the view, which would have to be kept in step with the loop at a handover; members from discovery, which names endpoints only.

--- a/src/check.rs
+++ b/src/check.rs
@@ -265,6 +265,7 @@
     ("known", Object, May),
     ("settings", Object, Must),
     ("draining", Object, Null),
+    ("membership", Object, Null),
 ];
 const LIMITS: &[(&str, Is, Need)] = &[("sockets", ANY, May), ("disk_mb", Over0, Must)];
 const SETTINGS: &[(&str, Is, Need)] = &[
@@ -326,6 +327,13 @@
 const REPORT: &[(&str, Is, Need)] = &[("fields", Texts, May)];
 const CHARGES: &[(&str, Is, Need)] = &[("probe", Figure, May)];
 const DRAINING: &[(&str, Is, Need)] = &[("max_marks", Whole(1, crate::drain::MOST_MARKS as u64), May)];
+const MEMBERSHIP: &[(&str, Is, Need)] = &[
+    ("period_ms", Whole(crate::membership::PERIODS_MS.0 as u64, crate::membership::PERIODS_MS.1 as u64), May),
+    ("tier", Text, May),
+];
+type Keys = &'static [(&'static str, Is, Need)];
+/// Sections of optional parts, and their keys.
+const SECTIONS: &[(&str, Keys)] = &[("draining", DRAINING), ("membership", MEMBERSHIP)];
 
 fn object(faults: &mut Vec<Fault>, path: &str, value: Option<&Value>, keys: &[(&str, Is, Need)]) {
     // What is no object is told where its own key is looked at.
@@ -365,7 +373,9 @@
     object(&mut faults, "settings.obligations", at("/settings/obligations"), OBLIGATIONS);
     object(&mut faults, "settings.load_report", at("/settings/load_report"), REPORT);
     object(&mut faults, "settings.charges", at("/settings/charges"), CHARGES);
-    object(&mut faults, "draining", at("/draining"), DRAINING);
+    for (section, keys) in SECTIONS {
+        object(&mut faults, section, document.get(*section), keys);
+    }
     let classes = at("/settings/classes").and_then(Value::as_array);
     if classes.is_some_and(Vec::is_empty) {
         faults.push(Fault::new("settings.classes", "[]", "at least one class"));
@@ -392,10 +402,14 @@
         }
     }
     // A part's section is its own: what it does not know was meant otherwise.
-    for key in at("/draining").and_then(Value::as_object).into_iter().flatten().map(|(key, _)| key) {
-        if !DRAINING.iter().any(|known| known.0 == key) {
-            let known: Vec<&str> = DRAINING.iter().map(|known| known.0).collect();
-            faults.push(Fault::new(join("draining", key), "unknown", format!("one of {}", known.join(", "))));
+    for (section, keys) in SECTIONS {
+        let there = document.get(*section).and_then(Value::as_object);
+        for key in there.into_iter().flatten().map(|(key, _)| key) {
+            if !keys.iter().any(|known| known.0 == key) {
+                let known: Vec<&str> = keys.iter().map(|known| known.0).collect();
+                let expected = format!("one of {}", known.join(", "));
+                faults.push(Fault::new(join(section, key), "unknown", expected));
+            }
         }
     }
     faults.truncate(MOST_TOLD);
@@ -436,7 +450,7 @@
 }
 
 /// Sections of optional parts: leaving one out turns the part off.
-const OPTIONAL: &[&str] = &["draining"];
+const OPTIONAL: &[&str] = &["draining", "membership"];
 
 /// What a document changes against another, key by key; a class is named, and goes as a whole.
 pub fn changes(before: &Value, after: &Value) -> Vec<Change> {
--- a/src/membership.rs
+++ b/src/membership.rs
@@ -62,7 +62,7 @@
 const VERSION: u8 = 1;
 const HEAD: usize = 15;
 /// The shortest and the longest record as it is written.
-const RECORD: (usize, usize) = (4, 14);
+const RECORD: (usize, usize) = (5, 15);
 /// Records that one datagram carries.
 pub const MOST_RECORDS: usize = (LONGEST - HEAD) / RECORD.0;
 /// A member's beat, to one that observes it or to any.
@@ -99,10 +99,13 @@
     pub left: bool,
     /// Bit by bit: of the members that it observes, those that it does not hear.
     pub silent: u8,
+    /// Its zone, a position in the settings' list.
+    pub zone: u8,
 }
 
 impl Record {
-    const NONE: Self = Self { incarnation: 0, beat: 0, left: false, silent: 0 };
+    /// Of one that was never heard of.
+    pub const NONE: Self = Self { incarnation: 0, beat: 0, left: false, silent: 0, zone: u8::MAX };
 
     /// The one of the later life and beat holds; of the same beat there is only one.
     pub fn supersedes(&self, other: &Self) -> bool {
@@ -141,13 +144,29 @@
     patient_since: Micros,
 }
 
-/// How the protocol runs.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Deserialize)]
+/// How the protocol runs: the section `membership`. The same at all members of a tier.
+#[derive(Debug, Clone, PartialEq, Eq, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Config {
     /// Each member sends [`SENDS`] datagrams in one.
     #[serde(default = "one_second")]
     pub period_ms: u32,
+    /// The tier's name, which tells it from others that are wrongly given the same addresses.
+    #[serde(default)]
+    pub tier: String,
+}
+
+/// A member's place in its tier.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Place {
+    /// Its own rank.
+    pub own: Rank,
+    /// Members of the tier.
+    pub size: usize,
+    /// See [`tier_of`].
+    pub tier: u32,
+    /// Its zone.
+    pub zone: u8,
 }
 
 fn one_second() -> u32 {
@@ -261,15 +280,16 @@
 }
 
 impl Membership {
-    /// A member of a tier of `size`. It begins with its first life and is told by others of those it had before.
-    pub fn new(config: Config, own: Rank, size: usize, tier: u32, seed: u64, now: Micros) -> Self {
+    /// A member of a tier. It begins with its first life and is told by others of those it had before.
+    pub fn new(config: &Config, place: Place, seed: u64, now: Micros) -> Self {
+        let Place { own, size, tier, zone } = place;
         let mut rng = fastrand::Rng::with_seed(seed);
         let period = Micros::from(config.period_ms.clamp(PERIODS_MS.0, PERIODS_MS.1)) * 1000;
         let size = size.min(MOST_MEMBERS);
         let member = |rank: usize| {
             let own = rank == usize::from(own);
             Member {
-                record: if own { Record { incarnation: 1, ..Record::NONE } } else { Record::NONE },
+                record: if own { Record { incarnation: 1, zone, ..Record::NONE } } else { Record::NONE },
                 state: if own { State::Alive } else { State::Joining },
                 since: now,
                 heard: None,
@@ -385,6 +405,14 @@
         there - there / OBSERVERS
     }
 
+    /// Those that observe a member and do not hear it, as far as is known here.
+    pub fn accused_by(&self, rank: Rank) -> impl Iterator<Item = Rank> + '_ {
+        let observers = self.observers(rank).enumerate();
+        observers
+            .filter(|(place, o)| self.members[*o].record.silent & 1 << place != 0)
+            .map(|(_, o)| o as Rank)
+    }
+
     /// How long an observer waits for a beat before it accuses.
     pub fn patience(&self) -> Micros {
         let observers = self.strides.len().max(1);
@@ -591,6 +619,18 @@
         }
     }
 
+    /// It stays after all, in a new life: nobody may have heard that it left, and nobody is sure to hear that it did
+    /// not.
+    pub fn stay(&mut self, now: Micros) {
+        let own = &mut self.members[usize::from(self.own)];
+        if own.record.left {
+            own.record =
+                Record { incarnation: own.record.incarnation + 1, beat: 0, left: false, ..own.record };
+            self.dirty = true;
+            self.judge(now);
+        }
+    }
+
     /// Takes a datagram that came from a member's address.
     pub fn receive(&mut self, now: Micros, from: Rank, datagram: &[u8], out: &mut Out) {
         self.counts.received += 1;
@@ -797,8 +837,8 @@
 }
 
 /// A record as it is written: the member, its life doubled with the last bit for whether it leaves, its beat, whom it
-/// accuses; figures in postcard's form, which is short for small ones.
-type Written = (Rank, u64, u32, u8);
+/// accuses, its zone; figures in postcard's form, which is short for small ones.
+type Written = (Rank, u64, u32, u8, u8);
 
 impl Datagram {
     /// Reads one. A checksum guards against bytes that were changed on the way.
@@ -814,9 +854,10 @@
         let two = |at: usize| u16::from_le_bytes([said[at], said[at + 1]]);
         let mut records = Vec::with_capacity(MOST_RECORDS);
         for _ in 0..said[10] {
-            let ((rank, life, beat, silent), rest): (Written, _) = postcard::take_from_bytes(body).ok()?;
+            let ((rank, life, beat, silent, zone), rest): (Written, _) =
+                postcard::take_from_bytes(body).ok()?;
             let incarnation = u32::try_from(life >> 1).ok()?;
-            records.push((rank, Record { incarnation, beat, left: life & 1 != 0, silent }));
+            records.push((rank, Record { incarnation, beat, left: life & 1 != 0, silent, zone }));
             body = rest;
         }
         Some(Self {
@@ -859,7 +900,7 @@
     /// Adds a record, if there is room.
     pub fn add(&mut self, rank: Rank, record: &Record) -> bool {
         let life = u64::from(record.incarnation) << 1 | u64::from(record.left);
-        let written: Written = (rank, life, record.beat, record.silent);
+        let written: Written = (rank, life, record.beat, record.silent, record.zone);
         let mut room = [0; RECORD.1];
         let Ok(bytes) = postcard::to_slice(&written, &mut room) else { return false };
         let fits = self.bytes.len() + bytes.len() <= LONGEST;
--- a/src/net/config.rs
+++ b/src/net/config.rs
@@ -11,6 +11,7 @@
 use myrtleyard::check::{self, Fault};
 use myrtleyard::drain::Marks;
 use myrtleyard::interface::Settings;
+use myrtleyard::membership;
 use serde::Deserialize;
 use serde_json::Value;
 
@@ -46,6 +47,8 @@
     pub known: ListBody,
     /// Draining of endpoints, where it is on.
     pub draining: Option<Draining>,
+    /// The view of the fleet, where it is on.
+    pub membership: Option<membership::Config>,
     /// The module's settings.
     pub settings: Settings,
     /// Names of classes, kinds and zones, in the settings' order.
@@ -100,6 +103,8 @@
     known: ListBody,
     #[serde(default)]
     draining: Option<Draining>,
+    #[serde(default)]
+    membership: Option<membership::Config>,
     settings: Value,
 }
 
@@ -215,6 +220,13 @@
     {
         return Err(("draining.max_marks", format!("{max_marks}, which takes over a quarter of disk_mb,")));
     }
+    if raw.membership.is_some() {
+        let own = raw.peer_listen.is_some_and(|own| raw.peers.contains(&own));
+        if !own || raw.peers.len() > membership::MOST_MEMBERS {
+            let why = "is on, but peers do not hold peer_listen, or are over 1,024".to_owned();
+            return Err(("membership", why));
+        }
+    }
     Ok(Config {
         name: raw.name,
         listen: raw.listen,
@@ -229,6 +241,7 @@
         peers_all: raw.peers_all,
         known: raw.known,
         draining: raw.draining,
+        membership: raw.membership,
         settings,
         names,
         document,
--- a/src/net/control.rs
+++ b/src/net/control.rs
@@ -13,6 +13,8 @@
     Drain,
     /// The list with the marks laid over it.
     Endpoints,
+    /// Who of the fleet is there, as this sender sees it.
+    Members,
     /// Send clients elsewhere, and have all ended within this time if there is one.
     OutOfService(Option<Micros>),
     /// Take endpoints out of use.
--- a/src/net/driver.rs
+++ b/src/net/driver.rs
@@ -6,11 +6,9 @@
 use std::cell::RefCell;
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::net::SocketAddr;
-use std::path::PathBuf;
 use std::rc::Rc;
 use std::time::Duration;
 
-use myrtleyard::drain::Marks;
 use myrtleyard::interface::*;
 use myrtleyard::policy::Policy;
 use tokio::net::{TcpListener, UnixStream};
@@ -27,6 +25,7 @@
 use super::listing::{Known, ListBody, Shape};
 use super::mgmt::{self, Mgmt};
 use super::names::{Names, following};
+use super::parts::{self, Parts};
 use super::peers::Peers;
 use super::platform::{self, Notice};
 use super::{AttemptOver, Clock, Inbound, STOP_WITHIN, Standing};
@@ -80,10 +79,8 @@
     stop_at: Option<Micros>,
     /// Since it was taken out of service.
     drain: Option<Drain>,
-    /// The operators' marks on endpoints, where that part is on.
-    marks: Option<Marks>,
-    /// Where they are kept.
-    marks_at: PathBuf,
+    /// Those that the configuration turns on.
+    parts: Parts,
     intake: Rc<Intake>,
     endpoints: HashMap<EndpointId, Known>,
     /// The id of each name, and how many ids were given out.
@@ -145,18 +142,17 @@
         Some(predecessor) => Clock::new().from(predecessor.knowledge.now),
         None => Clock::new(),
     };
-    let max_marks = config.draining.map(|section| section.max_marks);
-    let disk = config.disk - max_marks.map_or(0, Marks::room);
+    let disk = config.disk - Parts::room(&config);
     let journal =
         Journal::open(&folder, disk).map_err(|e| format!("journal in {}: {e}", folder.display()))?;
     let peers = Peers::open(&config, inbound.clone()).await.map_err(|e| format!("peer_listen: {e}"))?;
     let (notices, owed) = unbounded_channel();
     let wanted = Rc::new(platform::Wanted::default());
     let sides = config.sockets.saturating_sub(own_sockets) / 2;
+    let parts = Parts::open(&config, &folder, clock.now());
     let names = Rc::new(RefCell::new(config.names));
     let limits = limits(&config.settings, &names.borrow(), sides.max(1));
     let intake = Rc::new(Intake::new(clock, names.clone(), inbound.clone(), stand));
-    let marks_at = folder.join("drained");
     let mut driver = Driver {
         clock,
         names,
@@ -172,8 +168,7 @@
         standing,
         stop_at: None,
         drain: None,
-        marks: max_marks.map(|most| draining::marks(&marks_at, most)),
-        marks_at,
+        parts,
         intake: intake.clone(),
         endpoints: HashMap::new(),
         ids: HashMap::new(),
@@ -234,6 +229,7 @@
         // What is looked at now and then: an end that is near, a journal that could not be written.
         let watchful = driver.stop_at.is_some() || !driver.unwritten.is_empty();
         let due = if watchful { due.min(clock.now() + 50_000) } else { due };
+        let due = due.min(driver.parts.due().unwrap_or(due));
         let first = tokio::select! {
             first = events.recv() => first,
             () = tokio::time::sleep_until(clock.instant(due.min(clock.now() + 60_000_000))) => None,
@@ -247,6 +243,7 @@
             driver.fold(inbound, &mut said);
         }
         let now = clock.now();
+        driver.with_parts(|parts, out| parts.tick(now, out));
         while let Some(timer) = driver.timers.pop_first() {
             if timer.0 > now {
                 driver.timers.insert(timer);
@@ -285,6 +282,16 @@
 }
 
 impl Driver {
+    /// Has the optional parts do something, and sends what they say.
+    fn with_parts<T>(&mut self, act: impl FnOnce(&mut Parts, &mut parts::Out) -> T) -> T {
+        let mut out = parts::Out::new();
+        let done = act(&mut self.parts, &mut out);
+        if let Some(peers) = &self.peers {
+            out.iter().for_each(|(to, datagram)| peers.tell(Some(*to), datagram));
+        }
+        done
+    }
+
     /// The list as last known, and what an earlier process left in the journal.
     fn start(&mut self, known: ListBody) -> Vec<Event> {
         let now = self.clock.now();
@@ -362,7 +369,8 @@
         let (orders, followed) = predecessor.link.follow(inbound, out);
         self.predecessor = Some(orders);
         // The part that keeps the marks may have been turned on or off between the two.
-        let marked = |name: &str| self.marks.as_ref().is_some_and(|marks| marks.on(name).is_some());
+        let draining = self.parts.draining.as_ref();
+        let marked = |name: &str| draining.is_some_and(|draining| draining.on(name).is_some());
         let relisted = self.relisted(|name| marked(name) != knowledge.drained.contains(name));
         (vec![Event::Settings(Box::new(settings)), relisted], followed)
     }
@@ -401,7 +409,7 @@
             next_message: self.next_message,
             held: self.held,
             attempts: self.attempts,
-            drained: self.marks.iter().flat_map(Marks::iter).map(|(name, _)| name.to_owned()).collect(),
+            drained: self.parts.draining.map(|draining| draining.names()).unwrap_or_default(),
         });
         relay.run(stream, knowledge, claim, events).await;
     }
@@ -434,6 +442,12 @@
                 }
                 said.push(event);
             }
+            Inbound::Datagram(from, content) => {
+                let now = self.clock.now();
+                if !self.with_parts(|parts, out| parts.datagram(now, from, &content, out)) {
+                    said.push(Event::Note { from, content });
+                }
+            }
             Inbound::Listed(list) => {
                 said.push(self.listed(list));
                 self.forget_marks();
@@ -450,6 +464,11 @@
             // Nothing is ordered from the process that owns the folder.
             Inbound::Ordered(_) => {}
             Inbound::Reloaded(Ok(config)) => {
+                let now = self.clock.now();
+                if let Some(peers) = &self.peers {
+                    peers.adopt(&config.peers);
+                }
+                self.with_parts(|parts, out| parts.adopt(&config, now, out));
                 let own = (config.settings, config.names);
                 let (settings, names) = following(own, &self.settings, &self.names.borrow());
                 self.calls.adopt(limits(&settings, &names, self.connections));
@@ -476,6 +495,8 @@
                 let at = self.clock.now() + STOP_WITHIN;
                 self.stop_at = Some(at);
                 self.standing.send_replace(Standing::Stopping);
+                let now = self.clock.now();
+                self.with_parts(|parts, out| parts.serving(now, false, out));
                 said.push(Event::Stopping(at));
             }
         }
@@ -604,7 +625,8 @@
                 "left" => Listing::Gone,
                 _ => Listing::Draining,
             };
-            let over = self.marks.as_ref().map_or(state, |marks| marks.over(&listing.name, state));
+            let draining = self.parts.draining.as_ref();
+            let over = draining.map_or(state, |draining| draining.over(&listing.name, state));
             entry(endpoint, listing.group, over);
             let weight = if listing.weight.is_finite() { listing.weight.max(0.0) } else { 0.0 };
             if let Some(entry) = entries.last_mut() {
--- a/src/net/driver/draining.rs
+++ b/src/net/driver/draining.rs
@@ -2,30 +2,19 @@
 //! `myrtleyard::drain` decides what may be marked; the module decides what becomes of the messages.
 
 use std::collections::{BTreeSet, HashMap};
-use std::path::Path;
 
 use hyper::StatusCode;
 use myrtleyard::drain::{Left, Listed, Marks, Refusal, State};
 use myrtleyard::interface::*;
 use serde_json::{Value, json};
 
+use super::super::Standing;
 use super::super::control::{Ask, Endpoints, Reply};
 use super::super::listing::{Known, Shape};
-use super::super::{Standing, lasting};
+use super::super::parts::Part;
+use super::super::parts::draining::Draining;
 use super::{Drain, Driver};
 
-/// The marks that an earlier process left. What can't be read is told and left out: on-call staff set it again.
-pub(super) fn marks(path: &Path, most: usize) -> Marks {
-    let read = lasting::read(path).map_err(|e| e.to_string());
-    match read.and_then(|text| text.map(|text| Marks::read(most, &text)).transpose()) {
-        Ok(marks) => marks.unwrap_or_else(|| Marks::new(most)),
-        Err(e) => {
-            eprintln!("the marks on drained endpoints can't be read, none is marked: {e}");
-            Marks::new(most)
-        }
-    }
-}
-
 fn not_on() -> Reply {
     let why = "endpoints can't be drained here: the configuration has no section \"draining\"";
     Reply::no(StatusCode::NOT_FOUND, why)
@@ -44,6 +33,9 @@
         let until = within.map(|within| now + within);
         if before != asked || until != self.drain.and_then(|drain| drain.by) {
             self.standing.send_if_modified(|standing| std::mem::replace(standing, asked) != asked);
+            if before != asked {
+                self.with_parts(|parts, out| parts.serving(now, wanted, out));
+            }
             let since = self.drain.map_or(now, |drain| drain.since);
             self.drain = (!wanted).then_some(Drain { since, by: until });
             said.push(Event::Service { wanted, until });
@@ -56,13 +48,14 @@
         match ask {
             Ask::Drain => Reply::yes(&self.drain_report()),
             Ask::Endpoints => Reply::yes(&self.endpoints_report()),
+            Ask::Members => self.members(),
             Ask::OutOfService(within) => match self.service(false, within, said) {
                 true => Reply::yes(&self.drain_report()),
                 // A process that is on its way out does not come back.
                 false => Reply::no(StatusCode::CONFLICT, self.standing.borrow().said().trim()),
             },
             Ask::DrainEndpoints(Endpoints { names, force }) => {
-                let Some(marks) = &self.marks else { return not_on() };
+                let Some(marks) = self.marks() else { return not_on() };
                 let with = marks.with(&names, force, self.clock.now(), &self.list());
                 let with = match with {
                     Ok(with) => with,
@@ -80,7 +73,7 @@
                 self.mark(with, said)
             }
             Ask::RestoreEndpoints(Endpoints { names, .. }) => {
-                let Some(marks) = &self.marks else { return not_on() };
+                let Some(marks) = self.marks() else { return not_on() };
                 let without = marks.without(&names);
                 self.mark(without, said)
             }
@@ -89,20 +82,34 @@
 
     /// These are the marks from now on. They are written down first: what an operator was told holds.
     fn mark(&mut self, marks: Marks, said: &mut Vec<Event>) -> Reply {
-        let Some(before) = &self.marks else { return not_on() };
+        let Some(before) = self.marks() else { return not_on() };
         let differs = |name: &str| before.on(name).is_some() != marks.on(name).is_some();
         let changed: BTreeSet<String> = self.names_listed().filter(|name| differs(name)).collect();
         if *before != marks {
-            if let Err(e) = lasting::write(&self.marks_at, &marks.written()) {
+            if let Some(Err(e)) = self.parts.draining.as_mut().map(|draining| draining.keep(marks)) {
                 let why = format!("the marks can't be written down, nothing is changed: {e}");
                 return Reply::no(StatusCode::INSUFFICIENT_STORAGE, why);
             }
-            self.marks = Some(marks);
             said.push(self.relisted(|name| changed.contains(name)));
         }
         Reply::yes(&json!({"changed": changed, "drained": self.drained_report()}))
     }
 
+    fn marks(&self) -> Option<&Marks> {
+        self.parts.draining.as_ref().map(Draining::marks)
+    }
+
+    /// The view of the fleet, with those who are not of it counted.
+    fn members(&self) -> Reply {
+        let Some(view) = &self.parts.view else {
+            let why = "there is no view of the fleet: the configuration has no section \"membership\"";
+            return Reply::no(StatusCode::NOT_FOUND, why);
+        };
+        let mut report = view.report(self.clock.now());
+        report["strangers"] = json!(self.peers.as_ref().map(super::Peers::strangers));
+        Reply::yes(&report)
+    }
+
     fn names_listed(&self) -> impl Iterator<Item = String> + '_ {
         self.endpoints.values().filter(|known| known.listed).map(|known| known.name.clone())
     }
@@ -121,7 +128,7 @@
         let entry = |(endpoint, known): (&EndpointId, &Known)| {
             let Shape { zone, kind, weight, active } = known.shape?;
             let listing = if active { Listing::Ready } else { Listing::Draining };
-            let listing = self.marks.as_ref().map_or(listing, |marks| marks.over(&known.name, listing));
+            let listing = self.marks().map_or(listing, |marks| marks.over(&known.name, listing));
             let destination = DestinationId(known.group);
             Some(Entry { endpoint: *endpoint, destination, zone, kind, weight, listing })
         };
@@ -140,7 +147,7 @@
     fn drained_report(&self) -> Vec<Value> {
         let out = self.out_by_endpoint();
         let now = self.clock.now();
-        let marks = self.marks.iter().flat_map(Marks::iter);
+        let marks = self.marks().into_iter().flat_map(Marks::iter);
         let report = marks.map(|(name, mark)| {
             let id = self.ids.get(name);
             let out = id.and_then(|id| out.get(id)).copied().unwrap_or(0);
@@ -164,7 +171,7 @@
         };
         let now = self.clock.now();
         let by = self.drain.and_then(|drain| drain.by);
-        let bare = self.marks.as_ref().map(|marks| marks.bare(&self.list()));
+        let bare = self.marks().map(|marks| marks.bare(&self.list()));
         json!({"state": left.state(serving), "standing": self.standing.borrow().said().trim(),
                "age_ms": self.drain.map(|drain| now.saturating_sub(drain.since) / 1000),
                "left_ms": by.map(|by| by.saturating_sub(now) / 1000),
@@ -178,28 +185,23 @@
         let mut listed: Vec<_> = self.endpoints.iter().filter(|(_, known)| known.listed).collect();
         listed.sort_by(|a, b| a.1.name.cmp(&b.1.name));
         let report = listed.into_iter().map(|(id, known)| {
-            let marked = self.marks.as_ref().is_some_and(|marks| marks.on(&known.name).is_some());
+            let marked = self.marks().is_some_and(|marks| marks.on(&known.name).is_some());
             json!({"name": known.name, "address": known.address.map(|address| address.to_string()),
                    "destination": known.group, "active": known.active(), "drained_by_operator": marked,
                    "messages_out": out.get(id).copied().unwrap_or(0)})
         });
-        json!({"index": self.index, "draining": self.marks.is_some(), "endpoints": report.collect::<Vec<_>>()})
+        json!({"index": self.index, "draining": self.marks().is_some(), "endpoints": report.collect::<Vec<_>>()})
     }
 
-    /// Marks on endpoints that have gone from discovery's list end. If that can't be written down they are
-    /// found, and end, again.
+    /// Marks on endpoints that have gone from discovery's list end.
     pub(super) fn forget_marks(&mut self) {
-        let Some(marks) = &self.marks else { return };
+        let (ids, endpoints) = (&self.ids, &self.endpoints);
         let listed = |name: &str| {
-            let known = self.ids.get(name).and_then(|id| self.endpoints.get(id));
+            let known = ids.get(name).and_then(|id| endpoints.get(id));
             known.is_some_and(|known| known.listed)
         };
-        let kept = marks.kept(listed);
-        if kept != *marks {
-            if let Err(e) = lasting::write(&self.marks_at, &kept.written()) {
-                eprintln!("the marks on drained endpoints can't be written down: {e}");
-            }
-            self.marks = Some(kept);
+        if let Some(draining) = &mut self.parts.draining {
+            draining.forget(listed);
         }
     }
 }
--- a/src/net/handover.rs
+++ b/src/net/handover.rs
@@ -355,6 +355,7 @@
                 }
                 // The new process's matters: it has a watch, notices and a configuration of its own.
                 Inbound::Event(_)
+                | Inbound::Datagram(..)
                 | Inbound::Listed(_)
                 | Inbound::NoticesKept(_)
                 | Inbound::Reloaded(_)
--- a/src/net/mgmt.rs
+++ b/src/net/mgmt.rs
@@ -110,6 +110,7 @@
             "/control/in-service" if post => self.service(true).await,
             "/control/drain" if get => self.ask(Ask::Drain).await,
             "/control/endpoints" if get => self.ask(Ask::Endpoints).await,
+            "/control/members" if get => self.ask(Ask::Members).await,
             "/control/endpoints/drain" if post => {
                 self.ask_with(request, |body| read(body).map(Ask::DrainEndpoints)).await
             }
@@ -117,9 +118,8 @@
                 self.ask_with(request, |body| read(body).map(Ask::RestoreEndpoints)).await
             }
             "/control/config/check" if post => answered(self.check(request).await),
-            "/control/ready" | "/control/counters" | "/control/drain" | "/control/endpoints" => {
-                not_allowed("GET")
-            }
+            "/control/ready" | "/control/counters" | "/control/drain" | "/control/endpoints"
+            | "/control/members" => not_allowed("GET"),
             "/control/out-of-service"
             | "/control/in-service"
             | "/control/endpoints/drain"
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -13,6 +13,7 @@
 pub mod listing;
 pub mod mgmt;
 pub mod names;
+pub mod parts;
 pub mod peers;
 pub mod platform;
 
@@ -67,6 +68,8 @@
     CallOver(Vec<AttemptOver>),
     /// Goes to the module as it is.
     Event(Event),
+    /// Another sender's datagram, with its number.
+    Datagram(u16, Vec<u8>),
     /// Discovery told of endpoints.
     Listed(listing::ListBody),
     /// The platform has these notices.
--- /dev/null
+++ b/src/net/parts/mod.rs
@@ -0,0 +1,105 @@
+//! Optional parts of the sender, all of one shape. A part is made from its section of the configuration; without the
+//! section it is not there, and costs no datagram, call, timer or file. It is told of time and datagrams, says what
+//! to send and when to call it, and reports to operators. None of them decides what becomes of a message.
+
+pub mod draining;
+pub mod view;
+
+use std::path::Path;
+
+use myrtleyard::interface::Micros;
+use serde_json::Value;
+
+use super::config::Config;
+use draining::Draining;
+use view::View;
+
+/// Datagrams to other senders, by their numbers.
+pub type Out = Vec<(u16, Vec<u8>)>;
+
+/// What each part can be told and asked. What a part has no use for does nothing.
+pub trait Part {
+    /// When it wants to be called next, if time is anything to it.
+    fn due(&self) -> Option<Micros> {
+        None
+    }
+
+    /// Its time has come.
+    fn tick(&mut self, _now: Micros, _out: &mut Out) {}
+
+    /// Another sender's datagram has come; whether it is this part's.
+    fn datagram(&mut self, _now: Micros, _from: u16, _bytes: &[u8], _out: &mut Out) -> bool {
+        false
+    }
+
+    /// This process sends its clients elsewhere or ends, or takes them again.
+    fn serving(&mut self, _now: Micros, _serving: bool, _out: &mut Out) {}
+
+    /// What it has for operators.
+    fn report(&self, now: Micros) -> Value;
+}
+
+/// Those that this sender has.
+pub struct Parts {
+    /// Endpoints that operators have drained.
+    pub draining: Option<Draining>,
+    /// The view of the fleet.
+    pub view: Option<View>,
+}
+
+impl Parts {
+    /// As the configuration has them; what lasts of them is in the folder.
+    pub fn open(config: &Config, folder: &Path, now: Micros) -> Self {
+        Self {
+            draining: config.draining.map(|section| Draining::open(folder, section.max_marks)),
+            view: View::open(config, now),
+        }
+    }
+
+    /// Bytes that parts may take of the folder that lasts.
+    pub fn room(config: &Config) -> u64 {
+        config.draining.map_or(0, |section| Draining::room(section.max_marks))
+    }
+
+    /// The configuration has changed. Draining stays as it was at the start, since its room was set aside then.
+    pub fn adopt(&mut self, config: &Config, now: Micros, out: &mut Out) {
+        match (&mut self.view, &config.membership) {
+            (Some(view), Some(_)) => view.adopt(config, now),
+            (Some(view), None) => {
+                view.serving(now, false, out);
+                self.view = None;
+            }
+            (None, _) => self.view = View::open(config, now),
+        }
+    }
+
+    fn each(&mut self) -> impl Iterator<Item = &mut dyn Part> {
+        let draining = self.draining.as_mut().map(|part| part as &mut dyn Part);
+        let view = self.view.as_mut().map(|part| part as &mut dyn Part);
+        draining.into_iter().chain(view)
+    }
+
+    /// When the first of them wants to be called.
+    pub fn due(&self) -> Option<Micros> {
+        let draining = self.draining.as_ref().and_then(Part::due);
+        let view = self.view.as_ref().and_then(Part::due);
+        draining.into_iter().chain(view).min()
+    }
+
+    /// Calls those whose time has come.
+    pub fn tick(&mut self, now: Micros, out: &mut Out) {
+        for part in self.each().filter(|part| part.due().is_some_and(|due| due <= now)) {
+            part.tick(now, out);
+        }
+    }
+
+    /// Hands a datagram to the part that it is for; whether there is one.
+    pub fn datagram(&mut self, now: Micros, from: u16, bytes: &[u8], out: &mut Out) -> bool {
+        self.each().any(|part| part.datagram(now, from, bytes, out))
+    }
+
+    /// Tells all of them that clients are sent elsewhere, or taken again.
+    pub fn serving(&mut self, now: Micros, serving: bool, out: &mut Out) {
+        self.each().for_each(|part| part.serving(now, serving, out));
+    }
+}
--- a/src/net/peers.rs
+++ b/src/net/peers.rs
@@ -1,10 +1,10 @@
 //! Notes between senders: datagrams that may be lost.
 
+use std::cell::{Cell, RefCell};
 use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
 
-use myrtleyard::interface::Event;
 use tokio::net::UdpSocket;
 use tokio::sync::mpsc::UnboundedSender;
 use tokio::task::JoinHandle;
@@ -18,7 +18,8 @@
 /// The way to the other senders.
 pub struct Peers {
     socket: Rc<UdpSocket>,
-    peers: Vec<SocketAddr>,
+    peers: Rc<RefCell<Vec<SocketAddr>>>,
+    strangers: Rc<Cell<u64>>,
     all: Option<SocketAddr>,
     receiving: JoinHandle<()>,
 }
@@ -31,7 +32,9 @@
     pub async fn open(config: &Config, inbound: UnboundedSender<Inbound>) -> io::Result<Option<Self>> {
         let Some(listen) = config.peer_listen else { return Ok(None) };
         let socket = Rc::new(UdpSocket::bind(listen).await?);
-        let (from_peers, peers) = (socket.clone(), config.peers.clone());
+        let peers = Rc::new(RefCell::new(config.peers.clone()));
+        let strangers = Rc::new(Cell::new(0));
+        let (from_peers, known, others) = (socket.clone(), peers.clone(), strangers.clone());
         let receiving = tokio::task::spawn_local(async move {
             let mut note = [0; NOTE_LIMIT + 1];
             loop {
@@ -40,18 +43,31 @@
                     tokio::task::yield_now().await;
                     continue;
                 };
-                let rank = peers.iter().position(|peer| *peer == from);
-                let (Some(rank), true) = (rank.and_then(|r| u16::try_from(r).ok()), size <= NOTE_LIMIT)
-                else {
+                let rank = known.borrow().iter().position(|peer| *peer == from);
+                let Some(rank) = rank.and_then(|rank| u16::try_from(rank).ok()) else {
+                    others.set(others.get() + 1);
                     continue;
                 };
-                let event = Event::Note { from: rank, content: note[..size].to_vec() };
-                if inbound.send(Inbound::Event(event)).is_err() {
+                if size > NOTE_LIMIT {
+                    continue;
+                }
+                let told = Inbound::Datagram(rank, note[..size].to_vec());
+                if inbound.send(told).is_err() {
                     return;
                 }
             }
         });
-        Ok(Some(Self { socket, peers: config.peers.clone(), all: config.peers_all, receiving }))
+        Ok(Some(Self { socket, peers, strangers, all: config.peers_all, receiving }))
+    }
+
+    /// These are the senders of the tier from now on.
+    pub fn adopt(&self, peers: &[SocketAddr]) {
+        *self.peers.borrow_mut() = peers.to_vec();
+    }
+
+    /// Datagrams that came from no sender of the tier; they were dropped.
+    pub fn strangers(&self) -> u64 {
+        self.strangers.get()
     }
 
     /// Gives the address up.
@@ -63,7 +79,7 @@
     /// Sends a note to one sender, or to all; it may be lost.
     pub fn tell(&self, to: Option<u16>, content: &[u8]) {
         let address = match to {
-            Some(rank) => self.peers.get(usize::from(rank)).copied(),
+            Some(rank) => self.peers.borrow().get(usize::from(rank)).copied(),
             None => self.all,
         };
         if let (Some(address), true) = (address, content.len() <= NOTE_LIMIT) {
--- a/tests/common/tier.rs
+++ b/tests/common/tier.rs
@@ -30,7 +30,11 @@
 }
 
 pub fn config() -> Config {
-    Config { period_ms: 1000 }
+    Config { period_ms: 1000, tier: String::new() }
+}
+
+pub fn place(own: usize, size: usize) -> Place {
+    Place { own: own as Rank, size, tier: TIER, zone: 0 }
 }
 
 impl Tier {
@@ -54,7 +58,7 @@
 
     pub fn start(&mut self, rank: usize) {
         let (seed, size) = (self.rng.u64(..), self.members.len());
-        self.put(rank, Membership::new(config(), rank as Rank, size, TIER, seed, self.now));
+        self.put(rank, Membership::new(&config(), place(rank, size), seed, self.now));
     }
 
     /// Puts a member there, a stopped one that goes on for instance.
--- a/tests/membership.rs
+++ b/tests/membership.rs
@@ -219,7 +219,7 @@
 
 fn forged(from: Rank, tier: u32, size: u16, records: &[(Rank, Record)]) -> Vec<u8> {
     let mut datagram = Writer::new(1, tier, size, u16::MAX);
-    datagram.add(from, &Record { incarnation: 1, beat: 1, left: false, silent: 0 });
+    datagram.add(from, &Record { incarnation: 1, beat: 1, ..Record::NONE });
     records.iter().for_each(|(rank, record)| assert!(datagram.add(*rank, record)));
     datagram.finished()
 }
@@ -232,7 +232,7 @@
     let (now, mut out) = (tier.now, vec![]);
     let member = tier.members[0].as_mut().unwrap();
     let mut rng = fastrand::Rng::with_seed(3);
-    let gone = |incarnation, beat| Record { incarnation, beat, left: true, silent: 0xff };
+    let gone = |incarnation, beat| Record { incarnation, beat, left: true, silent: 0xff, zone: 0 };
     for lives in [1, 2, 1 << 31, u32::MAX] {
         for _ in 0..500 {
             let claims = [(0, gone(lives, u32::MAX)), (5, gone(lives, u32::MAX)), (700, gone(1, 1))];
@@ -273,8 +273,8 @@
 #[test]
 fn members_whose_lists_differ_in_length_hear_each_other() {
     let now = START;
-    let mut old = Membership::new(config(), 0, 3, TIER, 1, now);
-    let mut new = Membership::new(config(), 2, 5, TIER, 2, now);
+    let mut old = Membership::new(&config(), place(0, 3), 1, now);
+    let mut new = Membership::new(&config(), place(2, 5), 2, now);
     let mut out = vec![];
     new.tick(now + PERIOD, &mut out);
     for (_, datagram) in out.drain(..) {
@@ -287,8 +287,8 @@
 
 #[test]
 fn another_tier_at_one_address_is_a_stranger() {
-    let mut one = Membership::new(config(), 0, 3, tier_of("a"), 1, START);
-    let mut other = Membership::new(config(), 1, 3, tier_of("b"), 2, START);
+    let mut one = Membership::new(&config(), Place { tier: tier_of("a"), ..place(0, 3) }, 1, START);
+    let mut other = Membership::new(&config(), Place { tier: tier_of("b"), ..place(1, 3) }, 2, START);
     let mut out = vec![];
     other.leave(START, &mut out);
     assert!(!out.is_empty());
@@ -316,12 +316,12 @@
         seed in any::<u64>(),
     ) {
         let heard = |said: &[(u16, u32, u32)]| {
-            let mut member = Membership::new(config(), 0, 5, TIER, 1, START);
+            let mut member = Membership::new(&config(), place(0, 5), 1, START);
             for (rank, incarnation, beat) in said {
                 // A member says one thing in one beat.
                 let silent = (incarnation * 31 + beat * 7 + u32::from(*rank)) as u8;
                 let (incarnation, beat) = (*incarnation, *beat);
-                let record = Record { incarnation, beat, left: beat == 4, silent };
+                let record = Record { incarnation, beat, left: beat == 4, silent, zone: 0 };
                 member.receive(START, 4, &forged(4, TIER, 5, &[(*rank, record)]), &mut vec![]);
             }
             member.tick(START + PERIOD / 2, &mut vec![]);
