--- a/fleet/src/experiment.rs
+++ b/fleet/src/experiment.rs
@@ -25,7 +25,7 @@
 use crate::world::discovery::{Agent, List, Listed};
 use crate::world::endpoints::{Nature, Partner, TRY_LIMIT};
 use crate::world::senders::{Block, Place, Tier, settings};
-use crate::world::{End, Registry};
+use crate::world::{End, Registry, views};
 use crate::{Micros, micros};
 
 /// Names of the zones.
@@ -36,6 +36,8 @@
 const NEWS_MS: (u64, u64) = (200, 900);
 /// Threads of a run.
 const WORKERS: usize = 3;
+/// Periods that views are given after all else has ended.
+const VIEW_SETTLES: Micros = 15;
 /// After the last message has its end, so long is waited for what must not come.
 const AFTER: Duration = Duration::from_millis(500);
 
@@ -148,9 +150,17 @@
         ],
         try_limit: TRY_LIMIT,
         drain_grace: 2_000_000,
+        view_period: view_period(scenario),
     }
 }
 
+/// The period of the senders' view of the fleet, if the scenario turns it on.
+fn view_period(scenario: &Scenario) -> Option<Micros> {
+    let section = scenario.sections.get("membership")?;
+    let period = section.get("period_ms").and_then(toml::Value::as_integer).unwrap_or(1000);
+    Some(period.max(1) as Micros * 1000)
+}
+
 /// The list of endpoints and what each destination is like.
 fn destinations(scenario: &Scenario) -> (Vec<Listed>, Vec<Nature>) {
     let partners = &scenario.partners;
@@ -403,6 +413,7 @@
     let listens = (0..scenario.senders).map(|sender| block.listen(sender)).collect();
     let clients = Clients::new(scenario, listens, registry.clone(), recorder.clone());
     let mut looking = clients.watch();
+    let mut viewing = views::watch(tier, scenario.senders, recorder);
     let arriving = arrivals(scenario, play.seed, |t| nemesis::load(faults, t));
     let bar = progress(play, scenario.length_s);
     let (shown, counted, clock) = (bar.clone(), clients.clone(), recorder.clone());
@@ -417,7 +428,10 @@
     clients.play(arriving, play.seed, begin).await;
     // Every fault that ends has ended before the run does.
     let _ = struck.await;
-    tokio::time::sleep(AFTER).await;
+    // So have the views come to rest, where there are any.
+    let settled = Duration::from_micros(view_period(scenario).unwrap_or(0) * VIEW_SETTLES);
+    tokio::time::sleep(AFTER + settled).await;
+    viewing.abort_all();
     ticking.abort();
     looking.abort_all();
     bar.finish_and_clear();
--- a/fleet/src/explain.rs
+++ b/fleet/src/explain.rs
@@ -64,7 +64,7 @@
             What::Notice { sender, id, status } if about(id) => {
                 format!("sender {sender} tells {id} as {status}")
             }
-            What::Fault { number, on, what } => {
+            What::Fault { number, on, what, .. } => {
                 format!("fault {number} {}: {what}", if *on { "begins" } else { "ends" })
             }
             What::Started { sender, .. }
--- a/fleet/src/ledger/checker.rs
+++ b/fleet/src/ledger/checker.rs
@@ -52,6 +52,8 @@
     Process,
     /// A cold destination is not pushed over by those who had seen it fail.
     Fallback,
+    /// Where senders keep a view: nobody that is there is held for dead, and in the end all views are the same.
+    View,
 }
 
 impl fmt::Display for Rule {
@@ -309,6 +311,7 @@
         message(&history.head, &reading, id, seen, &mut all);
     }
     standing(history, &reading, &mut all);
+    all.extend(super::views::read(history).1);
     all.sort_by_key(|breach: &Breach| breach.t);
     all
 }
--- a/fleet/src/ledger/figures.rs
+++ b/fleet/src/ledger/figures.rs
@@ -83,6 +83,8 @@
     pub second_notices: u64,
     /// Datagrams sent, their bytes, those that arrived, and those given up by the bench.
     pub datagrams: [u64; 4],
+    /// What the senders said of each other, where they keep a view.
+    pub views: super::views::Views,
     /// The run's length, seconds.
     pub length_s: f64,
 }
@@ -128,7 +130,8 @@
     /// Of this history.
     pub fn of(history: &History) -> Self {
         let reading = Reading::of(history);
-        let mut figures = Self { length_s: reading.over as f64 / 1e6, ..Self::default() };
+        let views = super::views::read(history).0;
+        let mut figures = Self { length_s: reading.over as f64 / 1e6, views, ..Self::default() };
         let seconds = (reading.over / 1_000_000 + 1).min(24 * 3600) as usize;
         figures.seconds = vec![Second::default(); seconds];
         let mut roots: BTreeMap<&str, Vec<&Try>> = BTreeMap::new();
--- a/fleet/src/ledger/mod.rs
+++ b/fleet/src/ledger/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod checker;
 pub mod figures;
+pub mod views;
 
 use std::fs::File;
 use std::io::{self, BufRead, BufReader, BufWriter, Write};
@@ -160,6 +161,24 @@
         on: bool,
         /// In words.
         what: String,
+        /// It separates senders from each other altogether.
+        #[serde(default)]
+        cuts: bool,
+    },
+    /// What a sender says of the fleet, where it keeps a view.
+    View {
+        /// Whose view.
+        sender: usize,
+        /// Of its processes.
+        generation: u32,
+        /// A letter for each member: joining, alive, suspect, dead, left.
+        states: String,
+        /// The same for views that are the same.
+        digest: String,
+        /// It hears nobody.
+        isolated: bool,
+        /// It sees at most half.
+        minority: bool,
     },
     /// A process was started.
     Started {
@@ -261,6 +280,9 @@
     pub try_limit: usize,
     /// Nothing new goes to an endpoint so long after the sender was told that it drains or is gone.
     pub drain_grace: Micros,
+    /// The period of the senders' view of the fleet, where they keep one.
+    #[serde(default)]
+    pub view_period: Option<Micros>,
 }
 
 /// Takes down what outsiders see, from any task, without waiting.
--- a/fleet/src/nemesis.rs
+++ b/fleet/src/nemesis.rs
@@ -242,6 +242,27 @@
     Some(fault)
 }
 
+/// Whether a fault may keep a sender from being heard by half of the others or more; nobody can then say that it is
+/// there.
+fn separates(fault: &Fault, senders: usize) -> bool {
+    let much = fault.share.is_none_or(|share| share > 0.6);
+    let reach = if fault.to.is_empty() { senders } else { fault.to.len() }.max(match fault.both_ways {
+        true if fault.senders.is_empty() => senders,
+        true => fault.senders.len(),
+        false => 0,
+    });
+    match fault.kind {
+        Kind::Partition => true,
+        Kind::Link => match fault.mode {
+            Some(Mode::Drop | Mode::Spoil | Mode::Short) => much && reach * 2 >= senders.saturating_sub(1),
+            // News that comes later than an observer waits is no news.
+            Some(Mode::Delay | Mode::Reorder) => fault.delay_ms.is_some_and(|ms| ms > 500.0),
+            _ => false,
+        },
+        _ => false,
+    }
+}
+
 /// What the nemesis strikes.
 pub struct Struck {
     /// The senders.
@@ -269,7 +290,8 @@
         let (struck, active, turns) = (struck.clone(), active.clone(), turns.clone());
         tasks.spawn(async move {
             struck.recorder.until(begin + micros(fault.at_s)).await;
-            let told = |on| struck.recorder.see(What::Fault { number, on, what: fault.to_string() });
+            let cuts = separates(&fault, struck.size.0);
+            let told = |on| struck.recorder.see(What::Fault { number, on, what: fault.to_string(), cuts });
             told(true);
             match fault.kind {
                 Kind::Kill | Kind::Restart | Kind::Stop | Kind::Handover => {
--- a/fleet/src/world/mod.rs
+++ b/fleet/src/world/mod.rs
@@ -5,6 +5,7 @@
 pub mod endpoints;
 pub mod http;
 pub mod senders;
+pub mod views;
 
 use std::collections::HashMap;
 use std::sync::Mutex;
--- a/fleet/src/world/senders.rs
+++ b/fleet/src/world/senders.rs
@@ -297,9 +297,10 @@
         self.process(sender).is_some_and(|process| !*process.ended.borrow())
     }
 
-    /// The number of a sender's newest process.
-    pub fn generation(&self, sender: usize) -> Option<u32> {
-        self.process(sender).map(|process| process.generation)
+    /// Where operators call a sender's newest process, and its number.
+    pub fn mgmt(&self, sender: usize) -> Option<(SocketAddr, u32)> {
+        let generation = self.process(sender)?.generation;
+        Some(((self.mgmt)(sender, generation), generation))
     }
 
     /// The last lines of a sender's log.
--- /dev/null
+++ b/fleet/src/world/views.rs
@@ -0,0 +1,66 @@
+//! What the senders say of each other, asked where operators ask. Only changes are taken down.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use serde_json::Value;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+use tokio::task::JoinSet;
+
+use super::senders::Tier;
+use crate::ledger::{Recorder, What};
+
+/// Between two looks at one sender.
+const LOOK: Duration = Duration::from_millis(100);
+/// An answer is due within this time.
+const ANSWER: Duration = Duration::from_secs(1);
+/// An answer is no longer.
+const LIMIT: u64 = 1 << 20;
+
+/// Looks at the views of all senders for as long as the run lasts. A sender without the part is asked once.
+pub fn watch(tier: &Arc<Tier>, senders: usize, recorder: &Recorder) -> JoinSet<()> {
+    let mut looking = JoinSet::new();
+    for sender in 0..senders {
+        let (tier, recorder) = (tier.clone(), recorder.clone());
+        looking.spawn(async move {
+            let mut last = None;
+            loop {
+                tokio::time::sleep(LOOK).await;
+                let Some((address, generation)) = tier.mgmt(sender) else { continue };
+                let Ok(Some(told)) = tokio::time::timeout(ANSWER, members(address)).await else { continue };
+                let Some(view) = read(sender, generation, &told) else { return };
+                // Taken down when anything in it has changed.
+                if last.as_ref() != Some(&view) {
+                    recorder.see(view.clone());
+                    last = Some(view);
+                }
+            }
+        });
+    }
+    looking
+}
+
+fn read(sender: usize, generation: u32, told: &Value) -> Option<What> {
+    let members = told["members"].as_array()?;
+    let state =
+        |member: &Value| member["state"].as_str().and_then(|state| state.chars().next()).unwrap_or('?');
+    Some(What::View {
+        sender,
+        generation,
+        states: members.iter().map(state).collect(),
+        digest: told["digest"].as_str()?.to_owned(),
+        isolated: told["isolated"].as_bool()?,
+        minority: told["minority"].as_bool()?,
+    })
+}
+
+async fn members(address: SocketAddr) -> Option<Value> {
+    let mut stream = TcpStream::connect(address).await.ok()?;
+    stream.write_all(b"GET /control/members HTTP/1.1\r\nHost: mgmt\r\n\r\n").await.ok()?;
+    let mut told = Vec::new();
+    stream.take(LIMIT).read_to_end(&mut told).await.ok()?;
+    let head = told.windows(4).position(|four| four == b"\r\n\r\n")?;
+    told.starts_with(b"HTTP/1.1 ").then(|| serde_json::from_slice(&told[head + 4..]).ok())?
+}
--- a/fleet/tests/links.rs
+++ b/fleet/tests/links.rs
@@ -22,8 +22,15 @@
     async fn new() -> Self {
         let folder = tempfile::tempdir().unwrap();
         let classes: Vec<ClassRules> = vec![];
-        let head =
-            Head { scenario: String::new(), seed: 1, senders: 3, classes, try_limit: 6, drain_grace: 0 };
+        let head = Head {
+            scenario: String::new(),
+            seed: 1,
+            senders: 3,
+            classes,
+            try_limit: 6,
+            drain_grace: 0,
+            view_period: None,
+        };
         let (recorder, writer) = Recorder::begin(&folder.path().join("history"), &head).unwrap();
         let mut sockets = Vec::new();
         for _ in 0..3 {
--- a/fleet/tests/small.rs
+++ b/fleet/tests/small.rs
@@ -17,8 +17,12 @@
 
 /// A scenario of five seconds with three senders, whose messages live so short that it ends soon.
 fn small(more: &str) -> Scenario {
+    small_of(3, more)
+}
+
+fn small_of(senders: usize, more: &str) -> Scenario {
     let text = format!(
-        "name = \"small\"\nlength_s = 5\nsenders = 3\nlateness_ms = 10000\n\
+        "name = \"small\"\nlength_s = 5\nsenders = {senders}\nlateness_ms = 10000\n\
          notice = {{ aim_s = 3, deadline_s = 6 }}\ndisbursement = {{ aim_s = 3, deadline_s = 5 }}\n{more}"
     );
     Scenario::read(&text).unwrap_or_else(|wrong| panic!("{wrong:?}"))
@@ -29,7 +33,7 @@
     let what = Play { scenario, seed: 7, binary, out: out.to_owned(), progress: false };
     let outcome = play(&what).unwrap();
     assert_eq!(outcome.troubles, Vec::<String>::new());
-    let timed = [Rule::Lost, Rule::Wait, Rule::Drain, Rule::Window, Rule::Fallback];
+    let timed = [Rule::Lost, Rule::Wait, Rule::Drain, Rule::Window, Rule::Fallback, Rule::View];
     let sure: BTreeSet<Rule> = sweep::rules(&outcome).into_iter().filter(|r| !timed.contains(r)).collect();
     assert!(sure.is_empty(), "{:?}", outcome.broken);
     (what, outcome)
@@ -110,6 +114,36 @@
     });
 }
 
+/// Guards the view of the fleet at real processes: a kill is a death to all, a split and its healing are seen, a
+/// restart is a new life, and without the section there is not one datagram of it.
+#[test]
+fn senders_that_keep_a_view_see_a_death_and_a_return() {
+    let section = "[sections.membership]\nperiod_ms = 400\n";
+    let kills = "[[fault]]\nkind = \"kill\"\nat_s = 1.5\nsenders = [3]\n\
+                 [[fault]]\nkind = \"kill\"\nat_s = 2\nfor_s = 0.3\nsenders = [0]\n";
+    let out = tempfile::tempdir().unwrap();
+    let (_, outcome) = played(small_of(5, &format!("{section}{kills}")), out.path());
+    let views = &outcome.figures.views;
+    assert_eq!((views.death_ms.len(), views.back_ms.len()), (1, 6), "{views:?}");
+    let history = History::read(&out.path().join("history.jsonl")).unwrap();
+    let last = |of: usize| {
+        history.entries.iter().rev().find_map(|entry| match &entry.what {
+            What::View { sender, states, .. } if *sender == of => Some(states.clone()),
+            _ => None,
+        })
+    };
+    assert_eq!([0, 1, 2, 4].map(|of| last(of).unwrap()), ["aaada", "aaada", "aaada", "aaada"]);
+}
+
+#[test]
+fn without_its_section_there_is_no_view_and_no_datagram_of_it() {
+    let out = tempfile::tempdir().unwrap();
+    let mut scenario = small("");
+    scenario.load.per_s = 0.0;
+    let (_, outcome) = played(scenario, out.path());
+    assert_eq!((outcome.figures.datagrams[0], outcome.figures.views.changes), (0, 0));
+}
+
 #[test]
 fn a_run_with_nobody_to_talk_to_comes_to_its_end() {
     let out = tempfile::tempdir().unwrap();
--- a/fleet/tests/spoilt.rs
+++ b/fleet/tests/spoilt.rs
@@ -14,6 +14,7 @@
         classes: vec![class("notice", false, 15 * S), class("disbursement", true, 0)],
         try_limit: 6,
         drain_grace: 2 * S,
+        view_period: None,
     }
 }
 
@@ -177,3 +178,35 @@
     entries.push((25 * S, signal("SIGCONT")));
     assert_eq!(broken(entries), [Rule::Lost], "back, and no notice comes");
 }
+
+/// Guards the rule on views: a death of one that is there, and views that differ in the end.
+#[test]
+fn a_wrong_view_is_found() {
+    let view = |sender, states: &str, digest: &str| {
+        let (states, digest) = (states.to_owned(), digest.to_owned());
+        What::View { sender, generation: 0, states, digest, isolated: false, minority: false }
+    };
+    let both = |at, states: &str| vec![(at, view(0, states, "1")), (at, view(1, states, "1"))];
+    let judged = |views: Vec<(u64, What)>, cuts: Option<(u64, u64)>| {
+        let mut entries = vec![];
+        for sender in 0..2 {
+            entries.push((0, What::Started { sender, generation: 0, empty: false }));
+            entries.push((S / 10, What::Ready { sender, generation: 0 }));
+        }
+        entries.extend(views);
+        if let Some((from, to)) = cuts {
+            let fault = |on| What::Fault { number: 0, on, what: String::new(), cuts: true };
+            entries.extend([(from, fault(true)), (to, fault(false))]);
+        }
+        entries.push((60 * S, What::Over));
+        let head = Head { view_period: Some(S / 5), ..head() };
+        let entries = entries.into_iter().map(|(t, what)| Entry { t, what }).collect();
+        check(&History::new(head, entries)).len()
+    };
+    assert_eq!(judged(both(S, "aa"), None), 0);
+    let wronged = [both(S, "aa"), vec![(20 * S, view(0, "ad", "2"))], both(30 * S, "aa")].concat();
+    assert_eq!(judged(wronged.clone(), None), 1);
+    assert_eq!(judged(wronged, Some((18 * S, 21 * S))), 0, "they were kept apart");
+    assert_eq!(judged([both(S, "aa"), vec![(20 * S, view(0, "aa", "2"))]].concat(), None), 1, "they differ");
+    assert_eq!(judged(vec![(S, view(0, "aa", "1"))], None), 1, "one tells nothing");
+}
