Write the log as structured events, by text or JSON, bounded in rate

Need: what the log said of one message could not be found, a storm could fill it, and nothing in it named the sender.

Change: tracing in place of lines printed here and there. NODE_LOG sets the level (info), NODE_LOG_FORM the form (text or json); each line names the sender. A message's way is told at debug with its Req-Id: taken on, turned away, each call's begin and end, given up and why, taken up again. At info: ready, asked to end, handed over, operators' calls, changes of the view. Of one kind, by its place in the code, 20 lines go through in a second, and how many were left out is told.

Not taken: a log file of the sender's own with rotation: the platform has standard error already.

--- a/fleet/src/world/senders.rs
+++ b/fleet/src/world/senders.rs
@@ -240,6 +240,8 @@
         for name in ["NODE_LISTEN", "NODE_MGMT", "NODE_DISCOVERY", "NODE_NAME"] {
             command.env_remove(name);
         }
+        // What each message met, for whoever asks later; bounded in rate by the sender itself.
+        command.env("NODE_LOG", "debug").env("NODE_LOG_FORM", "json");
         command.env("NODE_CONFIG", config).env("NODE_STATE", state);
         command.stdout(output.try_clone()?).stderr(output).kill_on_drop(true);
         // SAFETY: between fork and exec only this one system call is made, which allocates nothing.
--- a/src/main.rs
+++ b/src/main.rs
@@ -15,7 +15,7 @@
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::{mpsc, watch};
 
-use net::{Inbound, config, driver};
+use net::{Inbound, config, driver, log};
 
 fn main() -> ExitCode {
     let arguments: Vec<_> = std::env::args_os().skip(1).collect();
@@ -64,6 +64,7 @@
 fn run() -> Result<(), String> {
     let inherited = inherited()?;
     let config = config::read()?;
+    log::start(&config.name)?;
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
     let runtime = runtime.map_err(|e| format!("runtime: {e}"))?;
     tokio::task::LocalSet::new().block_on(&runtime, async {
--- a/src/net/driver.rs
+++ b/src/net/driver.rs
@@ -216,12 +216,12 @@
             }
             match handover::successor(&folder).await {
                 Ok(stream) => drop(inbound.send(Inbound::Successor(stream))),
-                Err(e) => eprintln!("no process can take over from this one: {e}"),
+                Err(e) => tracing::warn!("no process can take over from this one: {e}"),
             }
         }));
     }
     let in_hand = driver.journal.live().len();
-    eprintln!("{} is ready on {address} with {in_hand} messages in hand{called_at}", config.name);
+    tracing::info!("{} is ready on {address} with {in_hand} messages in hand{called_at}", config.name);
 
     let mut turned = tokio::time::Instant::now();
     loop {
@@ -312,6 +312,8 @@
                     let attempts = live.attempts.last().map_or(0, |last| last.number + 1);
                     self.attempts.insert(number, attempts);
                     let message = self.message(number, class, &live.taken, now);
+                    let (id, destination) = (&live.taken.id, live.taken.destination);
+                    tracing::debug!(id, destination, attempts, "taken up again");
                     said.push(Event::Resumed { message, attempts: attempts.into(), may_have_run });
                     continue;
                 }
@@ -384,6 +386,7 @@
         events: UnboundedReceiver<Inbound>,
     ) {
         self.standing.send_replace(Standing::HandedOver);
+        tracing::info!(owed = self.journal.live().len(), "a new process takes over");
         self.figures.handed_over();
         self.calls.close_all_idle();
         if let Some(peers) = self.peers.take() {
@@ -480,7 +483,7 @@
             }
             Inbound::Reloaded(Err(e)) => {
                 self.figures.reloaded(false);
-                eprintln!("the configuration is not reloaded: {e}");
+                tracing::warn!("the configuration is not reloaded: {e}");
             }
             Inbound::Service(wanted, done) => {
                 self.service(wanted, None, said);
@@ -495,6 +498,7 @@
                 let at = self.clock.now() + STOP_WITHIN;
                 self.stop_at = Some(at);
                 self.standing.send_replace(Standing::Stopping);
+                tracing::info!(owed = self.journal.live().len(), "asked to end");
                 let now = self.clock.now();
                 self.with_parts(|parts, out| parts.serving(now, false, out));
                 said.push(Event::Stopping(at));
@@ -540,6 +544,8 @@
                 let never_ran = end.outcome.never_ran();
                 Record::Ended { message: number, attempt: end.attempt, never_ran }
             });
+            let took_ms = end.took / 1000;
+            tracing::debug!(id, attempt = end.attempt, outcome = ?end.outcome, took_ms, "a call is over");
             if end.outcome == Outcome::Delivered {
                 self.figures.ended(&class, End::Answered);
             }
@@ -687,19 +693,23 @@
                 Action::Remind { at, token } => {
                     self.timers.insert((at, token));
                 }
-                Action::Log(line) => eprintln!("{line}"),
+                Action::Log(line) => tracing::info!("{line}"),
             }
         }
         for (number, how) in given_up {
             if let Some(fresh) = fresh.remove(&number) {
                 self.forget(number, &fresh.taken.id);
                 self.figures.ended(&fresh.taken.class, how.into());
+                let (id, destination) = (&fresh.taken.id, fresh.taken.destination);
+                tracing::debug!(id, destination, ?how, "turned away");
                 fresh.answer(match how {
                     GivenUp::Deferred(again) => Answer::Refused(again),
                     GivenUp::Undeliverable => Answer::Failed,
                 });
             } else if let Some(live) = self.journal.live().get(&number) {
                 let id = live.taken.id.clone();
+                let (destination, attempts) = (live.taken.destination, live.attempts.len());
+                tracing::debug!(id, destination, attempts, ?how, "given up");
                 self.figures.ended(&live.taken.class, how.into());
                 records.push(Record::GivenUp(number, how));
                 self.unsaid.push((number, how, id));
@@ -714,11 +724,13 @@
             at: now,
         }));
         if let Err(e) = self.journal.append(&records) {
-            eprintln!("the journal can't be written: {e}");
+            tracing::error!("the journal can't be written: {e}");
             records.truncate(kept);
             self.withhold(records, fresh, &sends);
         } else {
             for fresh in fresh.into_values() {
+                let Taken { id, class, destination, .. } = &fresh.taken;
+                tracing::debug!(id, class, destination, "taken on");
                 fresh.answer(Answer::Taken);
             }
             for (number, how, id) in std::mem::take(&mut self.unsaid) {
@@ -777,6 +789,8 @@
         for (message, attempt, endpoint, wait) in sends {
             let Some(live) = self.journal.live().get(&message.0) else { continue };
             let Taken { id, key, body, .. } = live.taken.clone();
+            let name = self.endpoints.get(&endpoint).map_or("", |known| &known.name);
+            tracing::debug!(id, attempt, endpoint = name, "a call begins");
             let part = Part { message, attempt, id, key, body };
             let bundle = self.endpoints.get(&endpoint).map_or(1, |known| known.bundle);
             let call = last.get(&endpoint).copied().and_then(|at| calls.get_mut(at));
--- a/src/net/driver/draining.rs
+++ b/src/net/driver/draining.rs
@@ -34,6 +34,11 @@
         if before != asked || until != self.drain.and_then(|drain| drain.by) {
             self.standing.send_if_modified(|standing| std::mem::replace(standing, asked) != asked);
             if before != asked {
+                tracing::info!(
+                    serving = wanted,
+                    within_ms = within.map(|within| within / 1000),
+                    "operators have called"
+                );
                 self.with_parts(|parts, out| parts.serving(now, wanted, out));
             }
             let since = self.drain.map_or(now, |drain| drain.since);
--- a/src/net/handover.rs
+++ b/src/net/handover.rs
@@ -152,7 +152,7 @@
             Ok(Err(_)) | Err(_) => None,
         };
         if predecessor.is_none() && !std::mem::replace(&mut said, true) {
-            eprintln!("the process before does not hand over; this one waits for its end");
+            tracing::warn!("the process before does not hand over; this one waits for its end");
         }
         if predecessor.is_none() {
             tokio::time::sleep(AGAIN).await;
@@ -280,7 +280,7 @@
         // Whoever reads the last byte finds the lock free.
         drop(claim);
         if !matches!(timeout(TOLD_WITHIN, write_frame(&mut stream, &knowledge)).await, Ok(Ok(()))) {
-            eprintln!("the new process did not take over; the journal is left to it");
+            tracing::warn!("the new process did not take over; the journal is left to it");
             return;
         }
         drop(knowledge);
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -11,6 +11,7 @@
 pub mod journal;
 pub mod lasting;
 pub mod listing;
+pub mod log;
 pub mod mgmt;
 pub mod names;
 pub mod parts;
--- a/src/net/parts/draining.rs
+++ b/src/net/parts/draining.rs
@@ -26,7 +26,7 @@
         let marks = match read.and_then(|text| text.map(|text| Marks::read(most, &text)).transpose()) {
             Ok(marks) => marks.unwrap_or_else(|| Marks::new(most)),
             Err(e) => {
-                eprintln!("the marks on drained endpoints can't be read, none is marked: {e}");
+                tracing::error!("the marks on drained endpoints can't be read, none is marked: {e}");
                 Marks::new(most)
             }
         };
@@ -59,7 +59,7 @@
         let kept = self.marks.kept(listed);
         if kept != self.marks {
             if let Err(e) = lasting::write(&self.at, &kept.written()) {
-                eprintln!("the marks on drained endpoints can't be written down: {e}");
+                tracing::error!("the marks on drained endpoints can't be written down: {e}");
             }
             self.marks = kept;
         }
--- a/src/net/parts/view.rs
+++ b/src/net/parts/view.rs
@@ -4,7 +4,7 @@
 use std::net::SocketAddr;
 
 use myrtleyard::interface::Micros;
-use myrtleyard::membership::{self, MAGIC, Member, Membership, Place, Rank, State};
+use myrtleyard::membership::{self, Change, MAGIC, Member, Membership, Place, Rank, State};
 use serde_json::{Value, json};
 
 use super::super::config::Config;
@@ -18,6 +18,8 @@
     zones: Vec<String>,
     place: Place,
     seed: u64,
+    /// The version of the view as far as it is in the log.
+    told: u64,
 }
 
 impl View {
@@ -32,6 +34,7 @@
             zones: config.names.zones.clone(),
             place,
             seed: config.seed,
+            told: 0,
         })
     }
 
@@ -42,7 +45,7 @@
         if *section != self.section || place != self.place || config.peers != self.peers {
             let seed = self.seed.wrapping_add(1);
             self.core = Membership::new(section, place, seed, now);
-            (self.section, self.place, self.seed) = (section.clone(), place, seed);
+            (self.section, self.place, self.seed, self.told) = (section.clone(), place, seed, 0);
             self.peers = config.peers.clone();
         }
         self.zones = config.names.zones.clone();
@@ -69,6 +72,22 @@
     Some(Place { own, size: config.peers.len(), tier, zone: zone.unwrap_or(u8::MAX) })
 }
 
+impl View {
+    /// Writes down what has changed since the last time.
+    fn tell(&mut self) {
+        let news = self.core.version - self.told;
+        if news == 0 {
+            return;
+        }
+        self.told = self.core.version;
+        let changes: Vec<&Change> = self.core.history().collect();
+        for change in &changes[changes.len().saturating_sub(news as usize)..] {
+            let Change { member, incarnation, from, to, .. } = change;
+            tracing::info!(member, incarnation, ?from, ?to, "the view of the fleet has changed");
+        }
+    }
+}
+
 impl Part for View {
     fn due(&self) -> Option<Micros> {
         Some(self.core.due())
@@ -76,6 +95,7 @@
 
     fn tick(&mut self, now: Micros, out: &mut Out) {
         self.core.tick(now, out);
+        self.tell();
     }
 
     fn datagram(&mut self, now: Micros, from: u16, bytes: &[u8], out: &mut Out) -> bool {
--- a/src/net/platform.rs
+++ b/src/net/platform.rs
@@ -222,7 +222,7 @@
             // One line that can't be read must not keep the others back.
             Ok(Ok((StatusCode::BAD_REQUEST, _))) if told.len() > 1 => most = 1,
             Ok(Ok((StatusCode::BAD_REQUEST, _))) => {
-                eprintln!("the platform does not read a notice; dropped");
+                tracing::warn!("the platform does not read a notice; dropped");
                 owed.retain(|message, _| !told.contains(message));
                 let _ = inbound.send(Inbound::NoticesKept(told));
             }
