Check the view's protocol exhaustively within bounds, by a model checker on the core that ships

Change: tests/model.rs drives the very core through stateright: each state is a tier, each step a spell of seven periods with some set of links cut, or a crash with its memory lost, a start, or a stop; then twelve periods of calm, after which whoever is there must be alive in all views, and all views equal.

A planted fault, nothing sent to those held for dead, is found with four members. With three it is not, and rightly so: whoever is alone hears nobody, and holds nobody for dead.

--- /dev/null
+++ b/tests/model.rs
@@ -0,0 +1,244 @@
+//! The view's protocol, checked exhaustively within bounds by a model checker: the very core that ships, three and four
+//! members, every way of cutting links, every crash, restart and stop, in each of a few spells; then a calm.
+
+#[path = "common/tier.rs"]
+mod tier;
+
+use std::fmt;
+use std::hash::{Hash, Hasher};
+
+use myrtleyard::interface::Micros;
+use myrtleyard::membership::{Membership, Rank, SENDS, State};
+use stateright::{Checker, Model, Property};
+use tier::{PERIOD, START, config, place};
+
+/// A spell is long enough that observers accuse within it.
+const SPELL: u64 = 7;
+/// Periods of calm after which everybody must be seen as they are.
+const CALM: u64 = 12;
+
+#[derive(Clone)]
+struct Process {
+    member: Membership,
+    stopped: bool,
+}
+
+/// All members, and how many spells there were. Two are the same if all that is in them is.
+#[derive(Clone)]
+struct Tier {
+    now: Micros,
+    processes: Vec<Option<Process>>,
+    spells: usize,
+    calm: bool,
+}
+
+impl Tier {
+    fn text(&self) -> String {
+        let each = self.processes.iter().map(|p| p.as_ref().map(|p| (p.stopped, format!("{:?}", p.member))));
+        format!("{:?} {} {}", each.collect::<Vec<_>>(), self.spells, self.calm)
+    }
+}
+
+impl fmt::Debug for Tier {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let states = |p: &Process| p.member.members().iter().map(|m| m.state).collect::<Vec<_>>();
+        f.debug_list().entries(self.processes.iter().map(|p| p.as_ref().map(states))).finish()
+    }
+}
+
+impl PartialEq for Tier {
+    fn eq(&self, other: &Self) -> bool {
+        self.text() == other.text()
+    }
+}
+
+impl Eq for Tier {}
+
+impl Hash for Tier {
+    fn hash<H: Hasher>(&self, state: &mut H) {
+        self.text().hash(state);
+    }
+}
+
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+enum Act {
+    /// These links are cut, bit by bit, for a spell.
+    Cut(u32),
+    /// It is gone, with all that it knew.
+    Crash(usize),
+    /// It is there anew, and knows nothing.
+    Start(usize),
+    /// It does nothing for a spell.
+    Stop(usize),
+    /// Nothing is wrong from now on.
+    Calm,
+}
+
+/// Who is there.
+fn there(tier: &Tier) -> Vec<(usize, Membership)> {
+    let there = tier.processes.iter().enumerate();
+    there.filter_map(|(rank, p)| Some((rank, p.as_ref()?.member.clone()))).collect()
+}
+
+struct Checked {
+    size: usize,
+    spells: usize,
+    /// A planted fault: nothing is sent to those that are held for dead.
+    mute_to_dead: bool,
+    /// Cuts that are tried: all, or those with up to so many links.
+    most_links: u32,
+}
+
+impl Checked {
+    fn new(size: usize, spells: usize) -> Self {
+        Self { size, spells, mute_to_dead: false, most_links: 32 }
+    }
+
+    fn process(&self, rank: usize, now: Micros) -> Option<Process> {
+        let member = Membership::new(&config(), place(rank, self.size), rank as u64, now);
+        Some(Process { member, stopped: false })
+    }
+
+    /// Lets time pass: each member that is there ticks, and what it sends arrives at once unless its link is cut.
+    fn pass(&self, tier: &mut Tier, periods: u64, cut: u32) {
+        let link = |a: usize, b: usize| a * (self.size - 1) + if b > a { b - 1 } else { b };
+        for _ in 0..periods * SENDS as u64 {
+            tier.now += PERIOD / SENDS as u64;
+            for rank in 0..self.size {
+                let mut out = vec![];
+                if let Some(process) = tier.processes[rank].as_mut().filter(|p| !p.stopped) {
+                    process.member.tick(tier.now, &mut out);
+                }
+                // Answers are sent on until none is left; they are not answered in turn.
+                let mut under_way: Vec<(usize, Rank, Vec<u8>)> =
+                    out.into_iter().map(|(to, bytes)| (rank, to, bytes)).collect();
+                while let Some((from, to, bytes)) = under_way.pop() {
+                    let to = usize::from(to);
+                    let dead = tier.processes[from].as_ref().map(|p| p.member.state(to as Rank));
+                    let mute = self.mute_to_dead && dead == Some(Some(State::Dead));
+                    if mute || cut & 1 << link(from, to) != 0 {
+                        continue;
+                    }
+                    let mut out = vec![];
+                    if let Some(process) = tier.processes[to].as_mut().filter(|p| !p.stopped) {
+                        process.member.receive(tier.now, from as Rank, &bytes, &mut out);
+                    }
+                    under_way.extend(out.into_iter().map(|(next, bytes)| (to, next, bytes)));
+                }
+            }
+        }
+    }
+}
+
+impl Model for Checked {
+    type State = Tier;
+    type Action = Act;
+
+    fn init_states(&self) -> Vec<Tier> {
+        let processes = (0..self.size).map(|rank| self.process(rank, START)).collect();
+        let mut tier = Tier { now: START, processes, spells: 0, calm: false };
+        self.pass(&mut tier, CALM, 0);
+        vec![tier]
+    }
+
+    fn actions(&self, tier: &Tier, acts: &mut Vec<Act>) {
+        if tier.calm {
+            return;
+        }
+        acts.push(Act::Calm);
+        if tier.spells == self.spells {
+            return;
+        }
+        let links = self.size * (self.size - 1);
+        acts.extend((1..1u32 << links).filter(|cut| cut.count_ones() <= self.most_links).map(Act::Cut));
+        for (rank, process) in tier.processes.iter().enumerate() {
+            match process {
+                Some(_) => acts.extend([Act::Crash(rank), Act::Stop(rank)]),
+                None => acts.push(Act::Start(rank)),
+            }
+        }
+    }
+
+    fn next_state(&self, before: &Tier, act: Act) -> Option<Tier> {
+        let mut tier = before.clone();
+        tier.spells += 1;
+        match act {
+            Act::Cut(cut) => self.pass(&mut tier, SPELL, cut),
+            Act::Crash(rank) => {
+                tier.processes[rank] = None;
+                self.pass(&mut tier, SPELL, 0);
+            }
+            Act::Start(rank) => {
+                tier.processes[rank] = self.process(rank, tier.now);
+                // Long enough to be heard, too short to be known to all for sure.
+                self.pass(&mut tier, 1, 0);
+            }
+            Act::Stop(rank) => {
+                if let Some(process) = &mut tier.processes[rank] {
+                    process.stopped = true;
+                }
+                self.pass(&mut tier, SPELL, 0);
+                if let Some(process) = &mut tier.processes[rank] {
+                    process.stopped = false;
+                }
+            }
+            Act::Calm => {
+                (tier.calm, tier.spells) = (true, before.spells);
+                self.pass(&mut tier, CALM, 0);
+            }
+        }
+        Some(tier)
+    }
+
+    fn properties(&self) -> Vec<Property<Self>> {
+        vec![
+            Property::always("who is there is alive to all in the end", |_, tier: &Tier| {
+                let there = there(tier);
+                let alive =
+                    |member: &Membership, rank: usize| member.state(rank as Rank) == Some(State::Alive);
+                !tier.calm || there.iter().all(|(_, m)| there.iter().all(|(rank, _)| alive(m, *rank)))
+            }),
+            Property::always("views are equal in the end", |_, tier: &Tier| {
+                let digests: Vec<u32> = there(tier).iter().map(|(_, member)| member.digest()).collect();
+                // Whoever is alone hears nobody, and holds nobody for dead.
+                !tier.calm || digests.len() < 2 || digests.windows(2).all(|two| two[0] == two[1])
+            }),
+            Property::always(
+                "nobody accuses itself, and nobody is gone without a reason",
+                |_, tier: &Tier| {
+                    let own = |p: &Process| p.member.state(p.member.own()) == Some(State::Alive);
+                    tier.processes.iter().flatten().all(own)
+                },
+            ),
+        ]
+    }
+}
+
+fn checked(model: Checked) -> usize {
+    let (size, spells) = (model.size, model.spells);
+    let threads = std::thread::available_parallelism().map_or(1, usize::from);
+    let checker = model.checker().threads(threads).spawn_bfs().join();
+    let states = checker.unique_state_count();
+    println!("{size} members, {spells} spells: {states} states");
+    checker.assert_properties();
+    states
+}
+
+#[test]
+fn three_members_come_to_agree_after_any_two_spells_of_faults() {
+    assert!(checked(Checked::new(3, 2)) > 5_000);
+}
+
+#[test]
+fn four_members_come_to_agree_after_any_spell_of_cut_links() {
+    assert!(checked(Checked::new(4, 1)) > 4_000);
+    assert!(checked(Checked { most_links: 1, ..Checked::new(4, 2) }) > 400);
+}
+
+/// Guards against a checker that finds nothing.
+#[test]
+fn a_planted_fault_is_found() {
+    let model = Checked { mute_to_dead: true, ..Checked::new(4, 1) };
+    let checker = model.checker().spawn_bfs().join();
+    assert!(checker.discovery("who is there is alive to all in the end").is_some());
+}
