Mend a false alarm of the fleet bench, play traces, and take two circles out of it

The history shows that the news had been written to a sender that had been dead for three seconds; its next process started with the list as it stood by then. The checker took the first for told, and never saw the second.

Change: a start forgets what the process before was told, and the list that it starts with counts as told. A view that is asked for before its sender is seen to be ready counts for it, too: one return of 300 had seemed to take 5 s. Arrivals can be given one by one (load.trace). explain orders the senders' lines by their time.

--- a/fleet/src/explain.rs
+++ b/fleet/src/explain.rs
@@ -83,17 +83,23 @@
     for breach in check(&history).iter().filter(|b| b.id.as_deref().is_some_and(|id| tries.contains(&id))) {
         let _ = writeln!(text, "BROKEN {breach}");
     }
-    let mut lines = 0;
+    let mut lines = Vec::new();
     for sender in 0..history.head.senders {
         let log = std::fs::read(folder.join(format!("sender-{sender}/log"))).unwrap_or_default();
         for line in String::from_utf8_lossy(&log).lines() {
             let names =
                 |id: &str| line.split(|c: char| !c.is_alphanumeric() && c != '-').any(|word| word == id);
-            if lines < LOG_LINES && tries.iter().any(|id| names(id)) {
-                lines += 1;
-                let _ = writeln!(text, "log of sender {sender}: {line}");
+            if tries.iter().any(|id| names(id)) {
+                // Of a line that is no object the time is not known; it comes first.
+                let read: Option<serde_json::Value> = serde_json::from_str(line).ok();
+                let time = read.and_then(|line| line["timestamp"].as_str().map(str::to_owned));
+                lines.push((time.unwrap_or_default(), sender, line.to_owned()));
             }
         }
     }
+    lines.sort();
+    for (_, sender, line) in lines.iter().take(LOG_LINES) {
+        let _ = writeln!(text, "log of sender {sender}: {line}");
+    }
     Ok(text)
 }
--- a/fleet/src/ledger/mod.rs
+++ b/fleet/src/ledger/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod checker;
 pub mod figures;
+pub mod rules;
 pub mod views;
 
 use std::fs::File;
--- a/fleet/src/ledger/views.rs
+++ b/fleet/src/ledger/views.rs
@@ -4,7 +4,7 @@
 
 use serde::Serialize;
 
-use super::checker::{Breach, Rule};
+use super::rules::{Breach, Rule};
 use super::{Entry, History, What};
 use crate::Micros;
 
@@ -107,9 +107,11 @@
                     }
                 }
                 What::Fault { on, cuts: true, .. } => self.cuts = (self.cuts.0 + if *on { 1 } else { -1 }, t),
-                What::View { sender, states, digest, isolated, .. } => {
+                What::View { sender, generation, states, digest, isolated, .. } => {
                     self.views.changes += 1;
-                    if let Some(this) = self.senders.get_mut(*sender).filter(|s| s.up.is_some()) {
+                    // It may be asked for its view before it is seen to be ready.
+                    if let Some(this) = self.senders.get_mut(*sender).filter(|s| s.generation == *generation)
+                    {
                         this.view = Some((states.clone(), digest.clone(), *isolated));
                     }
                     self.judge(*sender, states, t);
--- a/fleet/src/scenario.rs
+++ b/fleet/src/scenario.rs
@@ -71,11 +71,18 @@
     pub body_bytes: usize,
     /// Further tries after a refusal.
     pub retries: u32,
+    /// Arrivals one by one, in place of those that are drawn: second, sender, class (0 `notice`, 1 `disbursement`) and
+    /// destination.
+    #[serde(skip_serializing_if = "Vec::is_empty")]
+    pub trace: Vec<(f64, usize, usize, u16)>,
 }
 
+/// Arrivals of a trace at most.
+pub const MOST_TRACED: usize = 200_000;
+
 impl Default for Load {
     fn default() -> Self {
-        Self { per_s: 40.0, notice_share: 0.64, skew: 0.5, body_bytes: 200, retries: 1 }
+        Self { per_s: 40.0, notice_share: 0.64, skew: 0.5, body_bytes: 200, retries: 1, trace: vec![] }
     }
 }
 
@@ -128,6 +135,11 @@
     pub warm_s: f64,
 }
 
+/// Whether a destination is of kind `bank-partner`.
+pub fn bank(dest: u16) -> bool {
+    dest.is_multiple_of(3)
+}
+
 impl Default for Partners {
     fn default() -> Self {
         Self {
@@ -481,6 +493,20 @@
         for (n, fault) in self.fault.iter().enumerate() {
             all.extend(self.wrong_fault(&format!("fault[{n}]"), fault));
         }
+        if self.load.trace.len() > MOST_TRACED {
+            let (value, expected) = (self.load.trace.len().to_string(), format!("{MOST_TRACED} at most"));
+            all.push(Wrong { key: "load.trace".into(), value, expected });
+        }
+        for (n, (at, sender, class, dest)) in self.load.trace.iter().enumerate() {
+            let bank = *class == 0 || bank(*dest);
+            let there = *sender < self.senders && *class < 2 && *dest < self.partners.count && bank;
+            if !there || !(0.0..=self.length_s).contains(at) {
+                let value = format!("[{at}, {sender}, {class}, {dest}]");
+                let expected =
+                    "a second of the run, a sender, 0 or 1, and a destination that takes the class".into();
+                all.push(Wrong { key: format!("load.trace[{n}]"), value, expected });
+            }
+        }
         for part in self.sections.keys() {
             let own = ["name", "listen", "discovery", "seed", "limits", "known", "settings", "mgmt", "peers"];
             if own.contains(&part.as_str()) || part.starts_with("peer") {
--- a/fleet/src/sweep.rs
+++ b/fleet/src/sweep.rs
@@ -8,7 +8,7 @@
 use std::sync::atomic::{AtomicUsize, Ordering};
 
 use crate::experiment::{Outcome, Play, play};
-use crate::ledger::checker::Rule;
+use crate::ledger::rules::Rule;
 use crate::nemesis::schedule;
 use crate::report;
 use crate::scenario::Scenario;
--- a/fleet/src/world/clients.rs
+++ b/fleet/src/world/clients.rs
@@ -18,7 +18,7 @@
 use super::endpoints::digest;
 use super::{End, Message, Registry};
 use crate::ledger::{Recorder, What};
-use crate::scenario::Scenario;
+use crate::scenario::{Scenario, bank};
 use crate::{Micros, micros};
 
 /// A client waits so long for its answer.
@@ -56,6 +56,17 @@
 
 /// Draws the arrivals of a run; `factor` is how many times the usual load there is at a time.
 pub fn arrivals(scenario: &Scenario, seed: u64, factor: impl Fn(f64) -> f64) -> Vec<Arrival> {
+    if !scenario.load.trace.is_empty() {
+        let arrival = |(at, home, class, dest): &(f64, usize, usize, u16)| Arrival {
+            at: micros(*at),
+            home: *home,
+            class: *class,
+            dest: *dest,
+        };
+        let mut all: Vec<Arrival> = scenario.load.trace.iter().map(arrival).collect();
+        all.sort_by_key(|arrival| arrival.at);
+        return all;
+    }
     let mut rng = ChaCha8Rng::seed_from_u64(seed);
     let mut all = Vec::new();
     let (load, partners) = (&scenario.load, scenario.partners.count);
@@ -83,11 +94,6 @@
     }
 }
 
-/// Whether a destination is of kind `bank-partner`.
-pub fn bank(dest: u16) -> bool {
-    dest.is_multiple_of(3)
-}
-
 /// All clients of a run.
 pub struct Clients {
     senders: Vec<SocketAddr>,
--- a/fleet/src/world/senders.rs
+++ b/fleet/src/world/senders.rs
@@ -179,6 +179,11 @@
         let output = OpenOptions::new().create(true).append(true).open(&log).map_err(failed)?;
         let mut child = self.spawn(place, &file, &state, output).map_err(failed)?;
         self.recorder.see(What::Started { sender, generation, empty });
+        // The list that it starts with is told; what was written to a process that had died was not.
+        for listed in config["known"]["endpoints"].as_array().into_iter().flatten() {
+            let text = |key: &str| listed[key].as_str().unwrap_or_default().to_owned();
+            self.recorder.see(What::Told { sender, endpoint: text("name"), status: text("status") });
+        }
         let (orders, mut ordered) = mpsc::unbounded_channel::<(Signal, Asked)>();
         let (end, ended) = watch::channel(false);
         let recorder = self.recorder.clone();
--- a/fleet/tests/small.rs
+++ b/fleet/tests/small.rs
@@ -8,7 +8,7 @@
 use std::time::{Duration, Instant};
 
 use linenwing_fleet::experiment::{Outcome, Play, judge, play};
-use linenwing_fleet::ledger::checker::Rule;
+use linenwing_fleet::ledger::rules::Rule;
 use linenwing_fleet::ledger::{History, What};
 use linenwing_fleet::scenario::Scenario;
 use linenwing_fleet::{explain, report, sweep};
@@ -153,6 +153,25 @@
     assert_eq!((outcome.code(), outcome.figures.all.messages, outcome.figures.calls), (0, 0, 0));
 }
 
+/// Traced arrivals are played as they stand, and what can't be is refused.
+#[test]
+fn a_trace_is_played_as_it_stands() {
+    let out = tempfile::tempdir().unwrap();
+    let traced = |trace: &str| format!("[load]\ntrace = {trace}\n");
+    let (_, outcome) = played(small(&traced("[[0.2, 1, 1, 3], [0.1, 0, 0, 4], [0.3, 2, 0, 4]]")), out.path());
+    assert_eq!(outcome.figures.all.messages, 3);
+    let history = History::read(&out.path().join("history.jsonl")).unwrap();
+    let offered = history.entries.iter().filter_map(|entry| match &entry.what {
+        What::Offered { id, sender, class, dest, .. } if !id.contains('-') => Some((*sender, *class, *dest)),
+        _ => None,
+    });
+    assert_eq!(offered.collect::<Vec<_>>(), [(0, 0, 4), (1, 1, 3), (2, 0, 4)]);
+    let text =
+        format!("name = \"t\"\nlength_s = 5\nsenders = 3\n{}", traced("[[0.2, 1, 1, 4], [9.0, 0, 0, 0]]"));
+    let wrong = Scenario::read(&text).unwrap_err();
+    assert_eq!(wrong.iter().map(|w| w.key.as_str()).collect::<Vec<_>>(), ["load.trace[0]", "load.trace[1]"]);
+}
+
 fn script(folder: &Path, text: &str) -> PathBuf {
     let path = folder.join("program");
     std::fs::write(&path, text).unwrap();
--- a/fleet/tests/spoilt.rs
+++ b/fleet/tests/spoilt.rs
@@ -1,6 +1,7 @@
 //! The checker's own worth: a history that keeps every rule, spoilt in one place for each rule.
 
-use linenwing_fleet::ledger::checker::{Rule, check};
+use linenwing_fleet::ledger::checker::check;
+use linenwing_fleet::ledger::rules::Rule;
 use linenwing_fleet::ledger::{Asked, CallEnd, ClassRules, Entry, Head, History, What};
 
 const S: u64 = 1_000_000;
@@ -204,6 +205,7 @@
         check(&History::new(head, entries)).len()
     };
     assert_eq!(judged(both(S, "aa"), None), 0);
+    assert_eq!(judged(both(S / 20, "aa"), None), 0, "asked before they were seen to be ready");
     let wronged = [both(S, "aa"), vec![(20 * S, view(0, "ad", "2"))], both(30 * S, "aa")].concat();
     assert_eq!(judged(wronged.clone(), None), 1);
     assert_eq!(judged(wronged, Some((18 * S, 21 * S))), 0, "they were kept apart");
