Leave out of the view's core what nobody asks it

Need: two calls and a field of the core were read by nothing. Measured: the view's tests and the model's states pass as before; lints are clean.

--- a/src/membership.rs
+++ b/src/membership.rs
@@ -236,7 +236,6 @@
     fill: usize,
     slot: usize,
     next: Micros,
-    began: Micros,
     heard_any: Micros,
     /// Answers given since then.
     answered: (Micros, u32),
@@ -318,7 +317,6 @@
             slot: rng.usize(0..SENDS),
             // Starts do not march in step.
             next: now + rng.u64(0..period / SENDS as Micros + 1),
-            began: now,
             heard_any: now,
             answered: (now, 0),
             dirty: false,
@@ -355,11 +353,6 @@
         self.period
     }
 
-    /// Members seen alive, this one among them.
-    pub fn alive(&self) -> usize {
-        self.members.iter().filter(|member| member.state == State::Alive).count()
-    }
-
     /// Nothing has been heard for so long that what this member says of others means nothing; it then declares
     /// nobody dead.
     pub fn isolated(&self, now: Micros) -> bool {
@@ -812,11 +805,6 @@
         self.counts.sent_bytes += datagram.len() as u64;
         out.push((to, datagram));
     }
-
-    /// Since when this member has been there, and when it last heard anybody.
-    pub fn times(&self) -> (Micros, Micros) {
-        (self.began, self.heard_any)
-    }
 }
 
 /// A datagram's content.
