Make calls of the spoilt histories in one place

Need: two makers of a call in tests/spoilt.rs differed in the endpoint's name alone. Change: both go through one. Measured: the four tests of the checker pass with the same expectations; lints are clean.

--- a/fleet/tests/spoilt.rs
+++ b/fleet/tests/spoilt.rs
@@ -25,13 +25,16 @@
 }
 
 fn call(call: u64, id: &str, first: u64) -> What {
-    let (endpoint, ids) = ("s-003-0".to_owned(), vec![id.to_owned()]);
-    What::Call { call, sender: 0, endpoint, dest: 3, ids, first, last: first }
+    call_at("s-003-0", call, id, first)
 }
 
 /// A call to the destination's other endpoint, which does not drain.
 fn other(call: u64, id: &str, first: u64) -> What {
-    let (endpoint, ids) = ("s-003-1".to_owned(), vec![id.to_owned()]);
+    call_at("s-003-1", call, id, first)
+}
+
+fn call_at(endpoint: &str, call: u64, id: &str, first: u64) -> What {
+    let (endpoint, ids) = (endpoint.to_owned(), vec![id.to_owned()]);
     What::Call { call, sender: 0, endpoint, dest: 3, ids, first, last: first }
 }
 
