--- a/src/check.rs
+++ b/src/check.rs
@@ -266,6 +266,7 @@
     ("settings", Object, Must),
     ("draining", Object, Null),
     ("membership", Object, Null),
+    ("takeover", Object, Null),
 ];
 const LIMITS: &[(&str, Is, Need)] = &[("sockets", ANY, May), ("disk_mb", Over0, Must)];
 const SETTINGS: &[(&str, Is, Need)] = &[
@@ -331,9 +332,16 @@
     ("period_ms", Whole(crate::membership::PERIODS_MS.0 as u64, crate::membership::PERIODS_MS.1 as u64), May),
     ("tier", Text, May),
 ];
+const TAKEOVER: &[(&str, Is, Need)] = &[
+    ("lease_ms", Whole(crate::takeover::LEASES_MS.0 as u64, crate::takeover::LEASES_MS.1 as u64), May),
+    ("max_body", Whole(crate::takeover::BODIES.0 as u64, crate::takeover::BODIES.1 as u64), May),
+    ("room_mb", Whole(crate::takeover::ROOM_MB.0 as u64, crate::takeover::ROOM_MB.1 as u64), May),
+    ("tier", Text, May),
+];
 type Keys = &'static [(&'static str, Is, Need)];
 /// Sections of optional parts, and their keys.
-const SECTIONS: &[(&str, Keys)] = &[("draining", DRAINING), ("membership", MEMBERSHIP)];
+const SECTIONS: &[(&str, Keys)] =
+    &[("draining", DRAINING), ("membership", MEMBERSHIP), ("takeover", TAKEOVER)];
 
 fn object(faults: &mut Vec<Fault>, path: &str, value: Option<&Value>, keys: &[(&str, Is, Need)]) {
     // What is no object is told where its own key is looked at.
@@ -450,7 +458,7 @@
 }
 
 /// Sections of optional parts: leaving one out turns the part off.
-const OPTIONAL: &[&str] = &["draining", "membership"];
+const OPTIONAL: &[&str] = &["draining", "membership", "takeover"];
 
 /// What a document changes against another, key by key; a class is named, and goes as a whole.
 pub fn changes(before: &Value, after: &Value) -> Vec<Change> {
--- a/src/net/config.rs
+++ b/src/net/config.rs
@@ -12,6 +12,7 @@
 use myrtleyard::drain::Marks;
 use myrtleyard::interface::Settings;
 use myrtleyard::membership;
+use myrtleyard::takeover;
 use serde::Deserialize;
 use serde_json::Value;
 
@@ -49,6 +50,8 @@
     pub draining: Option<Draining>,
     /// The view of the fleet, where it is on.
     pub membership: Option<membership::Config>,
+    /// Covers for what is in hand, where they are on.
+    pub takeover: Option<takeover::Config>,
     /// The module's settings.
     pub settings: Settings,
     /// Names of classes, kinds and zones, in the settings' order.
@@ -70,6 +73,9 @@
     64
 }
 
+/// Bytes that the promises of a cover take of the folder at most, old and new file together.
+pub const MEMORY_ROOM: u64 = 256 * 1024;
+
 /// The document in force, for those who hold another against it.
 pub type InForce = Rc<RefCell<Arc<Value>>>;
 
@@ -105,6 +111,8 @@
     draining: Option<Draining>,
     #[serde(default)]
     membership: Option<membership::Config>,
+    #[serde(default)]
+    takeover: Option<takeover::Config>,
     settings: Value,
 }
 
@@ -227,6 +235,16 @@
             return Err(("membership", why));
         }
     }
+    if raw.takeover.is_some() {
+        let own = raw.peer_listen.is_some_and(|own| raw.peers.contains(&own));
+        if !own || !(3..=membership::MOST_MEMBERS).contains(&raw.peers.len()) {
+            let why = "is on, but peers do not hold peer_listen, or are under 3 or over 1,024".to_owned();
+            return Err(("takeover", why));
+        }
+        if MEMORY_ROOM > disk / 4 {
+            return Err(("takeover", "is on, and takes over a quarter of disk_mb".to_owned()));
+        }
+    }
     Ok(Config {
         name: raw.name,
         listen: raw.listen,
@@ -242,6 +260,7 @@
         known: raw.known,
         draining: raw.draining,
         membership: raw.membership,
+        takeover: raw.takeover,
         settings,
         names,
         document,
--- a/src/net/control.rs
+++ b/src/net/control.rs
@@ -15,6 +15,8 @@
     Endpoints,
     /// Who of the fleet is there, as this sender sees it.
     Members,
+    /// What is covered, held for others, and taken over.
+    Takeover,
     /// Send clients elsewhere, and have all ended within this time if there is one.
     OutOfService(Option<Micros>),
     /// Take endpoints out of use.
--- a/src/net/driver.rs
+++ b/src/net/driver.rs
@@ -1,6 +1,7 @@
 //! The loop round the module: events are collected into a turn, the module decides, the journal is
 //! written, and only then are clients answered and calls started.
 
+mod covered;
 mod draining;
 
 use std::cell::RefCell;
@@ -11,6 +12,7 @@
 
 use myrtleyard::interface::*;
 use myrtleyard::policy::Policy;
+use myrtleyard::takeover::lots::Fact;
 use tokio::net::{TcpListener, UnixStream};
 use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel};
 use tokio::sync::{oneshot, watch};
@@ -28,6 +30,8 @@
 use super::parts::{self, Parts};
 use super::peers::Peers;
 use super::platform::{self, Notice};
+use covered::Covered;
+
 use super::{AttemptOver, Clock, Inbound, STOP_WITHIN, Standing};
 
 /// From SIGTERM until clients have learnt to go elsewhere.
@@ -81,6 +85,8 @@
     drain: Option<Drain>,
     /// Those that the configuration turns on.
     parts: Parts,
+    /// What waits on other senders.
+    covered: Covered,
     intake: Rc<Intake>,
     endpoints: HashMap<EndpointId, Known>,
     /// The id of each name, and how many ids were given out.
@@ -169,6 +175,7 @@
         stop_at: None,
         drain: None,
         parts,
+        covered: Covered::default(),
         intake: intake.clone(),
         endpoints: HashMap::new(),
         ids: HashMap::new(),
@@ -185,6 +192,7 @@
         policy: Policy::new(config.settings.clone(), config.seed, clock.now()),
         settings: config.settings,
     };
+    driver.resume_covered();
     let (first, followed) = match predecessor {
         Some(predecessor) => {
             let (first, followed) = driver.take_over(predecessor, inbound.clone(), config.seed);
@@ -227,7 +235,7 @@
     loop {
         let due = driver.timers.first().map_or(Micros::MAX / 2, |timer| timer.0);
         // What is looked at now and then: an end that is near, a journal that could not be written.
-        let watchful = driver.stop_at.is_some() || !driver.unwritten.is_empty();
+        let watchful = driver.stop_at.is_some() || !driver.unwritten.is_empty() || driver.covered.waits();
         let due = if watchful { due.min(clock.now() + 50_000) } else { due };
         let due = due.min(driver.parts.due().unwrap_or(due));
         let first = tokio::select! {
@@ -244,6 +252,7 @@
         }
         let now = clock.now();
         driver.with_parts(|parts, out| parts.tick(now, out));
+        driver.covered(&mut said);
         while let Some(timer) = driver.timers.pop_first() {
             if timer.0 > now {
                 driver.timers.insert(timer);
@@ -251,7 +260,7 @@
             }
             said.push(Event::Reminder(timer.1));
         }
-        if !said.is_empty() || !driver.unwritten.is_empty() {
+        if !said.is_empty() || !driver.unwritten.is_empty() || !driver.unsaid.is_empty() {
             driver.turn(said);
         }
         if driver.may_end(intake.open()) {
@@ -262,6 +271,7 @@
             && let Some(stream) = driver.successor.take()
             && let Some(claim) = claim.take()
         {
+            driver.give_waiting_up();
             for task in std::mem::take(&mut tasks) {
                 task.abort();
                 let _ = task.await;
@@ -300,26 +310,17 @@
         let live: Vec<(u32, Live)> = self.journal.live().iter().map(|(n, l)| (*n, l.clone())).collect();
         for (number, live) in live {
             self.held.insert(live.taken.id.clone(), number);
-            let may_have_run: Vec<_> = live
-                .attempts
-                .iter()
-                .filter(|attempt| !attempt.never_ran)
-                .map(|attempt| (now.saturating_sub(attempt.at), self.id_of(&attempt.endpoint)))
-                .collect();
             let class = self.names.borrow().class(&live.taken.class);
             let given_up = match (live.given_up, class) {
                 (None, Some(class)) => {
-                    let attempts = live.attempts.last().map_or(0, |last| last.number + 1);
-                    self.attempts.insert(number, attempts);
-                    let message = self.message(number, class, &live.taken, now);
                     let (id, destination) = (&live.taken.id, live.taken.destination);
-                    tracing::debug!(id, destination, attempts, "taken up again");
-                    said.push(Event::Resumed { message, attempts: attempts.into(), may_have_run });
+                    tracing::debug!(id, destination, attempts = live.attempts.len(), "taken up again");
+                    said.push(self.resumed(number, class, &live, now));
                     continue;
                 }
                 (Some(how), _) => how,
                 // Its class is not one of the settings' any more, so that the module can't judge it.
-                (None, None) if may_have_run.is_empty() => GivenUp::Deferred(0),
+                (None, None) if live.attempts.iter().all(|a| a.never_ran) => GivenUp::Deferred(0),
                 (None, None) => GivenUp::Undeliverable,
             };
             self.figures.ended(&live.taken.class, given_up.into());
@@ -353,11 +354,9 @@
         self.held = knowledge.held;
         self.attempts = knowledge.attempts;
         // What the platform was told, but not written down to have been, it is told again.
-        for (number, live) in self.journal.live() {
-            if let Some(how) = live.given_up {
-                self.notify(*number, how, live.taken.id.clone());
-            }
-        }
+        let owed = self.journal.live().iter();
+        let owed = owed.filter_map(|(number, live)| Some((*number, live.given_up?, live.taken.id.clone())));
+        self.unsaid.extend(owed.collect::<Vec<_>>());
         let reset = |(message, attempt, endpoint)| AttemptOver {
             message,
             attempt,
@@ -458,6 +457,7 @@
             Inbound::NoticesKept(messages) => {
                 for MessageId(number) in messages {
                     if let Some(id) = self.journal.live().get(&number).map(|l| l.taken.id.clone()) {
+                        self.tell_of(number, Fact::Over);
                         self.unwritten.push(Record::Over(number));
                         self.forget(number, &id);
                     }
@@ -538,10 +538,15 @@
         let mut terminal = true;
         if let Some((id, class)) = owed.filter(|owed| self.held.get(&owed.0) == Some(&number)) {
             terminal = end.gone || end.outcome == Outcome::Delivered;
+            let never_ran = end.outcome.never_ran();
+            if terminal {
+                self.tell_of(number, Fact::Over);
+            } else if never_ran {
+                self.tell_of(number, Fact::NeverRan(end.attempt));
+            }
             self.unwritten.push(if terminal {
                 Record::Over(number)
             } else {
-                let never_ran = end.outcome.never_ran();
                 Record::Ended { message: number, attempt: end.attempt, never_ran }
             });
             let took_ms = end.took / 1000;
@@ -716,7 +721,11 @@
             }
         }
         let kept = records.len();
-        records.extend(fresh.iter().flat_map(|(number, fresh)| taken_on(*number, &fresh.taken)));
+        for (number, fresh) in &fresh {
+            records.extend(taken_on(*number, &fresh.taken));
+            let tag = self.place(&fresh.taken, now);
+            records.extend(tag.map(|tag| Record::Covered(*number, tag, now)));
+        }
         records.extend(sends.iter().map(|(message, attempt, endpoint, _)| Record::Begun {
             message: message.0,
             attempt: *attempt,
@@ -728,15 +737,22 @@
             records.truncate(kept);
             self.withhold(records, fresh, &sends);
         } else {
-            for fresh in fresh.into_values() {
+            for (number, fresh) in fresh {
+                self.cover(number, now);
                 let Taken { id, class, destination, .. } = &fresh.taken;
                 tracing::debug!(id, class, destination, "taken on");
                 fresh.answer(Answer::Taken);
             }
             for (number, how, id) in std::mem::take(&mut self.unsaid) {
-                self.notify(number, how, id);
+                self.end_told(number, how, id);
             }
+            let sends = self.keep_back(sends, now);
             self.begin(sends);
+            self.with_parts(|parts, out| {
+                if let Some(covering) = &mut parts.covering {
+                    covering.flush(now, out);
+                }
+            });
         }
         self.figures.stand(Now {
             current: self.policy.held(),
--- /dev/null
+++ b/src/net/driver/covered.rs
@@ -0,0 +1,402 @@
+//! Covers at the running sender: which message is told to others and when, which calls and notices wait for their
+//! grant, and what comes of messages that others lose or take. `myrtleyard::takeover` decides who owns what; the
+//! module decides what becomes of an adopted message, as it does for one that the journal gives back.
+
+use std::collections::BTreeMap;
+
+use myrtleyard::interface::*;
+use myrtleyard::takeover::lots::{Fact, Item, Known, LotId, Said};
+use myrtleyard::takeover::{self, Tag};
+use serde::{Deserialize, Serialize};
+use serde_json::json;
+
+use super::super::control::Reply;
+use super::super::journal::{GivenUp, Live, Record, Taken, taken_on};
+use super::super::parts::Part;
+use super::super::{AttemptOver, Inbound};
+use super::{Driver, End, NO_ROOM_AGAIN};
+
+/// Messages that are adopted in a turn at most: a turn stays short, and what the sender's own clients bring gets in
+/// between.
+const ADOPTED_AT_ONCE: usize = 16;
+/// A call waits so many leases for its grant; then the module hears that it was not made.
+const WAITS_FOR: Micros = 1;
+
+/// What covers are told of a message.
+#[derive(Serialize, Deserialize)]
+struct Told {
+    taken: Taken,
+    owner: Option<String>,
+    /// Since when others than its sender may own it.
+    since: Micros,
+}
+
+/// A call that waits for its grant.
+pub(super) struct HeldCall {
+    lot: LotId,
+    upto: u32,
+    since: Micros,
+    send: (MessageId, u16, EndpointId, Micros),
+}
+
+/// A notice that waits for its grant, or for the message's time to be up.
+struct HeldNotice {
+    lot: LotId,
+    upto: u32,
+    until: Micros,
+    message: u32,
+    how: GivenUp,
+    id: String,
+}
+
+/// A message that waits to be adopted.
+struct Adoption {
+    told: Told,
+    tag: Tag,
+    known: Known,
+}
+
+/// What waits on other senders, all of it within the messages that are held, and those of lots that were taken.
+#[derive(Default)]
+pub(super) struct Covered {
+    numbers: BTreeMap<(LotId, Item), u32>,
+    calls: Vec<HeldCall>,
+    notices: Vec<HeldNotice>,
+    /// By deadline, the latest first.
+    adoptions: Vec<Adoption>,
+    beyond_reach: u64,
+}
+
+impl Covered {
+    /// Whether it has to be looked at now and then.
+    pub(super) fn waits(&self) -> bool {
+        !(self.calls.is_empty() && self.notices.is_empty() && self.adoptions.is_empty())
+    }
+}
+
+fn end(how: GivenUp) -> takeover::lots::End {
+    match how {
+        GivenUp::Deferred(again) => takeover::lots::End::Deferred(again),
+        GivenUp::Undeliverable => takeover::lots::End::Undeliverable,
+    }
+}
+
+fn given_up(end: takeover::lots::End) -> GivenUp {
+    match end {
+        takeover::lots::End::Deferred(again) => GivenUp::Deferred(again),
+        takeover::lots::End::Undeliverable => GivenUp::Undeliverable,
+    }
+}
+
+impl Driver {
+    /// Where a message that is taken on gets its covers, if it does.
+    pub(super) fn place(&mut self, taken: &Taken, now: Micros) -> Option<Tag> {
+        let covering = self.parts.covering.as_mut()?;
+        covering.core.place(taken.body.len(), taken.deadline.saturating_sub(now)).ok()
+    }
+
+    /// Tells the covers of a message that the journal has.
+    pub(super) fn cover(&mut self, number: u32, now: Micros) {
+        let Some(Live { taken, covered: Some((tag, since)), .. }) = self.journal.live().get(&number) else {
+            return;
+        };
+        let told = Told { taken: taken.clone(), owner: taken.owner.clone(), since: *since };
+        let (tag, id) = (tag.clone(), taken.id.clone());
+        let Ok(record) = postcard::to_allocvec(&told) else { return };
+        tracing::debug!(id, lot = tag.lot.number, covers = ?tag.sides, "covered");
+        self.covered.numbers.insert((tag.lot, tag.item), number);
+        self.tell(&tag, Fact::Record(record), now);
+    }
+
+    fn tell(&mut self, tag: &Tag, fact: Fact, now: Micros) -> Option<u32> {
+        self.parts.covering.as_mut()?.core.tell(now, tag.lot, tag.item, fact)
+    }
+
+    /// Tells the covers something of a message that they know of.
+    pub(super) fn tell_of(&mut self, number: u32, fact: Fact) {
+        let live = self.journal.live().get(&number);
+        if let Some((tag, _)) = live.and_then(|live| live.covered.clone()) {
+            let over = fact == Fact::Over;
+            self.tell(&tag, fact, self.clock.now());
+            if over {
+                self.covered.numbers.remove(&(tag.lot, tag.item));
+                self.drop_waiting(number);
+            }
+        }
+    }
+
+    fn drop_waiting(&mut self, number: u32) {
+        self.covered.calls.retain(|held| held.send.0.0 != number);
+        self.covered.notices.retain(|held| held.message != number);
+    }
+
+    /// When others may have called for it for the first time, where they may repeat it.
+    pub(super) fn others_first(&mut self, live: &Live, class: usize) -> Option<(Micros, EndpointId)> {
+        let since = live.covered.as_ref()?.1;
+        let keyed = matches!(self.settings.classes.get(class)?.effect, Effect::Keyed { .. });
+        keyed.then(|| (self.clock.now().saturating_sub(since), self.id_of("")))
+    }
+
+    /// Whether an attempt may begin only with a grant: at any time if it must not happen twice, and otherwise when
+    /// another's first attempt might be forgotten where it went.
+    fn needs_grant(&self, live: &Live, since: Micros, now: Micros) -> bool {
+        let class = self.names.borrow().class(&live.taken.class);
+        match class.and_then(|class| self.settings.classes.get(class)).map(|class| class.effect) {
+            Some(Effect::Repeatable) => false,
+            Some(Effect::Keyed { window, .. }) => {
+                let margin = self.settings.connect_timeout.min(window / 4);
+                now + margin >= since + window
+            }
+            Some(Effect::Once) | None => true,
+        }
+    }
+
+    /// Tells the intents of a turn's calls, and keeps back those that wait for their grant.
+    pub(super) fn keep_back(
+        &mut self,
+        sends: Vec<(MessageId, u16, EndpointId, Micros)>,
+        now: Micros,
+    ) -> Vec<(MessageId, u16, EndpointId, Micros)> {
+        if self.parts.covering.is_none() {
+            return sends;
+        }
+        let mut free = Vec::with_capacity(sends.len());
+        for send in sends {
+            let live = self.journal.live().get(&send.0.0);
+            let Some((live, (tag, since))) = live.and_then(|live| Some((live, live.covered.clone()?))) else {
+                free.push(send);
+                continue;
+            };
+            let needs = self.needs_grant(live, since, now);
+            let upto = self.tell(&tag, Fact::Intent(send.1), now);
+            let owned = self.parts.covering.as_ref().is_some_and(|covering| covering.core.owns(tag.lot));
+            match upto {
+                Some(upto) if needs => {
+                    self.covered.calls.push(HeldCall { lot: tag.lot, upto, since: now, send });
+                }
+                // It is about to hear that another owns it.
+                None if needs && !owned => self.not_made(send),
+                _ => free.push(send),
+            }
+        }
+        free
+    }
+
+    fn not_made(&self, (message, attempt, endpoint, _): (MessageId, u16, EndpointId, Micros)) {
+        let outcome = Outcome::Moot { no_slot: false };
+        let end = AttemptOver { message, attempt, endpoint, outcome, gone: false, took: 0, report: vec![] };
+        let _ = self.inbound.send(Inbound::CallOver(vec![end]));
+    }
+
+    /// No call that waits is made by this process.
+    pub(super) fn give_waiting_up(&mut self) {
+        for held in std::mem::take(&mut self.covered.calls) {
+            self.not_made(held.send);
+        }
+    }
+
+    /// Tells the platform of an end, once those who know of the message know of that too. What is not granted by
+    /// the time that the message has is told all the same, as what it then is for sure: undeliverable by anybody.
+    pub(super) fn end_told(&mut self, number: u32, how: GivenUp, id: String) {
+        let live = self.journal.live().get(&number);
+        let until = live.map_or(0, |live| live.taken.deadline);
+        let tag = live.and_then(|live| live.covered.clone());
+        let upto = tag.as_ref().and_then(|(tag, _)| {
+            let upto = self.tell(tag, Fact::GivenUp(end(how)), self.clock.now());
+            upto.map(|upto| (tag.lot, upto))
+        });
+        match upto {
+            Some((lot, upto)) => {
+                self.covered.notices.push(HeldNotice { lot, upto, until, message: number, how, id });
+            }
+            None => self.notify(number, how, id),
+        }
+    }
+
+    /// Lots that an earlier process owned: it is asked whether this one may go on.
+    pub(super) fn resume_covered(&mut self) {
+        let live = self.journal.live().iter();
+        let tags: Vec<(u32, Tag)> =
+            live.filter_map(|(number, live)| Some((*number, live.covered.clone()?.0))).collect();
+        let now = self.clock.now();
+        let Some(covering) = self.parts.covering.as_mut() else { return };
+        covering.core.resume(now, tags.iter().map(|(_, tag)| tag.clone()));
+        let numbers = tags.into_iter().map(|(number, tag)| ((tag.lot, tag.item), number));
+        self.covered.numbers.extend(numbers);
+    }
+
+    /// Carries out what has come of other senders' datagrams and of time.
+    pub(super) fn covered(&mut self, said: &mut Vec<Event>) {
+        let Some(covering) = self.parts.covering.as_mut() else { return };
+        for come in covering.core.said() {
+            match come {
+                Said::Granted { lot, upto } => self.granted(lot, upto),
+                Said::Adopt { lot, epoch, sides, items } => {
+                    tracing::info!(
+                        owner = lot.owner,
+                        lot = lot.number,
+                        epoch,
+                        messages = items.len(),
+                        "a lot is taken over"
+                    );
+                    for (item, known) in items {
+                        let record = known.record.as_deref().unwrap_or_default();
+                        let Ok(told) = postcard::from_bytes::<Told>(record) else { continue };
+                        let tag = Tag { lot, epoch, item, sides: sides.clone() };
+                        self.covered.adoptions.push(Adoption { told, tag, known });
+                    }
+                    self.covered.adoptions.sort_by_key(|a| std::cmp::Reverse(a.told.taken.deadline));
+                }
+                Said::Lost { lot, items } => {
+                    items.into_iter().for_each(|item| self.elsewhere((lot, item), said));
+                }
+                Said::Over(lot, item) => {
+                    self.covered.adoptions.retain(|a| (a.tag.lot, a.tag.item) != (lot, item));
+                    if let Some(covering) = &mut self.parts.covering {
+                        covering.core.tell(self.clock.now(), lot, item, Fact::Over);
+                    }
+                    self.elsewhere((lot, item), said);
+                }
+            }
+        }
+        let now = self.clock.now();
+        let lease = self.parts.covering.as_ref().map_or(0, |covering| covering.core.lease());
+        let late = |held: &HeldCall| now > held.since + WAITS_FOR * lease;
+        let (late, waiting): (Vec<_>, Vec<_>) =
+            std::mem::take(&mut self.covered.calls).into_iter().partition(late);
+        self.covered.calls = waiting;
+        late.into_iter().for_each(|held| self.not_made(held.send));
+        let (due, waiting): (Vec<_>, Vec<_>) =
+            std::mem::take(&mut self.covered.notices).into_iter().partition(|held| now >= held.until);
+        self.covered.notices = waiting;
+        // Somebody else may have called, or be calling: that it never ran can't be said any more.
+        due.into_iter().for_each(|held| self.notify(held.message, GivenUp::Undeliverable, held.id));
+        for _ in 0..ADOPTED_AT_ONCE {
+            let Some(next) = self.covered.adoptions.pop() else { break };
+            if let Err(again) = self.adopt(next, now, said) {
+                self.covered.adoptions.push(*again);
+                break;
+            }
+        }
+    }
+
+    fn granted(&mut self, lot: LotId, upto: u32) {
+        let now = self.clock.now();
+        let (free, waiting): (Vec<_>, Vec<_>) = std::mem::take(&mut self.covered.calls)
+            .into_iter()
+            .partition(|held| held.lot == lot && held.upto <= upto);
+        self.covered.calls = waiting;
+        let owed = |held: &HeldCall| {
+            let live = self.journal.live().get(&held.send.0.0);
+            live.is_some_and(|live| live.given_up.is_none())
+        };
+        let sends: Vec<_> = free
+            .into_iter()
+            .filter(owed)
+            .map(|HeldCall { since, send: (message, attempt, endpoint, wait), .. }| {
+                (message, attempt, endpoint, wait.saturating_sub(now - since).max(1_000))
+            })
+            .collect();
+        self.begin(sends);
+        let (told, waiting): (Vec<_>, Vec<_>) = std::mem::take(&mut self.covered.notices)
+            .into_iter()
+            .partition(|held| held.lot == lot && held.upto <= upto);
+        self.covered.notices = waiting;
+        told.into_iter().for_each(|held| self.notify(held.message, held.how, held.id));
+    }
+
+    /// A message that this sender had is another's, or is over.
+    fn elsewhere(&mut self, place: (LotId, Item), said: &mut Vec<Event>) {
+        let Some(number) = self.covered.numbers.remove(&place) else { return };
+        self.drop_waiting(number);
+        let Some(live) = self.journal.live().get(&number) else { return };
+        let id = live.taken.id.clone();
+        tracing::debug!(id, lot = place.0.number, "another sender has it now");
+        said.push(Event::Left(MessageId(number)));
+        self.unwritten.push(Record::Over(number));
+        self.forget(number, &id);
+    }
+
+    /// Takes a message on that another sender had. Given back if it can't be written down.
+    fn adopt(&mut self, from: Adoption, now: Micros, said: &mut Vec<Event>) -> Result<(), Box<Adoption>> {
+        let Adoption { told, tag, known } = &from;
+        let taken = Taken { owner: told.owner.clone(), ..told.taken.clone() };
+        if self.held.contains_key(&taken.id) {
+            return Ok(());
+        }
+        let number = self.next_message;
+        let (id, place) = (taken.id.clone(), (tag.lot, tag.item));
+        let mut records: Vec<Record> = taken_on(number, &taken).collect();
+        records.push(Record::Covered(number, tag.clone(), told.since));
+        for (attempt, never_ran) in &known.attempts {
+            let (message, attempt, endpoint) = (number, *attempt, String::new());
+            records.push(Record::Begun { message, attempt, endpoint, at: told.since });
+            if *never_ran {
+                records.push(Record::Ended { message, attempt, never_ran: true });
+            }
+        }
+        let class = self.names.borrow().class(&taken.class);
+        let reach = class.is_some()
+            && self.journal.has_room(&taken, 0)
+            && self.policy.held() < self.settings.max_open;
+        let once = class.is_some_and(|class| self.settings.classes[class].effect == Effect::Once);
+        let how = match known.given_up.map(given_up) {
+            None if reach => None,
+            // Nobody else calls for it any more, and nobody has.
+            None if once && !known.may_have_run() => Some(GivenUp::Deferred(NO_ROOM_AGAIN)),
+            None => Some(GivenUp::Undeliverable),
+            some => some,
+        };
+        records.extend(how.map(|how| Record::GivenUp(number, how)));
+        if let Err(e) = self.journal.append(&records) {
+            tracing::error!("the journal can't be written: {e}");
+            return Err(Box::new(from));
+        }
+        self.next_message = number.wrapping_add(1);
+        self.covered.numbers.insert(place, number);
+        self.held.insert(id.clone(), number);
+        let attempts = known.attempts.last_key_value().map_or(0, |(last, _)| last + 1);
+        let (from, destination) = (tag.lot.owner, taken.destination);
+        tracing::debug!(id, from, destination, attempts, ?how, "taken over");
+        if let Some(how) = how {
+            self.covered.beyond_reach += u64::from(!reach);
+            self.figures.ended(&taken.class, End::from(how));
+            self.unsaid.push((number, how, id));
+            return Ok(());
+        }
+        let Some(live) = self.journal.live().get(&number).cloned() else { return Ok(()) };
+        said.push(self.resumed(number, class.unwrap_or_default(), &live, now));
+        Ok(())
+    }
+
+    /// What the module is told of a message that it did not take on itself.
+    pub(super) fn resumed(&mut self, number: u32, class: usize, live: &Live, now: Micros) -> Event {
+        let mut may_have_run: Vec<_> = live
+            .attempts
+            .iter()
+            .filter(|attempt| !attempt.never_ran)
+            .map(|attempt| (now.saturating_sub(attempt.at), self.id_of(&attempt.endpoint)))
+            .collect();
+        may_have_run.extend(self.others_first(live, class));
+        let attempts = live.attempts.last().map_or(0, |last| last.number + 1);
+        self.attempts.insert(number, attempts);
+        let message = self.message(number, class, &live.taken, now);
+        Event::Resumed { message, attempts: attempts.into(), may_have_run }
+    }
+
+    /// How covers stand, for operators.
+    pub(super) fn takeover_report(&self) -> Reply {
+        let Some(covering) = &self.parts.covering else {
+            let why = "nothing is covered: the configuration has no section \"takeover\"";
+            return Reply::no(hyper::StatusCode::NOT_FOUND, why);
+        };
+        let mut report = covering.report(self.clock.now());
+        let covered = self.journal.live().values().filter(|live| live.covered.is_some()).count();
+        report["in_hand"] = json!({"covered": covered, "all": self.journal.live().len(),
+                                   "calls_waiting": self.covered.calls.len(),
+                                   "notices_waiting": self.covered.notices.len(),
+                                   "adoptions_waiting": self.covered.adoptions.len()});
+        report["beyond_reach"] = json!(self.covered.beyond_reach);
+        Reply::yes(&report)
+    }
+}
--- a/src/net/journal.rs
+++ b/src/net/journal.rs
@@ -8,6 +8,7 @@
 
 use bytes::Bytes;
 use myrtleyard::interface::Micros;
+use myrtleyard::takeover::Tag;
 use serde::{Deserialize, Serialize};
 
 /// One thing that happened to a message. Times are Unix microseconds.
@@ -39,8 +40,10 @@
     GivenUp(u32, GivenUp),
     /// Nothing more is owed.
     Over(u32),
-    /// Whose message it is. It stands apart from `Taken`, and last, so that older journals can be read.
+    /// Whose message it is. It stands apart from `Taken`, and after the others, so that older journals can be read.
     Owner(u32, String),
+    /// Others know of the message from now on: where it is covered, and since when.
+    Covered(u32, Tag, Micros),
 }
 
 /// A message as it was handed in.
@@ -94,10 +97,14 @@
     pub attempts: Vec<Attempt>,
     /// Its end, where only the notice is still owed.
     pub given_up: Option<GivenUp>,
+    /// Where it is covered, and since when.
+    pub covered: Option<(Tag, Micros)>,
 }
 
 /// What a message's later records take at most: its attempts, their ends and its own.
 const LATER_RECORDS: u64 = 640;
+/// What the record of its covers takes at most.
+const COVERED_RECORD: u64 = 96;
 /// A frame's length and checksum.
 const FRAME: usize = 8;
 
@@ -221,7 +228,8 @@
         match record {
             Record::Taken(message, taken) => {
                 self.reserved += need(&taken);
-                self.live.insert(message, Live { taken, attempts: Vec::new(), given_up: None });
+                self.live
+                    .insert(message, Live { taken, attempts: Vec::new(), given_up: None, covered: None });
             }
             Record::Begun { message, attempt, endpoint, at } => {
                 if let Some(live) = self.live.get_mut(&message) {
@@ -242,7 +250,7 @@
             }
             Record::Over(message) => {
                 if let Some(live) = self.live.remove(&message) {
-                    self.reserved -= need(&live.taken);
+                    self.reserved -= need(&live.taken) + live.covered.map_or(0, |_| COVERED_RECORD);
                 }
             }
             Record::Owner(message, owner) => {
@@ -252,6 +260,13 @@
                     self.reserved += need(&live.taken);
                 }
             }
+            Record::Covered(message, tag, since) => {
+                if let Some(live) = self.live.get_mut(&message)
+                    && live.covered.replace((tag, since)).is_none()
+                {
+                    self.reserved += COVERED_RECORD;
+                }
+            }
         }
     }
 
@@ -269,6 +284,9 @@
                     frame(&Record::Ended { message, attempt, never_ran: true }, &mut bytes)?;
                 }
             }
+            if let Some((tag, since)) = live.covered.clone() {
+                frame(&Record::Covered(*message, tag, since), &mut bytes)?;
+            }
             if let Some(how) = live.given_up {
                 frame(&Record::GivenUp(*message, how), &mut bytes)?;
             }
--- a/src/net/mgmt.rs
+++ b/src/net/mgmt.rs
@@ -111,6 +111,7 @@
             "/control/drain" if get => self.ask(Ask::Drain).await,
             "/control/endpoints" if get => self.ask(Ask::Endpoints).await,
             "/control/members" if get => self.ask(Ask::Members).await,
+            "/control/takeover" if get => self.ask(Ask::Takeover).await,
             "/control/endpoints/drain" if post => {
                 self.ask_with(request, |body| read(body).map(Ask::DrainEndpoints)).await
             }
@@ -119,7 +120,7 @@
             }
             "/control/config/check" if post => answered(self.check(request).await),
             "/control/ready" | "/control/counters" | "/control/drain" | "/control/endpoints"
-            | "/control/members" => not_allowed("GET"),
+            | "/control/members" | "/control/takeover" => not_allowed("GET"),
             "/control/out-of-service"
             | "/control/in-service"
             | "/control/endpoints/drain"
--- /dev/null
+++ b/src/net/parts/covering.rs
@@ -0,0 +1,132 @@
+//! Covers at the running sender: what outlasts the process, whom the view recommends, and what operators are told.
+//! `myrtleyard::takeover` is the protocol itself.
+
+use std::collections::BTreeMap;
+use std::hash::{BuildHasher, RandomState};
+use std::path::{Path, PathBuf};
+
+use myrtleyard::interface::Micros;
+use myrtleyard::membership::State;
+use myrtleyard::takeover::channel::MAGIC;
+use myrtleyard::takeover::lots::Memory;
+use myrtleyard::takeover::{Fit, Takeover};
+use serde_json::{Value, json};
+
+use super::super::config::Config;
+use super::super::lasting;
+use super::view::View;
+use super::{Out, Part};
+
+/// The part.
+pub struct Covering {
+    /// The protocol.
+    pub core: Takeover,
+    at: PathBuf,
+    /// On another host, by rank.
+    elsewhere: Vec<bool>,
+    /// A promise could not be written down yet: nothing is sent until it is.
+    unwritten: bool,
+}
+
+/// A number that no process of any sender draws twice.
+fn chance() -> u64 {
+    RandomState::new().hash_one(std::process::id())
+}
+
+impl Covering {
+    /// As the configuration has it, with the promises of earlier processes; nothing without its section.
+    pub fn open(config: &Config, folder: &Path, now: Micros) -> Option<Self> {
+        let section = config.takeover.as_ref()?;
+        let own = config.peers.iter().position(|peer| Some(*peer) == config.peer_listen)?;
+        let at = folder.join("promises");
+        let read = lasting::read(&at).map_err(|e| e.to_string());
+        let read = read.and_then(|text| match text {
+            Some(text) => postcard::from_bytes(&text).map(Some).map_err(|e| e.to_string()),
+            None => Ok(None),
+        });
+        let memory = read.unwrap_or_else(|e| {
+            tracing::error!("the promises to other senders can't be read, and count for forgotten: {e}");
+            None
+        });
+        let unwritten = memory.is_none();
+        let memory = memory.unwrap_or_else(|| Memory { id: chance(), promises: BTreeMap::new() });
+        let host = |rank: usize| config.peers.get(rank).map(|peer| peer.ip());
+        let elsewhere = (0..config.peers.len()).map(|rank| host(rank) != host(own)).collect();
+        let core = Takeover::new(section, own as u16, config.peers.len(), chance(), memory, now);
+        Some(Self { core, at, elsewhere, unwritten })
+    }
+
+    /// Looks whom the view recommends as covers.
+    pub fn look(&mut self, view: Option<&View>) {
+        let members = view.map(View::members);
+        let fit = |(rank, elsewhere): (usize, &bool)| match members.as_ref().and_then(|all| all.get(rank)) {
+            _ if !elsewhere => Fit::No,
+            Some((State::Dead | State::Left, _)) => Fit::No,
+            Some((_, true)) => Fit::Near,
+            _ => Fit::Far,
+        };
+        self.core.set_fits(self.elsewhere.iter().enumerate().map(fit).collect());
+    }
+
+    /// Sends what is due, after what it rests on is written down.
+    pub fn flush(&mut self, now: Micros, out: &mut Out) {
+        let memory = match self.core.to_remember() {
+            Some(memory) => Some(memory),
+            None if self.unwritten => Some(self.core.memory()),
+            None => None,
+        };
+        if let Some(memory) = memory {
+            let written = postcard::to_allocvec(memory).map_err(std::io::Error::other);
+            self.unwritten = match written.and_then(|bytes| lasting::write(&self.at, &bytes)) {
+                Ok(()) => false,
+                Err(e) => {
+                    tracing::error!("promises to other senders can't be written down, none is sent: {e}");
+                    true
+                }
+            };
+        }
+        if !self.unwritten {
+            self.core.flush(now, out);
+        }
+    }
+}
+
+impl Part for Covering {
+    fn due(&self) -> Option<Micros> {
+        Some(self.core.due())
+    }
+
+    fn tick(&mut self, now: Micros, out: &mut Out) {
+        self.core.tick(now);
+        self.flush(now, out);
+    }
+
+    fn datagram(&mut self, now: Micros, from: u16, bytes: &[u8], _out: &mut Out) -> bool {
+        let own = bytes.first() == Some(&MAGIC);
+        if own {
+            // What it brings about is sent at the end of the turn, one answer for all.
+            self.core.receive(now, from, bytes);
+        }
+        own
+    }
+
+    fn serving(&mut self, now: Micros, serving: bool, out: &mut Out) {
+        self.core.set_leaving(now, !serving);
+        self.flush(now, out);
+    }
+
+    fn report(&self, now: Micros) -> Value {
+        let (lots, messages, bytes) = self.core.holding();
+        let covers = self.core.covers(now).into_iter();
+        let covers: Vec<Value> =
+            covers.map(|(rank, heard)| json!({"rank": rank, "heard_ms": heard / 1000})).collect();
+        let mut report = json!({"lease_ms": self.core.lease() / 1000, "covers": covers,
+                                "held_for_others": {"lots": lots, "messages": messages, "bytes": bytes}});
+        if let (Some(report), Ok(Value::Object(counts))) =
+            (report.as_object_mut(), serde_json::to_value(&self.core.counts))
+        {
+            report.extend(counts);
+        }
+        report
+    }
+}
--- a/src/net/parts/mod.rs
+++ b/src/net/parts/mod.rs
@@ -2,6 +2,7 @@
 //! section it is not there, and costs no datagram, call, timer or file. It is told of time and datagrams, says what
 //! to send and when to call it, and reports to operators. None of them decides what becomes of a message.
 
+pub mod covering;
 pub mod draining;
 pub mod view;
 
@@ -10,7 +11,8 @@
 use myrtleyard::interface::Micros;
 use serde_json::Value;
 
-use super::config::Config;
+use super::config::{Config, MEMORY_ROOM};
+use covering::Covering;
 use draining::Draining;
 use view::View;
 
@@ -45,6 +47,8 @@
     pub draining: Option<Draining>,
     /// The view of the fleet.
     pub view: Option<View>,
+    /// Covers for what is in hand.
+    pub covering: Option<Covering>,
 }
 
 impl Parts {
@@ -53,15 +57,18 @@
         Self {
             draining: config.draining.map(|section| Draining::open(folder, section.max_marks)),
             view: View::open(config, now),
+            covering: Covering::open(config, folder, now),
         }
     }
 
     /// Bytes that parts may take of the folder that lasts.
     pub fn room(config: &Config) -> u64 {
-        config.draining.map_or(0, |section| Draining::room(section.max_marks))
+        let marks = config.draining.map_or(0, |section| Draining::room(section.max_marks));
+        marks + config.takeover.as_ref().map_or(0, |_| MEMORY_ROOM)
     }
 
-    /// The configuration has changed. Draining stays as it was at the start, since its room was set aside then.
+    /// The configuration has changed. Draining and covers stay as they were at the start, since their room was set
+    /// aside then.
     pub fn adopt(&mut self, config: &Config, now: Micros, out: &mut Out) {
         match (&mut self.view, &config.membership) {
             (Some(view), Some(_)) => view.adopt(config, now),
@@ -76,18 +83,23 @@
     fn each(&mut self) -> impl Iterator<Item = &mut dyn Part> {
         let draining = self.draining.as_mut().map(|part| part as &mut dyn Part);
         let view = self.view.as_mut().map(|part| part as &mut dyn Part);
-        draining.into_iter().chain(view)
+        let covering = self.covering.as_mut().map(|part| part as &mut dyn Part);
+        draining.into_iter().chain(view).chain(covering)
     }
 
     /// When the first of them wants to be called.
     pub fn due(&self) -> Option<Micros> {
         let draining = self.draining.as_ref().and_then(Part::due);
         let view = self.view.as_ref().and_then(Part::due);
-        draining.into_iter().chain(view).min()
+        let covering = self.covering.as_ref().and_then(Part::due);
+        draining.into_iter().chain(view).chain(covering).min()
     }
 
     /// Calls those whose time has come.
     pub fn tick(&mut self, now: Micros, out: &mut Out) {
+        if let Some(covering) = &mut self.covering {
+            covering.look(self.view.as_ref());
+        }
         for part in self.each().filter(|part| part.due().is_some_and(|due| due <= now)) {
             part.tick(now, out);
         }
--- a/src/net/parts/view.rs
+++ b/src/net/parts/view.rs
@@ -73,6 +73,12 @@
 }
 
 impl View {
+    /// What is held of each member, and whether it is in this sender's zone.
+    pub fn members(&self) -> Vec<(State, bool)> {
+        let near = |member: &Member| member.record.zone == self.place.zone;
+        self.core.members().iter().map(|member| (member.state, near(member))).collect()
+    }
+
     /// Writes down what has changed since the last time.
     fn tell(&mut self) {
         let news = self.core.version - self.told;
--- a/src/takeover/lots.rs
+++ b/src/takeover/lots.rs
@@ -229,6 +229,8 @@
     owned: BTreeMap<LotId, Owned>,
     /// Peers whose lease has lapsed.
     lapsed: BTreeSet<Rank>,
+    /// There is no room for further lots and records.
+    full: bool,
 }
 
 /// What came of a call, in order. `ops` go out only after `memory`, if it changed, is written down.
@@ -258,7 +260,14 @@
 impl Lots {
     /// With what an earlier process left.
     pub fn new(own: Rank, memory: Memory) -> Self {
-        Self { own, memory, covers: BTreeMap::new(), owned: BTreeMap::new(), lapsed: BTreeSet::new() }
+        Self {
+            own,
+            memory,
+            covers: BTreeMap::new(),
+            owned: BTreeMap::new(),
+            lapsed: BTreeSet::new(),
+            full: false,
+        }
     }
 
     /// What has to outlast the process.
@@ -372,11 +381,14 @@
         self.covers.remove(&lot);
     }
 
-    /// A peer has not been heard for as long as its lease. It may be told at any time, and may be wrong.
-    pub fn lapse(&mut self, peer: Rank, out: &mut Out) {
-        if self.lapsed.insert(peer) {
+    /// A peer has not been heard for as long as its lease; whether that is new. It may be told at any time, and may
+    /// be wrong.
+    pub fn lapse(&mut self, peer: Rank, out: &mut Out) -> bool {
+        let new = self.lapsed.insert(peer);
+        if new {
             self.without(peer, |_| true, out);
         }
+        new
     }
 
     /// It is a lease since [`Lots::reset`]: what the new process has not asked about by now it knows nothing of.
@@ -487,6 +499,17 @@
         }
     }
 
+    /// Whether there is room for further lots and records: a cover says no, and drops nothing that it has.
+    pub fn set_full(&mut self, full: bool) {
+        self.full = full;
+    }
+
+    /// Bytes of all records here.
+    pub fn bytes(&self) -> usize {
+        let known = self.covers.values().flat_map(|cover| cover.items.values());
+        known.map(|known| known.record.as_ref().map_or(0, Vec::len)).sum()
+    }
+
     /// Lots that are covered here, and messages in them that are owed.
     pub fn covering(&self) -> impl Iterator<Item = (LotId, usize)> + '_ {
         let owed = |cover: &Cover| cover.items.values().filter(|known| !known.over).count();
@@ -604,7 +627,7 @@
         let other = covers[usize::from(!second)];
         let sound = lot.owner == from && covers.contains(&self.own) && other != self.own && other != from;
         // Whoever knows of a promise in it has been in it before.
-        if !sound || self.covers.contains_key(&lot) || self.memory.promises.contains_key(&lot) {
+        if !sound || self.full || self.covers.contains_key(&lot) || self.memory.promises.contains_key(&lot) {
             return;
         }
         let (role, items) = (Role::Covering, BTreeMap::new());
@@ -624,7 +647,8 @@
             Role::Promised => from == cover.other && epoch == cover.promised,
             _ => false,
         };
-        if owner && (cover.items.contains_key(&item) || (cover.items.len() as u32) < 4 * MOST_ITEMS) {
+        let more = !self.full && (cover.items.len() as u32) < MOST_ITEMS;
+        if owner && (cover.items.contains_key(&item) || more) {
             cover.items.entry(item).or_default().learn(fact);
             out.op(from, Op::Granted { lot, epoch, upto: n });
             return;
--- a/src/takeover/mod.rs
+++ b/src/takeover/mod.rs
@@ -1,3 +1,513 @@
-//! Work in hand survives the loss of its sender. [`lots`] decides who owns what; `docs/takeover.md` has the argument.
+//! Work in hand survives the loss of its sender: each message that is covered has two other senders that know of it,
+//! and one of them takes it over when its owner is heard no more. [`lots`] decides who owns what and never looks at a
+//! clock; [`channel`] carries what senders tell each other; here are leases, the choice of covers, and the bounds.
+//!
+//! Sans I/O: time, chance and datagrams come from outside. What is to be sent may go only after what is to be
+//! remembered, if anything, is written down.
 
+pub mod channel;
 pub mod lots;
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use serde::{Deserialize, Serialize};
+
+use crate::interface::Micros;
+use channel::Channel;
+use lots::{Fact, Item, LotId, Lots, MOST_ITEMS, Memory, Op, Out, Rank, Said};
+
+/// Bounds of the lease, milliseconds.
+pub const LEASES_MS: (u32, u32) = (200, 30_000);
+/// Bounds of a covered message's body, bytes.
+pub const BODIES: (u32, u32) = (0, 65_536);
+/// Bounds of the memory for others' messages, MB.
+pub const ROOM_MB: (u32, u32) = (1, 64);
+/// A message that may live longer is not covered: covers keep nothing for longer than [`KEPT`].
+pub const LONGEST: Micros = 60_000_000;
+/// After this time a cover forgets a lot that nobody came to own.
+const KEPT: Micros = 2 * LONGEST;
+/// A lot takes new messages for so long; the next one is opened a little before.
+const TAKES_FOR: Micros = 5_000_000;
+const OPENED_BEFORE: Micros = 1_000_000;
+/// Lots that are covered here at most.
+const MOST_COVERED: usize = 2_048;
+/// A sender that does not come to cover is left out for so long.
+const LEFT_OUT: Micros = 5_000_000;
+
+/// The section of the configuration.
+#[derive(Debug, Clone, PartialEq, Eq, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Config {
+    /// A cover that has heard nothing of an owner for so long may take its messages over, milliseconds.
+    #[serde(default = "lease")]
+    pub lease_ms: u32,
+    /// Longer bodies are not covered, bytes.
+    #[serde(default = "body")]
+    pub max_body: u32,
+    /// For messages of others, MB.
+    #[serde(default = "room")]
+    pub room_mb: u32,
+    /// Tells tiers apart that are wrongly given the same addresses.
+    #[serde(default)]
+    pub tier: String,
+}
+
+fn lease() -> u32 {
+    1_000
+}
+
+fn body() -> u32 {
+    4_096
+}
+
+fn room() -> u32 {
+    8
+}
+
+/// How good a cover another sender would be.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Fit {
+    /// It is near, on another host.
+    Near,
+    /// It is on another host.
+    Far,
+    /// It is on this host, or held for gone.
+    No,
+}
+
+/// Where a message is covered. It goes into the journal, before anybody is told.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct Tag {
+    /// Its lot.
+    pub lot: LotId,
+    /// The owner's epoch.
+    pub epoch: lots::Epoch,
+    /// Which message of it.
+    pub item: Item,
+    /// Those whose grant is needed, and what tells whether they have forgotten.
+    pub sides: Vec<(Rank, u64)>,
+}
+
+/// Why a message is not covered.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Uncovered {
+    /// No two others cover this sender at present.
+    NoCovers,
+    /// It is too long.
+    Body,
+    /// It may live too long.
+    Time,
+}
+
+/// Counts since the process began.
+#[derive(Debug, Default, Clone, PartialEq, Eq, Serialize)]
+pub struct Counts {
+    /// Messages told to covers.
+    pub covered: u64,
+    /// Messages that were not, by reason.
+    pub uncovered: BTreeMap<Uncovered, u64>,
+    /// Datagrams sent, and their bytes.
+    pub sent: (u64, u64),
+    /// Datagrams that were not sound, or of another time.
+    pub dropped: u64,
+    /// Leases that lapsed.
+    pub lapsed: u64,
+    /// Lots of others that this sender came to own.
+    pub lots_taken: u64,
+    /// Messages of those.
+    pub adopted: u64,
+    /// Messages that another came to own.
+    pub lost: u64,
+    /// Channels that broke at their bound.
+    pub broken: u64,
+}
+
+#[derive(Debug)]
+struct Peer {
+    channel: Channel,
+    heard: Micros,
+    /// When lots that the process before it left are taken for orphans.
+    orphans_at: Option<Micros>,
+    /// It did not come to cover; it is not asked until then.
+    left_out: Micros,
+}
+
+#[derive(Debug, Clone, Copy)]
+struct Current {
+    lot: LotId,
+    covers: [Rank; 2],
+    since: Micros,
+    next: Item,
+}
+
+/// The part of a sender that covers, and is covered.
+#[derive(Debug)]
+pub struct Takeover {
+    own: Rank,
+    size: usize,
+    tier: u32,
+    config: Config,
+    rng: fastrand::Rng,
+    lots: Lots,
+    peers: BTreeMap<Rank, Peer>,
+    fits: Vec<Fit>,
+    /// Where new messages go.
+    current: Option<Current>,
+    /// Where they will go next: its covers are still coming.
+    next: Option<Current>,
+    /// When lots that are covered here were first seen.
+    seen: BTreeMap<LotId, Micros>,
+    leaving: bool,
+    ticked: Micros,
+    asked: Micros,
+    said: Vec<Said>,
+    remember: bool,
+    /// What happened, for operators.
+    pub counts: Counts,
+}
+
+impl Takeover {
+    /// A sender's part: its place among `size`, chance, and what an earlier process of it remembers.
+    pub fn new(config: &Config, own: Rank, size: usize, seed: u64, memory: Memory, now: Micros) -> Self {
+        Self {
+            own,
+            size,
+            tier: crc32fast::hash(config.tier.as_bytes()) ^ size as u32,
+            config: config.clone(),
+            rng: fastrand::Rng::with_seed(seed),
+            lots: Lots::new(own, memory),
+            peers: BTreeMap::new(),
+            fits: vec![Fit::Far; size],
+            current: None,
+            next: None,
+            seen: BTreeMap::new(),
+            leaving: false,
+            ticked: now,
+            asked: now,
+            said: Vec::new(),
+            remember: false,
+            counts: Counts::default(),
+        }
+    }
+
+    /// The lease.
+    pub fn lease(&self) -> Micros {
+        Micros::from(self.config.lease_ms) * 1_000
+    }
+
+    /// The section that it was made from.
+    pub fn config(&self) -> &Config {
+        &self.config
+    }
+
+    /// What has to be written down before anything is sent, if it has changed since this was asked last.
+    pub fn to_remember(&mut self) -> Option<&Memory> {
+        std::mem::take(&mut self.remember).then(|| self.lots.memory())
+    }
+
+    /// What has to outlast the process.
+    pub fn memory(&self) -> &Memory {
+        self.lots.memory()
+    }
+
+    /// What the sender is to do or to know.
+    pub fn said(&mut self) -> Vec<Said> {
+        std::mem::take(&mut self.said)
+    }
+
+    /// How good covers the others would be, by rank.
+    pub fn set_fits(&mut self, fits: Vec<Fit>) {
+        self.fits = fits;
+    }
+
+    /// No message is put into a lot any more, or they are again.
+    pub fn set_leaving(&mut self, now: Micros, leaving: bool) {
+        self.leaving = leaving;
+        if leaving {
+            for lot in [self.current.take(), self.next.take()].into_iter().flatten() {
+                self.with(now, |lots, out| lots.seal(lot.lot, out));
+            }
+        }
+    }
+
+    fn peer(&mut self, rank: Rank, now: Micros) -> &mut Peer {
+        let (tier, number) = (self.tier, self.rng.u64(1..));
+        self.peers.entry(rank).or_insert_with(|| Peer {
+            channel: Channel::new(number, tier),
+            heard: now,
+            orphans_at: None,
+            left_out: 0,
+        })
+    }
+
+    /// Has the lots do something, and passes on what comes of it.
+    fn with<T>(&mut self, now: Micros, act: impl FnOnce(&mut Lots, &mut Out) -> T) -> T {
+        let mut out = Out::default();
+        let done = act(&mut self.lots, &mut out);
+        loop {
+            let broken = self.pass_on(now, out);
+            if broken.is_empty() {
+                return done;
+            }
+            out = Out::default();
+            for peer in broken {
+                // What can't be passed on in order is not passed on at all: to the other side this is a new process.
+                self.counts.broken += 1;
+                let (number, tier) = (self.rng.u64(1..), self.tier);
+                self.peer(peer, now).channel = Channel::new(number, tier);
+                self.lots.reset(peer, &mut out);
+            }
+        }
+    }
+
+    /// Those whose channel can't take it.
+    fn pass_on(&mut self, now: Micros, out: Out) -> BTreeSet<Rank> {
+        self.remember |= out.remember;
+        for said in out.said {
+            match &said {
+                Said::Adopt { items, .. } => {
+                    self.counts.lots_taken += 1;
+                    self.counts.adopted += items.len() as u64;
+                }
+                Said::Lost { items, .. } => self.counts.lost += items.len() as u64,
+                Said::Granted { .. } | Said::Over(..) => {}
+            }
+            self.said.push(said);
+        }
+        let mut broken = BTreeSet::new();
+        for (to, op) in out.ops {
+            let challenge = self.rng.u32(1..);
+            let Ok(bytes) = postcard::to_allocvec(&op) else { continue };
+            let channel = &mut self.peer(to, now).channel;
+            channel.greet(challenge);
+            if !broken.contains(&to) && !channel.send(&bytes) {
+                broken.insert(to);
+            }
+        }
+        broken
+    }
+
+    /// Puts a message into the present lot, if there is one. Nobody is told before [`Takeover::tell`].
+    ///
+    /// # Errors
+    /// Tells why it can't be covered.
+    pub fn place(&mut self, body: usize, left: Micros) -> Result<Tag, Uncovered> {
+        let placed = self.placed(body, left);
+        match &placed {
+            Ok(_) => self.counts.covered += 1,
+            Err(why) => *self.counts.uncovered.entry(*why).or_default() += 1,
+        }
+        placed
+    }
+
+    fn placed(&mut self, body: usize, left: Micros) -> Result<Tag, Uncovered> {
+        if body > self.config.max_body as usize {
+            return Err(Uncovered::Body);
+        }
+        if left > LONGEST {
+            return Err(Uncovered::Time);
+        }
+        let current = self.current.as_mut().filter(|c| c.next < MOST_ITEMS).ok_or(Uncovered::NoCovers)?;
+        let sides = self.lots.ready(current.lot).ok_or(Uncovered::NoCovers)?;
+        let item = current.next;
+        current.next += 1;
+        Ok(Tag { lot: current.lot, epoch: 0, item, sides })
+    }
+
+    /// Tells a fact of an owned message. Its number, if a grant is to be waited for; see [`Lots::tell`].
+    pub fn tell(&mut self, now: Micros, lot: LotId, item: Item, fact: Fact) -> Option<u32> {
+        self.with(now, |lots, out| lots.tell(lot, item, fact, out))
+    }
+
+    /// Whether this sender owns the lot, as far as it knows.
+    pub fn owns(&self, lot: LotId) -> bool {
+        self.lots.owns(lot)
+    }
+
+    /// Lots that an earlier process of this sender owned.
+    pub fn resume(&mut self, now: Micros, tags: impl Iterator<Item = Tag>) {
+        let mut lots: BTreeMap<LotId, (Tag, BTreeSet<Item>)> = BTreeMap::new();
+        for tag in tags {
+            let item = tag.item;
+            lots.entry(tag.lot).or_insert_with(|| (tag, BTreeSet::new())).1.insert(item);
+        }
+        for (lot, (tag, open)) in lots {
+            self.with(now, |lots, out| lots.resume(lot, tag.epoch, &tag.sides, open, out));
+        }
+    }
+
+    /// A datagram of another sender has come.
+    pub fn receive(&mut self, now: Micros, from: Rank, bytes: &[u8]) {
+        if from == self.own || usize::from(from) >= self.size {
+            self.counts.dropped += 1;
+            return;
+        }
+        let challenge = self.rng.u32(1..);
+        let lease = self.lease();
+        let peer = self.peer(from, now);
+        let came = peer.channel.receive(now, bytes, challenge);
+        if came.heard {
+            peer.heard = now;
+        }
+        if came.anew {
+            peer.orphans_at = Some(now + lease);
+        }
+        self.counts.dropped += u64::from(came.dropped);
+        if came.heard {
+            self.lots.heard(from);
+        }
+        if came.anew {
+            self.with(now, |lots, out| lots.reset(from, out));
+        }
+        for message in came.messages {
+            match postcard::from_bytes::<Op>(&message) {
+                Ok(op) => self.with(now, |lots, out| lots.receive(from, op, out)),
+                Err(_) => self.counts.dropped += 1,
+            }
+        }
+    }
+
+    /// When it wants to be ticked next.
+    pub fn due(&self) -> Micros {
+        let channels = self.peers.values().filter_map(|peer| peer.channel.due());
+        channels.min().unwrap_or(Micros::MAX).min(self.ticked + self.lease() / 10)
+    }
+
+    /// Time has passed: leases, covers, and what is due to be sent. Call [`Takeover::to_remember`] before it.
+    pub fn tick(&mut self, now: Micros) {
+        if now < self.ticked + self.lease() / 10 {
+            return;
+        }
+        if now > self.ticked + self.lease() / 2 {
+            // This process itself did not run: that others are silent says nothing.
+            self.peers.values_mut().for_each(|peer| peer.heard = now);
+        }
+        self.ticked = now;
+        self.leases(now);
+        if now >= self.asked + self.lease() {
+            self.asked = now;
+            self.with(now, |lots, out| lots.ask_again(out));
+        }
+        self.expire(now);
+        self.choose(now);
+    }
+
+    fn leases(&mut self, now: Micros) {
+        let lease = self.lease();
+        for rank in self.lots.concerns() {
+            let challenge = self.rng.u32(1..);
+            let peer = self.peer(rank, now);
+            peer.channel.greet(challenge);
+            if now >= peer.channel.last_sent() + lease / 5 {
+                peer.channel.ping();
+            }
+            let silent = now >= peer.heard + lease;
+            if peer.orphans_at.is_some_and(|at| now >= at) {
+                peer.orphans_at = None;
+                self.with(now, |lots, out| lots.orphaned(rank, out));
+            }
+            if silent {
+                let new = self.with(now, |lots, out| lots.lapse(rank, out));
+                self.counts.lapsed += u64::from(new);
+            }
+        }
+    }
+
+    fn expire(&mut self, now: Micros) {
+        let covering: BTreeSet<LotId> = self.lots.covering().map(|(lot, _)| lot).collect();
+        self.seen.retain(|lot, _| covering.contains(lot));
+        for lot in covering.iter().copied() {
+            let seen = *self.seen.entry(lot).or_insert(now);
+            if now > seen + KEPT {
+                self.lots.expire(lot);
+            }
+        }
+        let full = self.lots.bytes() > self.config.room_mb as usize * 1_000_000;
+        self.lots.set_full(full || covering.len() > MOST_COVERED);
+    }
+
+    /// Keeps a lot open whose covers are there, and opens the next one in time.
+    fn choose(&mut self, now: Micros) {
+        let lease = self.lease();
+        let well = |peers: &BTreeMap<Rank, Peer>, lots: &Lots, current: &Current| {
+            let heard = |rank: &Rank| peers.get(rank).is_some_and(|peer| now < peer.heard + lease / 2);
+            current.covers.iter().all(heard) && lots.ready(current.lot).is_some()
+        };
+        if let Some(current) = self.current
+            && (!well(&self.peers, &self.lots, &current) || now > current.since + TAKES_FOR)
+        {
+            self.current = None;
+            self.with(now, |lots, out| lots.seal(current.lot, out));
+        }
+        if let Some(next) = self.next {
+            let fresh = self
+                .current
+                .is_some_and(|c| now < c.since + TAKES_FOR - OPENED_BEFORE && c.next < MOST_ITEMS / 4 * 3);
+            if self.lots.ready(next.lot).is_some() && !fresh {
+                if let Some(before) = self.current.replace(Current { since: now, ..next }) {
+                    self.with(now, |lots, out| lots.seal(before.lot, out));
+                }
+                self.next = None;
+            } else if now > next.since + lease && self.lots.ready(next.lot).is_none() {
+                for rank in next.covers {
+                    let peer = self.peer(rank, now);
+                    if !peer.channel.is_up() || now >= peer.heard + lease / 2 {
+                        peer.left_out = now + LEFT_OUT;
+                    }
+                }
+                self.next = None;
+                self.with(now, |lots, out| lots.seal(next.lot, out));
+            }
+        }
+        if self.next.is_none() && !self.leaving {
+            self.open(now);
+        }
+    }
+
+    fn open(&mut self, now: Micros) {
+        let lot = LotId { owner: self.own, number: self.rng.u64(..) };
+        // Rendezvous hashing (Thaler and Ravishankar, 1998): lots spread over the tier, near ones first.
+        let score = |rank: Rank| {
+            let mut key = lot.number.to_le_bytes().to_vec();
+            key.extend(rank.to_le_bytes());
+            crc32fast::hash(&key)
+        };
+        let mut all: Vec<(bool, u32, Rank)> = (0..self.size as Rank)
+            .filter(|rank| *rank != self.own && self.fits.get(usize::from(*rank)) != Some(&Fit::No))
+            .filter(|rank| self.peers.get(rank).is_none_or(|peer| now >= peer.left_out))
+            .map(|rank| (self.fits.get(usize::from(rank)) != Some(&Fit::Near), score(rank), rank))
+            .collect();
+        all.sort_unstable();
+        let Some(first) = all.first().copied() else { return };
+        // The second is far if there is one: a zone that is lost takes only one of them along.
+        let far = all.iter().skip(1).find(|other| other.0).or(all.get(1)).copied();
+        let Some(second) = far else { return };
+        let covers = [first.2, second.2];
+        self.next = Some(Current { lot, covers, since: now, next: 0 });
+        self.with(now, |lots, out| lots.open(lot, covers, out));
+    }
+
+    /// What is to be sent now.
+    pub fn flush(&mut self, now: Micros, out: &mut Vec<(Rank, Vec<u8>)>) {
+        for (rank, peer) in &mut self.peers {
+            peer.channel.flush(now, &mut |bytes| {
+                self.counts.sent.0 += 1;
+                self.counts.sent.1 += bytes.len() as u64;
+                out.push((*rank, bytes));
+            });
+        }
+    }
+
+    /// Messages of others that are held here: lots, messages, bytes.
+    pub fn holding(&self) -> (usize, usize, usize) {
+        let lots: Vec<_> = self.lots.covering().collect();
+        (lots.len(), lots.iter().map(|(_, owed)| owed).sum(), self.lots.bytes())
+    }
+
+    /// The present covers, and how long ago each was heard.
+    pub fn covers(&self, now: Micros) -> Vec<(Rank, Micros)> {
+        let current = self.current.iter().flat_map(|current| current.covers);
+        current.map(|rank| (rank, self.peers.get(&rank).map_or(0, |p| now.saturating_sub(p.heard)))).collect()
+    }
+}
--- a/tests/takeover.rs
+++ b/tests/takeover.rs
@@ -222,7 +222,9 @@
             Act::Deliver(from, to) => self.pass(from, to, fault),
             Act::Lapse(rank, on) => {
                 self.lapses += 1;
-                self.act(rank, fault, |lots, out| lots.lapse(on, out));
+                self.act(rank, fault, |lots, out| {
+                    lots.lapse(on, out);
+                });
             }
             Act::Orphaned(rank, on) => {
                 self.lapses += 1;
