--- a/fleet/src/ledger/checker.rs
+++ b/fleet/src/ledger/checker.rs
@@ -234,11 +234,33 @@
 
     /// Whether a sender that had taken a message on lost its folder, or went for good, before the message ended.
     pub fn orphaned(&self, seen: &Try) -> bool {
-        let Some(life) = self.lives.get(seen.sender) else { return false };
+        self.orphaned_at(seen).is_some()
+    }
+
+    /// When that was.
+    pub fn orphaned_at(&self, seen: &Try) -> Option<Micros> {
+        let life = self.lives.get(seen.sender)?;
         let since = seen.heard.map_or(0, |heard| heard.0);
         // What ended before is not orphaned; what another ended afterwards was.
-        let open = |t: Micros| since <= t && seen.ended().is_none_or(|ended| ended > t);
-        life.away.is_some_and(open) || life.emptied.iter().any(|t| open(*t))
+        let open = |t: &Micros| since <= *t && seen.ended().is_none_or(|ended| ended > *t);
+        life.away.into_iter().chain(life.emptied.iter().copied()).filter(open).min()
+    }
+
+    /// When another sender first called for an orphaned message.
+    pub fn called_elsewhere(&self, seen: &Try) -> Option<Micros> {
+        let at = self.orphaned_at(seen)?;
+        let calls = seen.calls.iter().filter_map(|call| self.calls.get(call));
+        calls.filter(|call| call.sender != seen.sender && call.first >= at).map(|call| call.first).min()
+    }
+
+    /// Whether another could still deliver an orphaned message: it had so much time left, and no call of its owner's
+    /// may have run where it must not run twice.
+    pub fn deliverable(&self, seen: &Try, once: bool, left: Micros) -> bool {
+        let Some(at) = self.orphaned_at(seen) else { return false };
+        let calls = seen.calls.iter().filter_map(|call| self.calls.get(call));
+        let mut own = calls.filter(|call| call.sender == seen.sender);
+        let ran = own.any(|call| call.ids.iter().any(|id| call.may_have_run(id, Micros::MAX)));
+        seen.deadline >= at + left && !(once && ran)
     }
 }
 
--- a/fleet/src/ledger/figures.rs
+++ b/fleet/src/ledger/figures.rs
@@ -9,6 +9,9 @@
 use super::{History, What};
 use crate::Micros;
 
+/// A message that had so much time left when its sender was lost could still be delivered by another.
+const LEFT: Micros = 3_000_000;
+
 /// What became of a message, all its tries together.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize)]
 #[serde(rename_all = "snake_case")]
@@ -73,6 +76,12 @@
     pub orphaned_ended: u64,
     /// Of these, delivered.
     pub orphaned_delivered: u64,
+    /// Orphaned with three seconds or more left, and no call of their owner's that must not be repeated.
+    pub deliverable: u64,
+    /// Of these, delivered.
+    pub deliverable_delivered: u64,
+    /// From the loss of an orphaned message's sender to its first call by another, ms, in order.
+    pub takeover_ms: Vec<f64>,
     /// Tries that a message took on the average.
     pub tries: f64,
     /// Calls that came to endpoints.
@@ -181,9 +190,21 @@
                         u64::from(seen.ended().is_some_and(|at| at <= seen.deadline + 350_000));
                     figures.orphaned_delivered +=
                         u64::from(seen.delivered.is_some_and(|at| at <= seen.deadline));
+                    let once = history.head.classes.get(seen.class).is_some_and(|class| class.once);
+                    if reading.deliverable(seen, once, LEFT) {
+                        figures.deliverable += 1;
+                        figures.deliverable_delivered +=
+                            u64::from(seen.delivered.is_some_and(|at| at <= seen.deadline));
+                    }
+                    if let (Some(lost), Some(called)) =
+                        (reading.orphaned_at(seen), reading.called_elsewhere(seen))
+                    {
+                        figures.takeover_ms.push((called - lost) as f64 / 1000.0);
+                    }
                 }
             }
         }
+        figures.takeover_ms.sort_by(f64::total_cmp);
         for entry in &history.entries {
             match &entry.what {
                 What::Effect { repeat: true, .. } => figures.repeats += 1,
--- a/fleet/src/report/mod.rs
+++ b/fleet/src/report/mod.rs
@@ -98,6 +98,17 @@
             "owed by senders that went for good or lost their folder: {}, ended in time {}, delivered {}\n",
             figures.orphaned, figures.orphaned_ended, figures.orphaned_delivered
         );
+        let times = &figures.takeover_ms;
+        let at = |share: usize| times.get((times.len().saturating_sub(1)) * share / 100).copied();
+        if let (Some(median), Some(most)) = (at(50), at(100)) {
+            text += &format!(
+                "with 3 s left and nothing against it {}, delivered {}; first call elsewhere after {median:.0} ms \
+                 (median of {}), {most:.0} ms (most)\n",
+                figures.deliverable,
+                figures.deliverable_delivered,
+                times.len()
+            );
+        }
     }
     for breach in outcome.broken.iter().take(SHOWN) {
         text += &format!("BROKEN {breach}\n");
--- a/fleet/src/sweep.rs
+++ b/fleet/src/sweep.rs
@@ -87,6 +87,8 @@
         "failed %",
         "no end",
         "orphaned: ended / all",
+        "deliverable: delivered / all",
+        "taken over, ms",
         "late p99 ms",
     ]);
     for (name, outcomes) in groups {
@@ -111,6 +113,8 @@
             share(&|o| o.figures.all.failed),
             sum(&|o| o.figures.all.without).to_string(),
             format!("{} / {}", sum(&|o| o.figures.orphaned_ended), sum(&|o| o.figures.orphaned)),
+            format!("{} / {}", sum(&|o| o.figures.deliverable_delivered), sum(&|o| o.figures.deliverable)),
+            cell(trusted.iter().flat_map(|o| o.figures.takeover_ms.iter().copied()).collect()),
             cell(outcomes.iter().map(|o| o.lateness_us[1] as f64 / 1000.0).collect()),
         ]);
     }
--- a/fleet/tests/small.rs
+++ b/fleet/tests/small.rs
@@ -114,6 +114,44 @@
     });
 }
 
+/// Guards takeover at real processes: of what a sender that stays away had in hand, most has its end by another's hand,
+/// and every rule on effects and ends is kept.
+#[test]
+fn what_was_covered_is_ended_by_another() {
+    let out = tempfile::tempdir().unwrap();
+    let more = "[sections.takeover]\nlease_ms = 400\n\
+                [[fault]]\nkind = \"partner\"\nmode = \"down\"\nat_s = 0.5\nfor_s = 3\n\
+                [[fault]]\nkind = \"kill\"\nat_s = 2.5\nsenders = [0]\n";
+    let (_, outcome) = played(small(more), out.path());
+    let figures = &outcome.figures;
+    // What was taken on in the last moments may have been known to nobody else.
+    assert!(figures.orphaned > 0 && figures.orphaned_ended * 2 > figures.orphaned, "{figures:?}");
+    assert!(!figures.takeover_ms.is_empty(), "{figures:?}");
+}
+
+/// Guards covers through the ordinary ways in which processes change, owners and covers alike, with leases that lapse.
+#[test]
+fn covers_keep_the_rules_while_processes_change() {
+    let section = "[sections.takeover]\nlease_ms = 400\n";
+    let changes = [
+        "[[fault]]\nkind = \"handover\"\nat_s = 1\nevery_s = 1\n",
+        "[[fault]]\nkind = \"restart\"\nat_s = 1\nsenders = [0]\n\
+         [[fault]]\nkind = \"stop\"\nat_s = 1\nfor_s = 2\nsenders = [2]\n",
+        "[[fault]]\nkind = \"kill\"\nat_s = 2\nfor_s = 1\nsenders = [1]\nfolder_lost = true\n\
+         [[fault]]\nkind = \"partition\"\nat_s = 1\nfor_s = 2\ngroups = [[0], [1, 2]]\n",
+    ];
+    std::thread::scope(|scope| {
+        for more in changes {
+            scope.spawn(move || {
+                let out = tempfile::tempdir().unwrap();
+                let (_, outcome) = played(small(&format!("{section}{more}")), out.path());
+                let figures = &outcome.figures;
+                assert!(figures.all.without <= figures.orphaned, "{more}: {:?}", figures.all);
+            });
+        }
+    });
+}
+
 /// Guards the view of the fleet at real processes: a kill is a death to all, a split and its healing are seen, a
 /// restart is a new life, and without the section there is not one datagram of it.
 #[test]
--- a/src/membership.rs
+++ b/src/membership.rs
@@ -475,10 +475,10 @@
     /// Any other member that is there.
     fn there(&mut self) -> Option<Rank> {
         let own = self.own;
-        let there = |m: &&(usize, &Member)| m.0 != usize::from(own) && m.1.state == State::Alive;
-        let count = self.members.iter().enumerate().filter(|m| there(&m)).count();
-        let place = (count > 0).then(|| self.rng.usize(..count))?;
-        self.members.iter().enumerate().filter(|m| there(&m)).nth(place).map(|(rank, _)| rank as Rank)
+        let members = self.members.iter().enumerate();
+        let there = members.filter(|(rank, m)| *rank != usize::from(own) && m.state == State::Alive);
+        let there: Vec<Rank> = there.map(|(rank, _)| rank as Rank).collect();
+        (!there.is_empty()).then(|| there[self.rng.usize(..there.len())])
     }
 
     /// Any other member that has not left: those held for dead too, since a split heals from both sides.
--- a/src/net/driver.rs
+++ b/src/net/driver.rs
@@ -805,10 +805,10 @@
         for (message, attempt, endpoint, wait) in sends {
             let Some(live) = self.journal.live().get(&message.0) else { continue };
             let Taken { id, key, body, .. } = live.taken.clone();
-            let name = self.endpoints.get(&endpoint).map_or("", |known| &known.name);
+            let known = self.endpoints.get(&endpoint);
+            let (name, bundle) = known.map_or(("", 1), |known| (known.name.as_str(), known.bundle));
             tracing::debug!(id, attempt, endpoint = name, "a call begins");
             let part = Part { message, attempt, id, key, body };
-            let bundle = self.endpoints.get(&endpoint).map_or(1, |known| known.bundle);
             let call = last.get(&endpoint).copied().and_then(|at| calls.get_mut(at));
             match call.filter(|call| call.1.len() < bundle) {
                 Some(call) => {
--- a/src/net/parts/draining.rs
+++ b/src/net/parts/draining.rs
@@ -57,10 +57,10 @@
     /// and end, again.
     pub fn forget(&mut self, listed: impl Fn(&str) -> bool) {
         let kept = self.marks.kept(listed);
-        if kept != self.marks {
-            if let Err(e) = lasting::write(&self.at, &kept.written()) {
-                tracing::error!("the marks on drained endpoints can't be written down: {e}");
-            }
+        if kept != self.marks
+            && let Err(e) = self.keep(kept.clone())
+        {
+            tracing::error!("the marks on drained endpoints can't be written down: {e}");
             self.marks = kept;
         }
     }
