Count a keyed message's window from what covers have heard, and tell late ends at once

Change: facts carry the owner's clock, and covers a time up to which they have heard all; the owner says so every half lease where it has nothing to tell. An adopter counts from there. What is past its time is told at once, and the loop wakes for what waits.

--- a/src/net/driver.rs
+++ b/src/net/driver.rs
@@ -235,9 +235,9 @@
     loop {
         let due = driver.timers.first().map_or(Micros::MAX / 2, |timer| timer.0);
         // What is looked at now and then: an end that is near, a journal that could not be written.
-        let watchful = driver.stop_at.is_some() || !driver.unwritten.is_empty() || driver.covered.waits();
+        let watchful = driver.stop_at.is_some() || !driver.unwritten.is_empty();
         let due = if watchful { due.min(clock.now() + 50_000) } else { due };
-        let due = due.min(driver.parts.due().unwrap_or(due));
+        let due = due.min(driver.parts.due().unwrap_or(due)).min(driver.covered.due().unwrap_or(due));
         let first = tokio::select! {
             first = events.recv() => first,
             () = tokio::time::sleep_until(clock.instant(due.min(clock.now() + 60_000_000))) => None,
@@ -264,6 +264,7 @@
             driver.turn(said);
         }
         if driver.may_end(intake.open()) {
+            driver.leave_waiting();
             return Ok(());
         }
         // What can't be written down yet can't be told either.
--- a/src/net/driver/covered.rs
+++ b/src/net/driver/covered.rs
@@ -19,15 +19,16 @@
 /// Messages that are adopted in a turn at most: a turn stays short, and what the sender's own clients bring gets in
 /// between.
 const ADOPTED_AT_ONCE: usize = 16;
-/// A call waits so many leases for its grant; then the module hears that it was not made.
-const WAITS_FOR: Micros = 1;
+/// A call waits so long for its grant at most, or a lease if that is shorter; then the module hears that it was not
+/// made. It stays well inside the time in which sends to an endpoint that drains must have ceased.
+const WAITS_FOR: Micros = 500_000;
 
 /// What covers are told of a message.
 #[derive(Serialize, Deserialize)]
 struct Told {
     taken: Taken,
     owner: Option<String>,
-    /// Since when others than its sender may own it.
+    /// When it was taken on.
     since: Micros,
 }
 
@@ -53,6 +54,8 @@
 struct Adoption {
     told: Told,
     tag: Tag,
+    /// Attempts of its first owner that are not known began then or later.
+    heard: Micros,
     known: Known,
 }
 
@@ -68,9 +71,13 @@
 }
 
 impl Covered {
-    /// Whether it has to be looked at now and then.
-    pub(super) fn waits(&self) -> bool {
-        !(self.calls.is_empty() && self.notices.is_empty() && self.adoptions.is_empty())
+    /// When it has to be looked at next.
+    pub(super) fn due(&self) -> Option<Micros> {
+        let calls = self.calls.iter().map(|held| held.since + WAITS_FOR);
+        let notices = self.notices.iter().map(|held| held.until);
+        // What could not be adopted at once is tried again in the next turn.
+        let adoptions = self.adoptions.first().map(|_| 0);
+        calls.chain(notices).chain(adoptions).min()
     }
 }
 
@@ -188,13 +195,25 @@
         let _ = self.inbound.send(Inbound::CallOver(vec![end]));
     }
 
-    /// No call that waits is made by this process.
+    /// No call that waits is made by this process; the next one hears so.
     pub(super) fn give_waiting_up(&mut self) {
         for held in std::mem::take(&mut self.covered.calls) {
             self.not_made(held.send);
         }
     }
 
+    /// The same at the end of the process: the journal has it that they never ran.
+    pub(super) fn leave_waiting(&mut self) {
+        let calls = std::mem::take(&mut self.covered.calls).into_iter();
+        let never = calls.map(|held| {
+            let (MessageId(message), attempt, ..) = held.send;
+            Record::Ended { message, attempt, never_ran: true }
+        });
+        if let Err(e) = self.journal.append(&never.collect::<Vec<_>>()) {
+            tracing::error!("the journal can't be written: {e}");
+        }
+    }
+
     /// Tells the platform of an end, once those who know of the message know of that too. What is not granted by
     /// the time that the message has is told all the same, as what it then is for sure: undeliverable by anybody.
     pub(super) fn end_told(&mut self, number: u32, how: GivenUp, id: String) {
@@ -206,6 +225,8 @@
             upto.map(|upto| (tag.lot, upto))
         });
         match upto {
+            // As below: it is too late to wait.
+            Some(_) if self.clock.now() >= until => self.notify(number, GivenUp::Undeliverable, id),
             Some((lot, upto)) => {
                 self.covered.notices.push(HeldNotice { lot, upto, until, message: number, how, id });
             }
@@ -231,7 +252,7 @@
         for come in covering.core.said() {
             match come {
                 Said::Granted { lot, upto } => self.granted(lot, upto),
-                Said::Adopt { lot, epoch, sides, items } => {
+                Said::Adopt { lot, epoch, sides, heard, items } => {
                     tracing::info!(
                         owner = lot.owner,
                         lot = lot.number,
@@ -241,9 +262,14 @@
                     );
                     for (item, known) in items {
                         let record = known.record.as_deref().unwrap_or_default();
-                        let Ok(told) = postcard::from_bytes::<Told>(record) else { continue };
                         let tag = Tag { lot, epoch, item, sides: sides.clone() };
-                        self.covered.adoptions.push(Adoption { told, tag, known });
+                        let Ok(told) = postcard::from_bytes::<Told>(record) else {
+                            tracing::error!(lot = lot.number, item, "what is taken over can't be read");
+                            self.tell(&tag, Fact::Over, self.clock.now());
+                            continue;
+                        };
+                        let heard = heard.max(told.since);
+                        self.covered.adoptions.push(Adoption { told, tag, heard, known });
                     }
                     self.covered.adoptions.sort_by_key(|a| std::cmp::Reverse(a.told.taken.deadline));
                 }
@@ -261,7 +287,7 @@
         }
         let now = self.clock.now();
         let lease = self.parts.covering.as_ref().map_or(0, |covering| covering.core.lease());
-        let late = |held: &HeldCall| now > held.since + WAITS_FOR * lease;
+        let late = |held: &HeldCall| now > held.since + lease.min(WAITS_FOR);
         let (late, waiting): (Vec<_>, Vec<_>) =
             std::mem::take(&mut self.covered.calls).into_iter().partition(late);
         self.covered.calls = waiting;
@@ -319,19 +345,22 @@
 
     /// Takes a message on that another sender had. Given back if it can't be written down.
     fn adopt(&mut self, from: Adoption, now: Micros, said: &mut Vec<Event>) -> Result<(), Box<Adoption>> {
-        let Adoption { told, tag, known } = &from;
+        let Adoption { told, tag, heard, known } = &from;
         let taken = Taken { owner: told.owner.clone(), ..told.taken.clone() };
         if self.held.contains_key(&taken.id) {
+            // It came here by another way, and has its end from that.
+            let tag = tag.clone();
+            self.tell(&tag, Fact::Over, now);
             return Ok(());
         }
         let number = self.next_message;
         let (id, place) = (taken.id.clone(), (tag.lot, tag.item));
         let mut records: Vec<Record> = taken_on(number, &taken).collect();
-        records.push(Record::Covered(number, tag.clone(), told.since));
-        for (attempt, never_ran) in &known.attempts {
+        records.push(Record::Covered(number, tag.clone(), *heard));
+        for (attempt, intended) in &known.attempts {
             let (message, attempt, endpoint) = (number, *attempt, String::new());
-            records.push(Record::Begun { message, attempt, endpoint, at: told.since });
-            if *never_ran {
+            records.push(Record::Begun { message, attempt, endpoint, at: intended.at });
+            if intended.never_ran {
                 records.push(Record::Ended { message, attempt, never_ran: true });
             }
         }
--- a/src/takeover/lots.rs
+++ b/src/takeover/lots.rs
@@ -68,13 +68,22 @@
     Over,
 }
 
+/// An attempt that somebody intended.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct Attempt {
+    /// When, by its owner's clock.
+    pub at: Micros,
+    /// It is known not to have run.
+    pub never_ran: bool,
+}
+
 /// All facts about a message: a join, so that neither order nor repetition matters.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct Known {
     /// What it is, if it was told.
     pub record: Option<Vec<u8>>,
-    /// Its attempts; true for those that are known not to have run.
-    pub attempts: BTreeMap<u16, bool>,
+    /// Its attempts.
+    pub attempts: BTreeMap<u16, Attempt>,
     /// Its end, while the platform may not know of it.
     pub given_up: Option<End>,
     /// Nothing more is owed.
@@ -82,12 +91,16 @@
 }
 
 impl Known {
-    fn learn(&mut self, fact: Fact) {
+    fn learn(&mut self, fact: Fact, at: Micros) {
         match fact {
             Fact::Record(record) if !self.over => self.record = Some(record),
             Fact::Record(_) => {}
-            Fact::Intent(attempt) => drop(self.attempts.entry(attempt).or_default()),
-            Fact::NeverRan(attempt) => drop(self.attempts.insert(attempt, true)),
+            Fact::Intent(attempt) => {
+                self.attempts.entry(attempt).or_insert(Attempt { at, never_ran: false });
+            }
+            Fact::NeverRan(attempt) => {
+                self.attempts.entry(attempt).or_insert(Attempt { at, never_ran: true }).never_ran = true;
+            }
             Fact::GivenUp(end) => self.given_up = self.given_up.max(Some(end)),
             Fact::Over => (self.over, self.record) = (true, None),
         }
@@ -95,20 +108,22 @@
 
     fn join(&mut self, other: Self) {
         if other.over {
-            self.learn(Fact::Over);
+            self.learn(Fact::Over, 0);
         }
         if let Some(record) = other.record {
-            self.learn(Fact::Record(record));
+            self.learn(Fact::Record(record), 0);
         }
-        for (attempt, never_ran) in other.attempts {
-            *self.attempts.entry(attempt).or_default() |= never_ran;
+        for (attempt, other) in other.attempts {
+            let known = self.attempts.entry(attempt).or_insert(other);
+            known.never_ran |= other.never_ran;
+            known.at = known.at.min(other.at);
         }
         self.given_up = self.given_up.max(other.given_up);
     }
 
     /// Whether an attempt may have run.
     pub fn may_have_run(&self) -> bool {
-        self.attempts.values().any(|never_ran| !never_ran)
+        self.attempts.values().any(|attempt| !attempt.never_ran)
     }
 }
 
@@ -121,7 +136,9 @@
     /// The lot is covered by the writer, whose memory this is.
     Opened { lot: LotId, memory: u64 },
     /// The writer, its owner at this epoch, tells a fact, its `n`th, from 1.
-    Tell { lot: LotId, epoch: Epoch, n: u32, item: Item, fact: Fact },
+    Tell { lot: LotId, epoch: Epoch, n: u32, item: Item, fact: Fact, at: Micros },
+    /// The writer, its first owner, has told all that it had to tell at that time of its clock.
+    Still { lot: LotId, at: Micros },
     /// All facts up to the `upto`th are known here, at this epoch.
     Granted { lot: LotId, epoch: Epoch, upto: u32 },
     /// A higher epoch holds here, or the lot is not known: nothing is granted.
@@ -131,9 +148,9 @@
     /// What the writer, a cover, knows of a message.
     State { lot: LotId, item: Item, known: Known },
     /// The writer wants to own the lot at this epoch, and has told all that it knows.
-    Prepare { lot: LotId, epoch: Epoch },
+    Prepare { lot: LotId, epoch: Epoch, heard: Micros },
     /// The writer grants nothing below this epoch from now on, and has told all that it knows.
-    Promise { lot: LotId, epoch: Epoch, memory: u64 },
+    Promise { lot: LotId, epoch: Epoch, memory: u64, heard: Micros },
     /// The writer owns the lot at this epoch, and with it these messages. What is not among them nobody but the
     /// receiver knows of, or will.
     Taken { lot: LotId, epoch: Epoch, items: Vec<Item> },
@@ -154,8 +171,8 @@
     /// All facts of an owned lot up to this one are granted.
     Granted { lot: LotId, upto: u32 },
     /// This sender owns the lot at this epoch, and with it these messages. `sides` are those whose grant it needs, with
-    /// their memories.
-    Adopt { lot: LotId, epoch: Epoch, sides: Vec<(Rank, u64)>, items: Vec<(Item, Known)> },
+    /// their memories. Attempts of its first owner that no cover knows of began at `heard` of its clock or later.
+    Adopt { lot: LotId, epoch: Epoch, sides: Vec<(Rank, u64)>, heard: Micros, items: Vec<(Item, Known)> },
     /// Another owns these messages: nothing more is to be done for them. What else is in the lot is granted.
     Lost { lot: LotId, items: BTreeSet<Item> },
     /// A message of an owned lot is over, by what an earlier owner says.
@@ -195,6 +212,8 @@
     polled: bool,
     /// The process that owned it is no more; another may ask about it.
     forgot: bool,
+    /// The first owner's clock when it told the last thing that came here, or at the other cover.
+    heard: Micros,
     items: BTreeMap<Item, Known>,
 }
 
@@ -345,7 +364,7 @@
 
     /// Tells the covers a fact of an owned lot. Its number: it is granted once [`Said::Granted`] comes up to it;
     /// none if it is granted as it is, or if the lot is not owned.
-    pub fn tell(&mut self, lot: LotId, item: Item, fact: Fact, out: &mut Out) -> Option<u32> {
+    pub fn tell(&mut self, (lot, item): (LotId, Item), fact: Fact, at: Micros, out: &mut Out) -> Option<u32> {
         let owned = self.owned.get_mut(&lot)?;
         match fact {
             Fact::Record(_) => drop(owned.open.insert(item)),
@@ -357,12 +376,12 @@
         let (n, epoch) = (owned.told, owned.epoch);
         if !owned.alone {
             for side in owned.sides.iter().filter(|side| !side.fenced) {
-                out.op(side.rank, Op::Tell { lot, epoch, n, item, fact: fact.clone() });
+                out.op(side.rank, Op::Tell { lot, epoch, n, item, fact: fact.clone(), at });
             }
         }
         let waits = (!owned.alone).then_some(n);
         if let Some(cover) = self.covers.get_mut(&lot) {
-            cover.items.entry(item).or_default().learn(fact);
+            cover.items.entry(item).or_default().learn(fact, at);
         }
         if over {
             self.end_if_over(lot, out);
@@ -370,6 +389,16 @@
         waits
     }
 
+    /// Tells the covers of the lots that this sender opened that nothing was told since.
+    pub fn still(&mut self, at: Micros, out: &mut Out) {
+        for (lot, owned) in self.owned.iter().filter(|(_, o)| o.epoch == 0 && !o.alone && !o.open.is_empty())
+        {
+            for side in owned.sides.iter().filter(|side| !side.fenced) {
+                out.op(side.rank, Op::Still { lot: *lot, at });
+            }
+        }
+    }
+
     fn end_if_over(&mut self, lot: LotId, out: &mut Out) {
         let Some(owned) = self.owned.get(&lot).filter(|owned| owned.sealed && owned.open.is_empty()) else {
             return;
@@ -447,14 +476,15 @@
         for (item, known) in &cover.items {
             out.op(to, Op::State { lot, item: *item, known: known.clone() });
         }
-        out.op(to, Op::Prepare { lot, epoch });
+        let heard = cover.heard;
+        out.op(to, Op::Prepare { lot, epoch, heard });
     }
 
     /// The lot is this sender's own. `sides` are those whose grant it needs.
     fn adopt(&mut self, lot: LotId, sides: Vec<Side>, out: &mut Out) {
         let Some(cover) = self.covers.get_mut(&lot) else { return };
         cover.role = Role::Owner;
-        let (epoch, alone) = (cover.promised, sides.is_empty());
+        let (epoch, alone, heard) = (cover.promised, sides.is_empty(), cover.heard);
         let owed = cover.items.iter().filter(|(_, known)| !known.over && known.record.is_some());
         let items: Vec<(Item, Known)> = owed.map(|(item, known)| (*item, known.clone())).collect();
         let open = items.iter().map(|(item, _)| *item).collect();
@@ -466,7 +496,7 @@
         for owner in [Some(lot.owner), Some(other).filter(|_| alone)].into_iter().flatten() {
             out.op(owner, taken.clone());
         }
-        out.said.push(Said::Adopt { lot, epoch, sides: told, items });
+        out.said.push(Said::Adopt { lot, epoch, sides: told, heard, items });
         self.end_if_over(lot, out);
     }
 
@@ -544,7 +574,15 @@
                     side.memory = Some(memory);
                 }
             }
-            Op::Tell { lot, epoch, n, item, fact } => self.told(from, (lot, epoch, n), item, fact, out),
+            Op::Tell { lot, epoch, n, item, fact, at } => {
+                self.told(from, (lot, epoch, n), item, (fact, at), out);
+            }
+            Op::Still { lot, at } => {
+                let covering = |cover: &&mut Cover| cover.role == Role::Covering && lot.owner == from;
+                if let Some(cover) = self.covers.get_mut(&lot).filter(covering) {
+                    cover.heard = cover.heard.max(at);
+                }
+            }
             Op::Granted { lot, epoch, upto } => {
                 let Some(owned) = self.owned.get_mut(&lot).filter(|owned| owned.epoch == epoch) else {
                     return;
@@ -578,12 +616,13 @@
                     cover.items.entry(item).or_default().join(known);
                 }
             }
-            Op::Prepare { lot, epoch } => self.prepared(from, lot, epoch, out),
-            Op::Promise { lot, epoch, memory } => {
+            Op::Prepare { lot, epoch, heard } => self.prepared(from, lot, epoch, heard, out),
+            Op::Promise { lot, epoch, memory, heard } => {
                 let won = |cover: &&mut Cover| {
                     cover.other == from && cover.role == Role::Candidate && cover.promised == epoch
                 };
-                if self.covers.get_mut(&lot).filter(won).is_some() {
+                if let Some(cover) = self.covers.get_mut(&lot).filter(won) {
+                    cover.heard = cover.heard.max(heard);
                     let side = Side { rank: from, memory: Some(memory), granted: 0, fenced: false };
                     self.adopt(lot, vec![side], out);
                 }
@@ -631,13 +670,21 @@
             return;
         }
         let (role, items) = (Role::Covering, BTreeMap::new());
-        self.covers
-            .insert(lot, Cover { other, second, promised: 0, role, polled: false, forgot: false, items });
+        self.covers.insert(
+            lot,
+            Cover { other, second, promised: 0, role, polled: false, forgot: false, heard: 0, items },
+        );
         out.op(from, Op::Opened { lot, memory: self.memory.id });
     }
 
-    fn told(&mut self, from: Rank, at: (LotId, Epoch, u32), item: Item, fact: Fact, out: &mut Out) {
-        let (lot, epoch, n) = at;
+    fn told(
+        &mut self,
+        from: Rank,
+        (lot, epoch, n): (LotId, Epoch, u32),
+        item: Item,
+        (fact, at): (Fact, Micros),
+        out: &mut Out,
+    ) {
         let Some(cover) = self.covers.get_mut(&lot) else {
             out.op(from, Op::Fenced { lot, epoch });
             return;
@@ -649,7 +696,10 @@
         };
         let more = !self.full && (cover.items.len() as u32) < MOST_ITEMS;
         if owner && (cover.items.contains_key(&item) || more) {
-            cover.items.entry(item).or_default().learn(fact);
+            cover.items.entry(item).or_default().learn(fact, at);
+            if cover.role == Role::Covering {
+                cover.heard = cover.heard.max(at);
+            }
             out.op(from, Op::Granted { lot, epoch, upto: n });
             return;
         }
@@ -658,14 +708,14 @@
         let knows = from == lot.owner || from == cover.other;
         if knows && matches!(fact, Fact::NeverRan(_) | Fact::Over) && cover.items.contains_key(&item) {
             let over = fact == Fact::Over;
-            cover.items.entry(item).or_default().learn(fact);
+            cover.items.entry(item).or_default().learn(fact, at);
             if over && cover.role == Role::Owner {
                 out.said.push(Said::Over(lot, item));
             }
         }
     }
 
-    fn prepared(&mut self, from: Rank, lot: LotId, epoch: Epoch, out: &mut Out) {
+    fn prepared(&mut self, from: Rank, lot: LotId, epoch: Epoch, heard: Micros, out: &mut Out) {
         let lapsed = self.lapsed.contains(&lot.owner);
         let Some(cover) = self.covers.get_mut(&lot).filter(|cover| cover.other == from) else { return };
         let hears_owner = cover.role == Role::Covering && !lapsed && !cover.forgot;
@@ -674,10 +724,12 @@
         }
         cover.promised = epoch;
         cover.role = Role::Promised;
+        cover.heard = cover.heard.max(heard);
+        let heard = cover.heard;
         for (item, known) in &cover.items {
             out.op(from, Op::State { lot, item: *item, known: known.clone() });
         }
-        out.op(from, Op::Promise { lot, epoch, memory: self.memory.id });
+        out.op(from, Op::Promise { lot, epoch, memory: self.memory.id, heard });
         self.remember(lot, epoch, out);
     }
 
--- a/src/takeover/mod.rs
+++ b/src/takeover/mod.rs
@@ -161,6 +161,7 @@
     leaving: bool,
     ticked: Micros,
     asked: Micros,
+    stilled: Micros,
     said: Vec<Said>,
     remember: bool,
     /// What happened, for operators.
@@ -185,6 +186,7 @@
             leaving: false,
             ticked: now,
             asked: now,
+            stilled: now,
             said: Vec::new(),
             remember: false,
             counts: Counts::default(),
@@ -317,7 +319,7 @@
 
     /// Tells a fact of an owned message. Its number, if a grant is to be waited for; see [`Lots::tell`].
     pub fn tell(&mut self, now: Micros, lot: LotId, item: Item, fact: Fact) -> Option<u32> {
-        self.with(now, |lots, out| lots.tell(lot, item, fact, out))
+        self.with(now, |lots, out| lots.tell((lot, item), fact, now, out))
     }
 
     /// Whether this sender owns the lot, as far as it knows.
@@ -389,6 +391,10 @@
             self.asked = now;
             self.with(now, |lots, out| lots.ask_again(out));
         }
+        if now >= self.stilled + self.lease() / 2 {
+            self.stilled = now;
+            self.with(now, |lots, out| lots.still(now, out));
+        }
         self.expire(now);
         self.choose(now);
     }
--- a/tests/takeover.rs
+++ b/tests/takeover.rs
@@ -232,7 +232,7 @@
             }
             Act::Intend(rank, item) => {
                 let mut waits = None;
-                self.act(rank, fault, |lots, out| waits = lots.tell(LOT, item, Fact::Intent(0), out));
+                self.act(rank, fault, |lots, out| waits = lots.tell((LOT, item), Fact::Intent(0), 0, out));
                 let owns = self.senders[usize::from(rank)].lots.as_ref().is_some_and(|lots| lots.owns(LOT));
                 if let Some(held) = self.senders[usize::from(rank)].held.get_mut(&item) {
                     held.free = waits.is_none() && owns || fault == Fault::NoWait;
@@ -249,7 +249,7 @@
                 self.over.insert(item);
                 self.senders[usize::from(rank)].held.remove(&item);
                 self.act(rank, fault, |lots, out| {
-                    lots.tell(LOT, item, Fact::Over, out);
+                    lots.tell((LOT, item), Fact::Over, 0, out);
                 });
             }
             Act::Crash(rank, kept) => {
@@ -321,7 +321,7 @@
         }
         for item in 0..self.items {
             world.act(0, Fault::None, |lots, out| {
-                lots.tell(LOT, item, Fact::Record(vec![item as u8]), out);
+                lots.tell((LOT, item), Fact::Record(vec![item as u8]), 0, out);
             });
             let sides = vec![(1, 1), (2, 2)];
             let held = Held { epoch: 0, sides, begun: false, waits: None, free: false };
--- a/tests/takeover_tier.rs
+++ b/tests/takeover_tier.rs
@@ -130,7 +130,7 @@
                         }
                     }
                 }
-                Said::Adopt { lot, epoch, sides, items } => {
+                Said::Adopt { lot, epoch, sides, items, .. } => {
                     for (item, known) in items {
                         let record = known.record.clone().unwrap();
                         let id = u32::from_le_bytes(record[..4].try_into().unwrap());
