Cover anew what has lost a cover, and hear no answer after a call was given up

Change: an owner that hears a cover no more has the other one close the lot, so that nobody else can come to own it, and puts its messages into a lot with other covers, attempts first and record last. The same after a restart, and for a lot that its second adopter owns alone.

--- a/fleet/src/links/tcp.rs
+++ b/fleet/src/links/tcp.rs
@@ -3,6 +3,8 @@
 
 use std::io;
 use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -143,9 +145,10 @@
     let (came, incoming) = mpsc::channel(PIECES);
     let (under_way, due) = mpsc::channel(PIECES);
     let (outgoing, going) = mpsc::channel(PIECES);
-    tokio::spawn(inward(read, delay, conditions.clone(), recorder.clone(), under_way));
+    let closed = Arc::new(AtomicBool::new(false));
+    tokio::spawn(inward(read, delay, conditions.clone(), recorder.clone(), under_way, closed.clone()));
     tokio::spawn(deliver(due, came, conditions.clone(), recorder.clone()));
-    tokio::spawn(outward(write, going, delay, conditions, recorder));
+    tokio::spawn(outward(write, going, delay, conditions, recorder, closed));
     Conduit { incoming, outgoing }
 }
 
@@ -171,6 +174,7 @@
     mut conditions: watch::Receiver<Connections>,
     recorder: Recorder,
     under_way: mpsc::Sender<(Micros, Piece)>,
+    closed: Arc<AtomicBool>,
 ) {
     let mut buffer = vec![0; 16 * 1024];
     let mut last = 0;
@@ -187,6 +191,7 @@
             () = under_way.closed() => return,
         };
         if size == 0 {
+            closed.store(true, Ordering::Relaxed);
             return;
         }
         let written = recorder.now();
@@ -224,6 +229,7 @@
     delay: Micros,
     mut conditions: watch::Receiver<Connections>,
     recorder: Recorder,
+    closed: Arc<AtomicBool>,
 ) {
     loop {
         let next = tokio::select! {
@@ -245,7 +251,8 @@
                 if !passes(&mut conditions).await {
                     return reset(write);
                 }
-                if write.write_all(&bytes).await.is_err() {
+                // A sender that has given the call up by closing never hears what comes then.
+                if closed.load(Ordering::Relaxed) || write.write_all(&bytes).await.is_err() {
                     return;
                 }
                 let _ = told.send(recorder.now());
--- a/src/net/driver/covered.rs
+++ b/src/net/driver/covered.rs
@@ -2,10 +2,10 @@
 //! grant, and what comes of messages that others lose or take. `myrtleyard::takeover` decides who owns what; the
 //! module decides what becomes of an adopted message, as it does for one that the journal gives back.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use myrtleyard::interface::*;
-use myrtleyard::takeover::lots::{Fact, Item, Known, LotId, Said};
+use myrtleyard::takeover::lots::{Attempt, Fact, Item, Known, LotId, Said};
 use myrtleyard::takeover::{self, Tag};
 use serde::{Deserialize, Serialize};
 use serde_json::json;
@@ -68,6 +68,9 @@
     /// By deadline, the latest first.
     adoptions: Vec<Adoption>,
     beyond_reach: u64,
+    /// Messages that may be covered anew, and since when they wait for it.
+    bare: BTreeSet<u32>,
+    anew: u64,
 }
 
 impl Covered {
@@ -133,6 +136,7 @@
     }
 
     fn drop_waiting(&mut self, number: u32) {
+        self.covered.bare.remove(&number);
         self.covered.calls.retain(|held| held.send.0.0 != number);
         self.covered.notices.retain(|held| held.message != number);
     }
@@ -242,6 +246,8 @@
         let now = self.clock.now();
         let Some(covering) = self.parts.covering.as_mut() else { return };
         covering.core.resume(now, tags.iter().map(|(_, tag)| tag.clone()));
+        let alone = tags.iter().filter(|(_, tag)| tag.sides.is_empty());
+        self.covered.bare.extend(alone.map(|(number, _)| *number));
         let numbers = tags.into_iter().map(|(number, tag)| ((tag.lot, tag.item), number));
         self.covered.numbers.extend(numbers);
     }
@@ -273,6 +279,12 @@
                     }
                     self.covered.adoptions.sort_by_key(|a| std::cmp::Reverse(a.told.taken.deadline));
                 }
+                Said::Alone(lot) => {
+                    let (from, to) = ((lot, Item::MIN), (lot, Item::MAX));
+                    self.covered
+                        .bare
+                        .extend(self.covered.numbers.range(from..=to).map(|(_, number)| *number));
+                }
                 Said::Lost { lot, items } => {
                     items.into_iter().for_each(|item| self.elsewhere((lot, item), said));
                 }
@@ -297,6 +309,13 @@
         self.covered.notices = waiting;
         // Somebody else may have called, or be calling: that it never ran can't be said any more.
         due.into_iter().for_each(|held| self.notify(held.message, GivenUp::Undeliverable, held.id));
+        for _ in 0..ADOPTED_AT_ONCE {
+            let Some(number) = self.covered.bare.pop_first() else { break };
+            if !self.cover_anew(number, now) {
+                self.covered.bare.insert(number);
+                break;
+            }
+        }
         for _ in 0..ADOPTED_AT_ONCE {
             let Some(next) = self.covered.adoptions.pop() else { break };
             if let Err(again) = self.adopt(next, now, said) {
@@ -306,6 +325,43 @@
         }
     }
 
+    /// Covers a message in a new lot whose old one nobody else can come to own. False if that can't be now.
+    fn cover_anew(&mut self, number: u32, now: Micros) -> bool {
+        let Some(live) = self.journal.live().get(&number).cloned() else { return true };
+        let Some((old, since)) = live.covered.clone() else { return true };
+        let left = live.taken.deadline.saturating_sub(now);
+        if left == 0 {
+            return true;
+        }
+        let Some(covering) = self.parts.covering.as_mut() else { return true };
+        let Some(tag) = covering.core.place_again(live.taken.body.len(), left) else { return false };
+        let taken = live.taken;
+        let told = Told { owner: taken.owner.clone(), taken, since };
+        let Ok(record) = postcard::to_allocvec(&told) else { return true };
+        if let Err(e) = self.journal.append(&[Record::Covered(number, tag.clone(), since)]) {
+            tracing::error!("the journal can't be written: {e}");
+            return false;
+        }
+        let attempt =
+            |a: &super::super::journal::Attempt| (a.number, Attempt { at: a.at, never_ran: a.never_ran });
+        let known = Known {
+            record: Some(record),
+            attempts: live.attempts.iter().map(attempt).collect(),
+            given_up: live.given_up.map(end),
+            over: false,
+        };
+        let id = &told.taken.id;
+        tracing::debug!(id, lot = tag.lot.number, covers = ?tag.sides, "covered anew");
+        if let Some(covering) = self.parts.covering.as_mut() {
+            covering.core.tell_all(now, tag.lot, tag.item, &known);
+        }
+        self.tell(&old, Fact::Over, now);
+        self.covered.numbers.remove(&(old.lot, old.item));
+        self.covered.numbers.insert((tag.lot, tag.item), number);
+        self.covered.anew += 1;
+        true
+    }
+
     fn granted(&mut self, lot: LotId, upto: u32) {
         let now = self.clock.now();
         let (free, waiting): (Vec<_>, Vec<_>) = std::mem::take(&mut self.covered.calls)
@@ -384,6 +440,9 @@
         self.next_message = number.wrapping_add(1);
         self.covered.numbers.insert(place, number);
         self.held.insert(id.clone(), number);
+        if tag.sides.is_empty() {
+            self.covered.bare.insert(number);
+        }
         let attempts = known.attempts.last_key_value().map_or(0, |(last, _)| last + 1);
         let (from, destination) = (tag.lot.owner, taken.destination);
         tracing::debug!(id, from, destination, attempts, ?how, "taken over");
@@ -425,6 +484,7 @@
                                    "calls_waiting": self.covered.calls.len(),
                                    "notices_waiting": self.covered.notices.len(),
                                    "adoptions_waiting": self.covered.adoptions.len()});
+        report["covered_anew"] = json!(self.covered.anew);
         report["beyond_reach"] = json!(self.covered.beyond_reach);
         Reply::yes(&report)
     }
--- a/src/takeover/lots.rs
+++ b/src/takeover/lots.rs
@@ -177,6 +177,8 @@
     Lost { lot: LotId, items: BTreeSet<Item> },
     /// A message of an owned lot is over, by what an earlier owner says.
     Over(LotId, Item),
+    /// Nobody else can come to own what is left in the lot: it may be covered anew.
+    Alone(LotId),
 }
 
 /// What outlasts the process, written down before anything that rests on it is sent.
@@ -335,6 +337,21 @@
         self.ask(lot, None, out);
     }
 
+    /// A cover of lots that this sender opened is gone: the other one could not come to own them. They are closed
+    /// there, so that their messages can be covered anew.
+    pub fn retire(&mut self, gone: Rank, out: &mut Out) {
+        let of = |owned: &Owned| {
+            owned.epoch == 0 && !owned.alone && owned.sides.iter().any(|side| side.rank == gone)
+        };
+        for lot in self.owned.iter().filter(|(_, o)| of(o)).map(|(lot, _)| *lot).collect::<Vec<_>>() {
+            if let Some(owned) = self.owned.get_mut(&lot) {
+                owned.sealed = true;
+            }
+            self.ask(lot, None, out);
+            self.end_if_over(lot, out);
+        }
+    }
+
     /// Asks covers once more whether lots may go on alone, for those that can't otherwise.
     pub fn ask_again(&mut self, out: &mut Out) {
         let stuck = self.owned.iter().filter(|(_, owned)| {
@@ -637,6 +654,7 @@
                 let upto = owned.told;
                 out.said.push(Said::Lost { lot, items });
                 out.said.push(Said::Granted { lot, upto });
+                out.said.push(Said::Alone(lot));
                 self.end_if_over(lot, out);
             }
             Op::Ask { lot, epoch, memory } => self.asked(from, lot, epoch, memory, out),
@@ -646,6 +664,7 @@
                 };
                 owned.alone = true;
                 out.said.push(Said::Granted { lot, upto: owned.told });
+                out.said.push(Said::Alone(lot));
             }
             Op::Unknown { .. } => {}
             Op::Drop { lot } => {
--- a/src/takeover/mod.rs
+++ b/src/takeover/mod.rs
@@ -14,7 +14,7 @@
 
 use crate::interface::Micros;
 use channel::Channel;
-use lots::{Fact, Item, LotId, Lots, MOST_ITEMS, Memory, Op, Out, Rank, Said};
+use lots::{Fact, Item, Known, LotId, Lots, MOST_ITEMS, Memory, Op, Out, Rank, Said};
 
 /// Bounds of the lease, milliseconds.
 pub const LEASES_MS: (u32, u32) = (200, 30_000);
@@ -273,7 +273,7 @@
                     self.counts.adopted += items.len() as u64;
                 }
                 Said::Lost { items, .. } => self.counts.lost += items.len() as u64,
-                Said::Granted { .. } | Said::Over(..) => {}
+                Said::Granted { .. } | Said::Over(..) | Said::Alone(_) => {}
             }
             self.said.push(said);
         }
@@ -303,6 +303,11 @@
         placed
     }
 
+    /// The same for a message that was covered before; it counts once.
+    pub fn place_again(&mut self, body: usize, left: Micros) -> Option<Tag> {
+        self.placed(body, left).ok()
+    }
+
     fn placed(&mut self, body: usize, left: Micros) -> Result<Tag, Uncovered> {
         if body > self.config.max_body as usize {
             return Err(Uncovered::Body);
@@ -317,6 +322,22 @@
         Ok(Tag { lot: current.lot, epoch: 0, item, sides })
     }
 
+    /// The same for a message that was covered before, in a lot that nobody else can come to own: all that is known of
+    /// it is told, its record last, since nobody adopts a message without.
+    pub fn tell_all(&mut self, now: Micros, lot: LotId, item: Item, known: &Known) {
+        for (attempt, intended) in &known.attempts {
+            let never = intended.never_ran.then_some(Fact::NeverRan(*attempt));
+            for fact in std::iter::once(Fact::Intent(*attempt)).chain(never) {
+                self.with(now, |lots, out| lots.tell((lot, item), fact, intended.at, out));
+            }
+        }
+        let last =
+            known.given_up.map(Fact::GivenUp).into_iter().chain(known.record.clone().map(Fact::Record));
+        for fact in last {
+            self.tell(now, lot, item, fact);
+        }
+    }
+
     /// Tells a fact of an owned message. Its number, if a grant is to be waited for; see [`Lots::tell`].
     pub fn tell(&mut self, now: Micros, lot: LotId, item: Item, fact: Fact) -> Option<u32> {
         self.with(now, |lots, out| lots.tell((lot, item), fact, now, out))
@@ -415,7 +436,10 @@
             }
             if silent {
                 let new = self.with(now, |lots, out| lots.lapse(rank, out));
-                self.counts.lapsed += u64::from(new);
+                if new {
+                    self.counts.lapsed += 1;
+                    self.with(now, |lots, out| lots.retire(rank, out));
+                }
             }
         }
     }
