Have an adopted lot closed at once and its messages covered anew

Need: an adopter needed the other cover's grant for each call that must not be repeated.

Change: whoever comes to own a lot asks the other cover to close it, and covers its messages anew with two that are there. What it knew stays until it expires, so that an owner that comes back hears that its messages were taken.

--- a/src/net/driver/covered.rs
+++ b/src/net/driver/covered.rs
@@ -440,7 +440,7 @@
         self.next_message = number.wrapping_add(1);
         self.covered.numbers.insert(place, number);
         self.held.insert(id.clone(), number);
-        if tag.sides.is_empty() {
+        if self.parts.covering.as_ref().is_some_and(|covering| covering.core.alone(tag.lot)) {
             self.covered.bare.insert(number);
         }
         let attempts = known.attempts.last_key_value().map_or(0, |(last, _)| last + 1);
--- a/src/takeover/lots.rs
+++ b/src/takeover/lots.rs
@@ -423,8 +423,8 @@
         for side in &owned.sides {
             out.op(side.rank, Op::Drop { lot });
         }
+        // What it knew as a cover stays until it expires: whoever comes back and asks hears that it was taken.
         self.owned.remove(&lot);
-        self.covers.remove(&lot);
     }
 
     /// A peer has not been heard for as long as its lease; whether that is new. It may be told at any time, and may
@@ -514,6 +514,8 @@
             out.op(owner, taken.clone());
         }
         out.said.push(Said::Adopt { lot, epoch, sides: told, heard, items });
+        // The other cover is asked to close it, so that the messages can be covered anew by two that are there.
+        self.ask(lot, None, out);
         self.end_if_over(lot, out);
     }
 
@@ -561,13 +563,14 @@
     pub fn covering(&self) -> impl Iterator<Item = (LotId, usize)> + '_ {
         let owed = |cover: &Cover| cover.items.values().filter(|known| !known.over).count();
         let others = self.covers.iter().filter(|(lot, _)| !self.owned.contains_key(lot));
-        others.map(move |(lot, cover)| (*lot, owed(cover)))
+        others.map(move |(lot, cover)| (*lot, if cover.role == Role::Owner { 0 } else { owed(cover) }))
     }
 
     /// Senders whose silence matters here: owners of lots that are covered, and the other covers of those.
     pub fn concerns(&self) -> BTreeSet<Rank> {
         let owned = self.owned.values().flat_map(|owned| owned.sides.iter().map(|side| side.rank));
-        let covered = self.covers.iter().flat_map(|(lot, cover)| [lot.owner, cover.other]);
+        let covers = self.covers.iter().filter(|(_, cover)| cover.role != Role::Owner);
+        let covered = covers.flat_map(|(lot, cover)| [lot.owner, cover.other]);
         owned.chain(covered).filter(|rank| *rank != self.own).collect()
     }
 
--- a/src/takeover/mod.rs
+++ b/src/takeover/mod.rs
@@ -348,6 +348,11 @@
         self.lots.owns(lot)
     }
 
+    /// Whether nobody else can come to own a lot of this sender's.
+    pub fn alone(&self, lot: LotId) -> bool {
+        self.lots.alone(lot)
+    }
+
     /// Lots that an earlier process of this sender owned.
     pub fn resume(&mut self, now: Micros, tags: impl Iterator<Item = Tag>) {
         let mut lots: BTreeMap<LotId, (Tag, BTreeSet<Item>)> = BTreeMap::new();
