--- a/fleet/src/links/tcp.rs
+++ b/fleet/src/links/tcp.rs
@@ -38,10 +38,19 @@
 }
 
 enum Outgoing {
-    Bytes(Bytes, oneshot::Sender<Micros>),
+    Bytes(Bytes, oneshot::Sender<Arrived>),
     Reset,
 }
 
+/// Bytes that came to the sender's end.
+#[derive(Debug, Clone, Copy)]
+pub struct Arrived {
+    /// When.
+    pub at: Micros,
+    /// The sender had not given the connection up by then, so that it may have read them.
+    pub heard: bool,
+}
+
 impl Conduit {
     /// The next bytes; nothing once the sender has closed, or the link has cut it.
     pub async fn receive(&mut self) -> Option<Piece> {
@@ -49,7 +58,7 @@
     }
 
     /// Writes bytes and waits until the sender has them; tells when, if it ever got them.
-    pub async fn send(&mut self, bytes: impl Into<Bytes>) -> Option<Micros> {
+    pub async fn send(&mut self, bytes: impl Into<Bytes>) -> Option<Arrived> {
         let (told, arrived) = oneshot::channel();
         self.outgoing.send(Outgoing::Bytes(bytes.into(), told)).await.ok()?;
         arrived.await.ok()
@@ -251,11 +260,11 @@
                 if !passes(&mut conditions).await {
                     return reset(write);
                 }
-                // A sender that has given the call up by closing never hears what comes then.
-                if closed.load(Ordering::Relaxed) || write.write_all(&bytes).await.is_err() {
+                let heard = !closed.load(Ordering::Relaxed);
+                if write.write_all(&bytes).await.is_err() {
                     return;
                 }
-                let _ = told.send(recorder.now());
+                let _ = told.send(Arrived { at: recorder.now(), heard });
             }
         }
     }
--- a/fleet/src/world/endpoints.rs
+++ b/fleet/src/world/endpoints.rs
@@ -470,7 +470,9 @@
         for (sent, _) in sent.iter().zip(&said).filter(|(_, end)| **end == CallEnd::Done) {
             partner.registry.end(&sent.id, End::Delivered);
         }
-        partner.recorder.saw(arrived, What::Answered { call, status, written, wait, ends: said });
+        // What is written counts as delivered, but a wait binds only whom it reached.
+        let wait = wait.filter(|_| arrived.heard);
+        partner.recorder.saw(arrived.at, What::Answered { call, status, written, wait, ends: said });
         status != 0
     }
 }
