Grant nothing to what has become another's, and drop it where it waits

Need: seen by reading. What another took while it still waited here to be adopted would have been adopted all the same; its lot counts as this sender's alone for the rest, so that an intent would have been granted there.

Change: such messages leave the queue, and the core grants no intent of a message that is not owed in its lot.

--- a/src/net/driver/covered.rs
+++ b/src/net/driver/covered.rs
@@ -68,7 +68,7 @@
     /// By deadline, the latest first.
     adoptions: Vec<Adoption>,
     beyond_reach: u64,
-    /// Messages that may be covered anew, and since when they wait for it.
+    /// Messages that may be covered anew.
     bare: BTreeSet<u32>,
     anew: u64,
 }
@@ -286,6 +286,7 @@
                         .extend(self.covered.numbers.range(from..=to).map(|(_, number)| *number));
                 }
                 Said::Lost { lot, items } => {
+                    self.covered.adoptions.retain(|a| a.tag.lot != lot || !items.contains(&a.tag.item));
                     items.into_iter().for_each(|item| self.elsewhere((lot, item), said));
                 }
                 Said::Over(lot, item) => {
--- a/src/takeover/lots.rs
+++ b/src/takeover/lots.rs
@@ -396,7 +396,9 @@
                 out.op(side.rank, Op::Tell { lot, epoch, n, item, fact: fact.clone(), at });
             }
         }
-        let waits = (!owned.alone).then_some(n);
+        // What has become another's is granted nothing, even where nobody else can own the rest of the lot.
+        let lost = matches!(fact, Fact::Intent(_)) && !owned.open.contains(&item);
+        let waits = (!owned.alone || lost).then_some(n);
         if let Some(cover) = self.covers.get_mut(&lot) {
             cover.items.entry(item).or_default().learn(fact, at);
         }
