Write what takeover repeats once, and leave out what nobody reads

Need: read once more, the change had an end that is owed as two types with two conversions between them, one attempt without an answer built in four places, this sender's number looked up in two and checked for in two, and state that nothing reads (what a cover has granted, two conditions that follow from a third). What the view recommends as covers was gathered at every turn of the loop, though covers are chosen ten times a lease at most.

Change: one type `GivenUp`, `AttemptOver::unanswered`, `Config::rank`, `Told::of`; that state and an unused call go; what waits is taken out by `extract_if`; the view is asked only when covers may be chosen; the room for promises stands with their number. Behaviour as before; no test is changed.

--- a/fleet/src/ledger/figures.rs
+++ b/fleet/src/ledger/figures.rs
@@ -184,7 +184,7 @@
                 for second in figures.seconds.get_mut(from..until.min(seconds)).into_iter().flatten() {
                     second.owed += 1;
                 }
-                if reading.orphaned(seen) {
+                if let Some(lost) = reading.orphaned_at(seen) {
                     figures.orphaned += 1;
                     figures.orphaned_ended +=
                         u64::from(seen.ended().is_some_and(|at| at <= seen.deadline + 350_000));
@@ -196,9 +196,7 @@
                         figures.deliverable_delivered +=
                             u64::from(seen.delivered.is_some_and(|at| at <= seen.deadline));
                     }
-                    if let (Some(lost), Some(called)) =
-                        (reading.orphaned_at(seen), reading.called_elsewhere(seen))
-                    {
+                    if let Some(called) = reading.called_elsewhere(seen) {
                         figures.takeover_ms.push((called - lost) as f64 / 1000.0);
                     }
                 }
--- a/src/net/config.rs
+++ b/src/net/config.rs
@@ -13,6 +13,7 @@
 use myrtleyard::interface::Settings;
 use myrtleyard::membership;
 use myrtleyard::takeover;
+use myrtleyard::takeover::lots::Memory;
 use serde::Deserialize;
 use serde_json::Value;
 
@@ -60,6 +61,14 @@
     pub document: Value,
 }
 
+impl Config {
+    /// This sender's number among those of its tier.
+    pub fn rank(&self) -> Option<u16> {
+        let own = self.peers.iter().position(|peer| Some(*peer) == self.peer_listen)?;
+        u16::try_from(own).ok()
+    }
+}
+
 /// The section that turns on the draining of endpoints.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -73,9 +82,6 @@
     64
 }
 
-/// Bytes that the promises of a cover take of the folder at most, old and new file together.
-pub const MEMORY_ROOM: u64 = 256 * 1024;
-
 /// The document in force, for those who hold another against it.
 pub type InForce = Rc<RefCell<Arc<Value>>>;
 
@@ -228,20 +234,17 @@
     {
         return Err(("draining.max_marks", format!("{max_marks}, which takes over a quarter of disk_mb,")));
     }
-    if raw.membership.is_some() {
-        let own = raw.peer_listen.is_some_and(|own| raw.peers.contains(&own));
-        if !own || raw.peers.len() > membership::MOST_MEMBERS {
-            let why = "is on, but peers do not hold peer_listen, or are over 1,024".to_owned();
-            return Err(("membership", why));
-        }
+    let own = raw.peer_listen.is_some_and(|own| raw.peers.contains(&own));
+    if raw.membership.is_some() && (!own || raw.peers.len() > membership::MOST_MEMBERS) {
+        let why = "is on, but peers do not hold peer_listen, or are over 1,024".to_owned();
+        return Err(("membership", why));
     }
     if raw.takeover.is_some() {
-        let own = raw.peer_listen.is_some_and(|own| raw.peers.contains(&own));
         if !own || !(3..=membership::MOST_MEMBERS).contains(&raw.peers.len()) {
             let why = "is on, but peers do not hold peer_listen, or are under 3 or over 1,024".to_owned();
             return Err(("takeover", why));
         }
-        if MEMORY_ROOM > disk / 4 {
+        if Memory::ROOM > disk / 4 {
             return Err(("takeover", "is on, and takes over a quarter of disk_mb".to_owned()));
         }
     }
--- a/src/net/driver.rs
+++ b/src/net/driver.rs
@@ -358,14 +358,8 @@
         let owed = self.journal.live().iter();
         let owed = owed.filter_map(|(number, live)| Some((*number, live.given_up?, live.taken.id.clone())));
         self.unsaid.extend(owed.collect::<Vec<_>>());
-        let reset = |(message, attempt, endpoint)| AttemptOver {
-            message,
-            attempt,
-            endpoint,
-            outcome: Outcome::Reset,
-            gone: false,
-            took: 0,
-            report: vec![],
+        let reset = |(message, attempt, endpoint)| {
+            AttemptOver::unanswered(message, attempt, endpoint, Outcome::Reset)
         };
         let out = self.policy.out().map(reset).collect();
         let (orders, followed) = predecessor.link.follow(inbound, out);
@@ -771,13 +765,7 @@
         sends: &[(MessageId, u16, EndpointId, Micros)],
     ) {
         self.unwritten = records;
-        for (message, attempt, endpoint, _) in sends {
-            let (message, attempt, endpoint) = (*message, *attempt, *endpoint);
-            let outcome = Outcome::Moot { no_slot: false };
-            let end =
-                AttemptOver { message, attempt, endpoint, outcome, gone: false, took: 0, report: vec![] };
-            let _ = self.inbound.send(Inbound::CallOver(vec![end]));
-        }
+        sends.iter().for_each(|send| self.not_made(*send));
         for (number, fresh) in fresh {
             self.forget(number, &fresh.taken.id);
             self.figures.ended(&fresh.taken.class, End::Deferred);
@@ -786,6 +774,12 @@
         }
     }
 
+    /// Tells the module that a call of its was not made.
+    fn not_made(&self, (message, attempt, endpoint, _): (MessageId, u16, EndpointId, Micros)) {
+        let end = AttemptOver::unanswered(message, attempt, endpoint, Outcome::Moot { no_slot: false });
+        let _ = self.inbound.send(Inbound::CallOver(vec![end]));
+    }
+
     /// The number of a message's next attempt, if it is held.
     fn attempts_of(&mut self, message: MessageId, fresh: &BTreeMap<u32, Fresh>) -> Option<u16> {
         let known = fresh.contains_key(&message.0) || self.journal.live().contains_key(&message.0);
@@ -825,15 +819,10 @@
         for (endpoint, parts, wait) in calls {
             let Some(line) = self.line(endpoint) else {
                 // An address that can't be read is one where no connection can be made.
-                let ends = parts.into_iter().map(|part| AttemptOver {
-                    message: part.message,
-                    attempt: part.attempt,
-                    endpoint,
-                    outcome: Outcome::ConnectFailed,
-                    gone: false,
-                    took: 0,
-                    report: vec![],
-                });
+                let failed = Outcome::ConnectFailed;
+                let ends = parts
+                    .into_iter()
+                    .map(|part| AttemptOver::unanswered(part.message, part.attempt, endpoint, failed));
                 let _ = self.inbound.send(Inbound::CallOver(ends.collect()));
                 continue;
             };
--- a/src/net/driver/covered.rs
+++ b/src/net/driver/covered.rs
@@ -5,15 +5,14 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use myrtleyard::interface::*;
+use myrtleyard::takeover::Tag;
 use myrtleyard::takeover::lots::{Attempt, Fact, Item, Known, LotId, Said};
-use myrtleyard::takeover::{self, Tag};
 use serde::{Deserialize, Serialize};
 use serde_json::json;
 
 use super::super::control::Reply;
-use super::super::journal::{GivenUp, Live, Record, Taken, taken_on};
+use super::super::journal::{self, GivenUp, Live, Record, Taken, taken_on};
 use super::super::parts::Part;
-use super::super::{AttemptOver, Inbound};
 use super::{Driver, End, NO_ROOM_AGAIN};
 
 /// Messages that are adopted in a turn at most: a turn stays short, and what the sender's own clients bring gets in
@@ -84,17 +83,10 @@
     }
 }
 
-fn end(how: GivenUp) -> takeover::lots::End {
-    match how {
-        GivenUp::Deferred(again) => takeover::lots::End::Deferred(again),
-        GivenUp::Undeliverable => takeover::lots::End::Undeliverable,
-    }
-}
-
-fn given_up(end: takeover::lots::End) -> GivenUp {
-    match end {
-        takeover::lots::End::Deferred(again) => GivenUp::Deferred(again),
-        takeover::lots::End::Undeliverable => GivenUp::Undeliverable,
+impl Told {
+    /// Of a message that was taken on then.
+    fn of(taken: &Taken, since: Micros) -> Self {
+        Self { taken: taken.clone(), owner: taken.owner.clone(), since }
     }
 }
 
@@ -110,9 +102,8 @@
         let Some(Live { taken, covered: Some((tag, since)), .. }) = self.journal.live().get(&number) else {
             return;
         };
-        let told = Told { taken: taken.clone(), owner: taken.owner.clone(), since: *since };
+        let Ok(record) = postcard::to_allocvec(&Told::of(taken, *since)) else { return };
         let (tag, id) = (tag.clone(), taken.id.clone());
-        let Ok(record) = postcard::to_allocvec(&told) else { return };
         tracing::debug!(id, lot = tag.lot.number, covers = ?tag.sides, "covered");
         self.covered.numbers.insert((tag.lot, tag.item), number);
         self.tell(&tag, Fact::Record(record), now);
@@ -193,12 +184,6 @@
         free
     }
 
-    fn not_made(&self, (message, attempt, endpoint, _): (MessageId, u16, EndpointId, Micros)) {
-        let outcome = Outcome::Moot { no_slot: false };
-        let end = AttemptOver { message, attempt, endpoint, outcome, gone: false, took: 0, report: vec![] };
-        let _ = self.inbound.send(Inbound::CallOver(vec![end]));
-    }
-
     /// No call that waits is made by this process; the next one hears so.
     pub(super) fn give_waiting_up(&mut self) {
         for held in std::mem::take(&mut self.covered.calls) {
@@ -225,7 +210,7 @@
         let until = live.map_or(0, |live| live.taken.deadline);
         let tag = live.and_then(|live| live.covered.clone());
         let upto = tag.as_ref().and_then(|(tag, _)| {
-            let upto = self.tell(tag, Fact::GivenUp(end(how)), self.clock.now());
+            let upto = self.tell(tag, Fact::GivenUp(how), self.clock.now());
             upto.map(|upto| (tag.lot, upto))
         });
         match upto {
@@ -300,14 +285,11 @@
         }
         let now = self.clock.now();
         let lease = self.parts.covering.as_ref().map_or(0, |covering| covering.core.lease());
-        let late = |held: &HeldCall| now > held.since + lease.min(WAITS_FOR);
-        let (late, waiting): (Vec<_>, Vec<_>) =
-            std::mem::take(&mut self.covered.calls).into_iter().partition(late);
-        self.covered.calls = waiting;
+        let late = |held: &mut HeldCall| now > held.since + lease.min(WAITS_FOR);
+        let late: Vec<HeldCall> = self.covered.calls.extract_if(.., late).collect();
         late.into_iter().for_each(|held| self.not_made(held.send));
-        let (due, waiting): (Vec<_>, Vec<_>) =
-            std::mem::take(&mut self.covered.notices).into_iter().partition(|held| now >= held.until);
-        self.covered.notices = waiting;
+        let due = |held: &mut HeldNotice| now >= held.until;
+        let due: Vec<HeldNotice> = self.covered.notices.extract_if(.., due).collect();
         // Somebody else may have called, or be calling: that it never ran can't be said any more.
         due.into_iter().for_each(|held| self.notify(held.message, GivenUp::Undeliverable, held.id));
         for _ in 0..ADOPTED_AT_ONCE {
@@ -336,22 +318,19 @@
         }
         let Some(covering) = self.parts.covering.as_mut() else { return true };
         let Some(tag) = covering.core.place_again(live.taken.body.len(), left) else { return false };
-        let taken = live.taken;
-        let told = Told { owner: taken.owner.clone(), taken, since };
-        let Ok(record) = postcard::to_allocvec(&told) else { return true };
+        let Ok(record) = postcard::to_allocvec(&Told::of(&live.taken, since)) else { return true };
         if let Err(e) = self.journal.append(&[Record::Covered(number, tag.clone(), since)]) {
             tracing::error!("the journal can't be written: {e}");
             return false;
         }
-        let attempt =
-            |a: &super::super::journal::Attempt| (a.number, Attempt { at: a.at, never_ran: a.never_ran });
+        let attempt = |a: &journal::Attempt| (a.number, Attempt { at: a.at, never_ran: a.never_ran });
         let known = Known {
             record: Some(record),
             attempts: live.attempts.iter().map(attempt).collect(),
-            given_up: live.given_up.map(end),
+            given_up: live.given_up,
             over: false,
         };
-        let id = &told.taken.id;
+        let id = &live.taken.id;
         tracing::debug!(id, lot = tag.lot.number, covers = ?tag.sides, "covered anew");
         if let Some(covering) = self.parts.covering.as_mut() {
             covering.core.tell_all(now, tag.lot, tag.item, &known);
@@ -365,10 +344,8 @@
 
     fn granted(&mut self, lot: LotId, upto: u32) {
         let now = self.clock.now();
-        let (free, waiting): (Vec<_>, Vec<_>) = std::mem::take(&mut self.covered.calls)
-            .into_iter()
-            .partition(|held| held.lot == lot && held.upto <= upto);
-        self.covered.calls = waiting;
+        let free = |held: &mut HeldCall| held.lot == lot && held.upto <= upto;
+        let free: Vec<HeldCall> = self.covered.calls.extract_if(.., free).collect();
         let owed = |held: &HeldCall| {
             let live = self.journal.live().get(&held.send.0.0);
             live.is_some_and(|live| live.given_up.is_none())
@@ -381,10 +358,8 @@
             })
             .collect();
         self.begin(sends);
-        let (told, waiting): (Vec<_>, Vec<_>) = std::mem::take(&mut self.covered.notices)
-            .into_iter()
-            .partition(|held| held.lot == lot && held.upto <= upto);
-        self.covered.notices = waiting;
+        let told = |held: &mut HeldNotice| held.lot == lot && held.upto <= upto;
+        let told: Vec<HeldNotice> = self.covered.notices.extract_if(.., told).collect();
         told.into_iter().for_each(|held| self.notify(held.message, held.how, held.id));
     }
 
@@ -426,7 +401,7 @@
             && self.journal.has_room(&taken, 0)
             && self.policy.held() < self.settings.max_open;
         let once = class.is_some_and(|class| self.settings.classes[class].effect == Effect::Once);
-        let how = match known.given_up.map(given_up) {
+        let how = match known.given_up {
             None if reach => None,
             // Nobody else calls for it any more, and nobody has.
             None if once && !known.may_have_run() => Some(GivenUp::Deferred(NO_ROOM_AGAIN)),
--- a/src/net/journal.rs
+++ b/src/net/journal.rs
@@ -9,6 +9,7 @@
 use bytes::Bytes;
 use myrtleyard::interface::Micros;
 use myrtleyard::takeover::Tag;
+pub use myrtleyard::takeover::lots::GivenUp;
 use serde::{Deserialize, Serialize};
 
 /// One thing that happened to a message. Times are Unix microseconds.
@@ -66,15 +67,6 @@
     pub body: Bytes,
 }
 
-/// An end that is owed to the platform.
-#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
-pub enum GivenUp {
-    /// Refused, with advice on when to return, in microseconds.
-    Deferred(Micros),
-    /// Failed.
-    Undeliverable,
-}
-
 /// An attempt as far as it is known.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Attempt {
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -108,6 +108,13 @@
     pub report: Vec<f32>,
 }
 
+impl AttemptOver {
+    /// An attempt that ended without an answer, as far as this process knows.
+    pub fn unanswered(message: MessageId, attempt: u16, endpoint: EndpointId, outcome: Outcome) -> Self {
+        Self { message, attempt, endpoint, outcome, gone: false, took: 0, report: vec![] }
+    }
+}
+
 /// Unix time in microseconds that never runs backwards within a process.
 #[derive(Debug, Clone, Copy)]
 pub struct Clock {
--- a/src/net/parts/covering.rs
+++ b/src/net/parts/covering.rs
@@ -37,12 +37,11 @@
     /// As the configuration has it, with the promises of earlier processes; nothing without its section.
     pub fn open(config: &Config, folder: &Path, now: Micros) -> Option<Self> {
         let section = config.takeover.as_ref()?;
-        let own = config.peers.iter().position(|peer| Some(*peer) == config.peer_listen)?;
+        let own = config.rank()?;
         let at = folder.join("promises");
         let read = lasting::read(&at).map_err(|e| e.to_string());
-        let read = read.and_then(|text| match text {
-            Some(text) => postcard::from_bytes(&text).map(Some).map_err(|e| e.to_string()),
-            None => Ok(None),
+        let read = read.and_then(|text| {
+            text.map(|text| postcard::from_bytes(&text)).transpose().map_err(|e| e.to_string())
         });
         let memory = read.unwrap_or_else(|e| {
             tracing::error!("the promises to other senders can't be read, and count for forgotten: {e}");
@@ -51,11 +50,16 @@
         let unwritten = memory.is_none();
         let memory = memory.unwrap_or_else(|| Memory { id: chance(), promises: BTreeMap::new() });
         let host = |rank: usize| config.peers.get(rank).map(|peer| peer.ip());
-        let elsewhere = (0..config.peers.len()).map(|rank| host(rank) != host(own)).collect();
-        let core = Takeover::new(section, own as u16, config.peers.len(), chance(), memory, now);
+        let elsewhere = (0..config.peers.len()).map(|rank| host(rank) != host(own.into())).collect();
+        let core = Takeover::new(section, own, config.peers.len(), chance(), memory, now);
         Some(Self { core, at, elsewhere, unwritten })
     }
 
+    /// Whether the next tick may choose covers.
+    pub fn chooses(&self, now: Micros) -> bool {
+        now >= self.core.ticks_at()
+    }
+
     /// Looks whom the view recommends as covers.
     pub fn look(&mut self, view: Option<&View>) {
         let members = view.map(View::members);
@@ -70,13 +74,9 @@
 
     /// Sends what is due, after what it rests on is written down.
     pub fn flush(&mut self, now: Micros, out: &mut Out) {
-        let memory = match self.core.to_remember() {
-            Some(memory) => Some(memory),
-            None if self.unwritten => Some(self.core.memory()),
-            None => None,
-        };
-        if let Some(memory) = memory {
-            let written = postcard::to_allocvec(memory).map_err(std::io::Error::other);
+        self.unwritten |= self.core.to_remember().is_some();
+        if self.unwritten {
+            let written = postcard::to_allocvec(self.core.memory()).map_err(std::io::Error::other);
             self.unwritten = match written.and_then(|bytes| lasting::write(&self.at, &bytes)) {
                 Ok(()) => false,
                 Err(e) => {
--- a/src/net/parts/mod.rs
+++ b/src/net/parts/mod.rs
@@ -9,9 +9,10 @@
 use std::path::Path;
 
 use myrtleyard::interface::Micros;
+use myrtleyard::takeover::lots::Memory;
 use serde_json::Value;
 
-use super::config::{Config, MEMORY_ROOM};
+use super::config::Config;
 use covering::Covering;
 use draining::Draining;
 use view::View;
@@ -64,7 +65,7 @@
     /// Bytes that parts may take of the folder that lasts.
     pub fn room(config: &Config) -> u64 {
         let marks = config.draining.map_or(0, |section| Draining::room(section.max_marks));
-        marks + config.takeover.as_ref().map_or(0, |_| MEMORY_ROOM)
+        marks + config.takeover.as_ref().map_or(0, |_| Memory::ROOM)
     }
 
     /// The configuration has changed. Draining and covers stay as they were at the start, since their room was set
@@ -97,7 +98,7 @@
 
     /// Calls those whose time has come.
     pub fn tick(&mut self, now: Micros, out: &mut Out) {
-        if let Some(covering) = &mut self.covering {
+        if let Some(covering) = self.covering.as_mut().filter(|covering| covering.chooses(now)) {
             covering.look(self.view.as_ref());
         }
         for part in self.each().filter(|part| part.due().is_some_and(|due| due <= now)) {
--- a/src/net/parts/view.rs
+++ b/src/net/parts/view.rs
@@ -65,8 +65,7 @@
 
 /// This sender's place in its tier.
 pub fn place(config: &Config, section: &membership::Config) -> Option<Place> {
-    let own = config.peers.iter().position(|peer| Some(*peer) == config.peer_listen);
-    let own = own.and_then(|own| Rank::try_from(own).ok())?;
+    let own = config.rank()?;
     let zone = config.document["settings"]["locality"].as_u64().and_then(|zone| u8::try_from(zone).ok());
     let tier = membership::tier_of(&section.tier);
     Some(Place { own, size: config.peers.len(), tier, zone: zone.unwrap_or(u8::MAX) })
--- a/src/takeover/channel.rs
+++ b/src/takeover/channel.rs
@@ -248,18 +248,20 @@
             out(self.write(Kind::Hello, to, [seq, 0, 0], &[]));
         }
         let Some(peer) = self.peer else { return };
-        let mut burst = if now >= self.rested + PACE { BURST } else { 0 };
-        while burst > 0 && self.window.len() < WINDOW && !self.waiting.is_empty() {
+        let burst = if now >= self.rested + PACE { BURST } else { 0 };
+        for _ in 0..burst {
+            if self.window.len() == WINDOW || self.waiting.is_empty() {
+                break;
+            }
             let size = self.waiting.len().min(SEGMENT);
             let bytes = self.waiting.drain(..size).collect();
             self.window.push_back(Segment { seq: self.next, bytes, sent: None, tries: 0, arrived: false });
             self.next += 1;
-            burst -= 1;
         }
         let seen = self.window.iter().rposition(|segment| segment.arrived).unwrap_or(0);
         let due: Vec<usize> = (0..self.window.len()).filter(|at| self.is_due(*at, seen, now)).collect();
         let mut told = false;
-        for at in due.into_iter().take(if now >= self.rested + PACE { BURST } else { 0 }) {
+        for at in due.into_iter().take(burst) {
             let head = [self.window[at].seq, self.came, self.missing()];
             out(self.write(Kind::Data, peer, head, &self.window[at].bytes));
             let segment = &mut self.window[at];
--- a/src/takeover/lots.rs
+++ b/src/takeover/lots.rs
@@ -46,7 +46,7 @@
 
 /// An end that is owed to the platform.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
-pub enum End {
+pub enum GivenUp {
     /// Refused, with advice on when to return, in microseconds.
     Deferred(Micros),
     /// Failed.
@@ -63,7 +63,7 @@
     /// This attempt is known not to have run, and never will.
     NeverRan(u16),
     /// It ends so, and the platform is to be told.
-    GivenUp(End),
+    GivenUp(GivenUp),
     /// Nothing more is owed.
     Over,
 }
@@ -85,7 +85,7 @@
     /// Its attempts.
     pub attempts: BTreeMap<u16, Attempt>,
     /// Its end, while the platform may not know of it.
-    pub given_up: Option<End>,
+    pub given_up: Option<GivenUp>,
     /// Nothing more is owed.
     pub over: bool,
 }
@@ -190,6 +190,11 @@
     pub promises: BTreeMap<LotId, Epoch>,
 }
 
+impl Memory {
+    /// Bytes that it takes of the disk at most, old and new file together.
+    pub const ROOM: u64 = 2 * 32 * MOST_PROMISES as u64;
+}
+
 /// How a cover stands to its lot.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
 enum Role {
@@ -223,7 +228,6 @@
 struct Side {
     rank: Rank,
     memory: Option<u64>,
-    granted: u32,
     fenced: bool,
 }
 
@@ -298,7 +302,7 @@
 
     /// Opens a lot. Messages can be put into it once it is [`Lots::ready`].
     pub fn open(&mut self, lot: LotId, covers: [Rank; 2], out: &mut Out) {
-        let side = |rank| Side { rank, memory: None, granted: 0, fenced: false };
+        let side = |rank| Side { rank, memory: None, fenced: false };
         let sides = covers.map(side).to_vec();
         let open = BTreeSet::new();
         self.owned.insert(lot, Owned { epoch: 0, sides, told: 0, alone: false, open, sealed: false });
@@ -327,7 +331,6 @@
         let side = |(rank, memory): &(Rank, u64)| Side {
             rank: *rank,
             memory: Some(*memory),
-            granted: 0,
             // It grants nothing to a process that it does not know.
             fenced: true,
         };
@@ -354,9 +357,7 @@
 
     /// Asks covers once more whether lots may go on alone, for those that can't otherwise.
     pub fn ask_again(&mut self, out: &mut Out) {
-        let stuck = self.owned.iter().filter(|(_, owned)| {
-            !owned.alone && owned.sealed && !owned.sides.is_empty() && owned.sides.iter().all(|s| s.fenced)
-        });
+        let stuck = self.owned.iter().filter(|(_, o)| !o.alone && o.sides.iter().all(|side| side.fenced));
         for lot in stuck.map(|(lot, _)| *lot).collect::<Vec<_>>() {
             self.ask(lot, None, out);
         }
@@ -609,8 +610,7 @@
                 let Some(owned) = self.owned.get_mut(&lot).filter(|owned| owned.epoch == epoch) else {
                     return;
                 };
-                if let Some(side) = owned.sides.iter_mut().find(|s| s.rank == from && !s.fenced) {
-                    side.granted = side.granted.max(upto);
+                if owned.sides.iter().any(|side| side.rank == from && !side.fenced) {
                     out.said.push(Said::Granted { lot, upto });
                 }
             }
@@ -645,7 +645,7 @@
                 };
                 if let Some(cover) = self.covers.get_mut(&lot).filter(won) {
                     cover.heard = cover.heard.max(heard);
-                    let side = Side { rank: from, memory: Some(memory), granted: 0, fenced: false };
+                    let side = Side { rank: from, memory: Some(memory), fenced: false };
                     self.adopt(lot, vec![side], out);
                 }
             }
--- a/src/takeover/mod.rs
+++ b/src/takeover/mod.rs
@@ -198,11 +198,6 @@
         Micros::from(self.config.lease_ms) * 1_000
     }
 
-    /// The section that it was made from.
-    pub fn config(&self) -> &Config {
-        &self.config
-    }
-
     /// What has to be written down before anything is sent, if it has changed since this was asked last.
     pub fn to_remember(&mut self) -> Option<&Memory> {
         std::mem::take(&mut self.remember).then(|| self.lots.memory())
@@ -399,12 +394,17 @@
     /// When it wants to be ticked next.
     pub fn due(&self) -> Micros {
         let channels = self.peers.values().filter_map(|peer| peer.channel.due());
-        channels.min().unwrap_or(Micros::MAX).min(self.ticked + self.lease() / 10)
+        channels.min().unwrap_or(Micros::MAX).min(self.ticks_at())
+    }
+
+    /// When leases and covers are looked at next.
+    pub fn ticks_at(&self) -> Micros {
+        self.ticked + self.lease() / 10
     }
 
-    /// Time has passed: leases, covers, and what is due to be sent. Call [`Takeover::to_remember`] before it.
+    /// Time has passed: leases and covers are looked at, where that is due.
     pub fn tick(&mut self, now: Micros) {
-        if now < self.ticked + self.lease() / 10 {
+        if now < self.ticks_at() {
             return;
         }
         if now > self.ticked + self.lease() / 2 {
@@ -523,7 +523,7 @@
         self.with(now, |lots, out| lots.open(lot, covers, out));
     }
 
-    /// What is to be sent now.
+    /// What is to be sent now; [`Takeover::to_remember`] comes before it.
     pub fn flush(&mut self, now: Micros, out: &mut Vec<(Rank, Vec<u8>)>) {
         for (rank, peer) in &mut self.peers {
             peer.channel.flush(now, &mut |bytes| {
