Settle what the status index, estimates and plans call things, and share channels

Need: a cold start, a status index, what a query will touch, and reads by plan are to be built side by side, so that their words have to stand first.

Design: a log belongs to an owner and one life of its folder; a shard is an owner's part for one span of time; what is known of a message is the join of all logs that speak of it, so that order, repetition and two owners do no harm. A position says up to which change somebody has a log, and as of when by its owner's clock. Estimates are intervals, with what they suffer from; plans have a level, a wait, and what becomes of a read that can't have its level.

Not taken: one index that the senders agree on (it would wait on agreement where messages are taken on), and positions by time (clocks step). Lives are drawn by chance and stand in no order: a counter in a folder that can be lost would come again.

Change: the types with their doc comments, no behaviour yet; sections `status` and `plans` are read and checked. `channel` leaves takeover's room, with a first byte for each part that uses it; `mesh` bounds channels to many senders (64 channels, 4 MiB waiting). The view gives facts to other parts by one interface, which takeover's choice of covers now uses.

--- a/src/takeover/channel.rs
+++ b/src/channel.rs
@@ -9,8 +9,12 @@
 
 use crate::interface::Micros;
 
-/// The first byte of a datagram; no other part's begin so.
-pub const MAGIC: u8 = 0xb3;
+/// The first byte of a datagram tells whose channel it is; no other datagram between senders begins so.
+pub const TAKEOVER: u8 = 0xb3;
+/// The same, for the status index.
+pub const STATUS: u8 = 0xc5;
+/// The same, for starts.
+pub const START: u8 = 0xd1;
 const VERSION: u8 = 1;
 const HEAD: usize = 38;
 /// Bytes of a datagram at most.
@@ -64,6 +68,7 @@
 /// One side of a channel.
 #[derive(Debug)]
 pub struct Channel {
+    magic: u8,
     tier: u32,
     own: u64,
     peer: Option<u64>,
@@ -84,9 +89,11 @@
 }
 
 impl Channel {
-    /// A channel of the process that drew `own`, in the tier with that checksum.
-    pub fn new(own: u64, tier: u32) -> Self {
+    /// A channel of the process that drew `own`, in the tier with that checksum; `magic` is one of [`TAKEOVER`],
+    /// [`STATUS`] and [`START`].
+    pub fn new(magic: u8, own: u64, tier: u32) -> Self {
         Self {
+            magic,
             tier,
             own,
             peer: None,
@@ -115,6 +122,16 @@
         self.sent
     }
 
+    /// Bytes that were not sent yet.
+    pub fn waiting(&self) -> usize {
+        self.waiting.len()
+    }
+
+    /// Whether something waits to be sent or acknowledged.
+    pub fn busy(&self) -> bool {
+        !self.waiting.is_empty() || !self.window.is_empty()
+    }
+
     /// Begins to get to know the other side, if it is not known.
     pub fn greet(&mut self, challenge: u32) {
         if self.peer.is_none() && self.challenge.is_none() {
@@ -157,7 +174,7 @@
                 let anew = self.peer.is_some_and(|peer| peer != from);
                 if anew {
                     // Whatever was said was said to a process that is no more.
-                    *self = Self { welcome: self.welcome, sent: self.sent, ..Self::new(self.own, self.tier) };
+                    *self = Self { welcome: self.welcome, sent: self.sent, ..Self::new(self.magic, self.own, self.tier) };
                 }
                 self.peer = Some(from);
                 self.answer = true;
@@ -309,7 +326,7 @@
 
     fn write(&self, kind: Kind, to: u64, numbers: [u32; 3], body: &[u8]) -> Vec<u8> {
         let mut bytes = Vec::with_capacity(HEAD + body.len());
-        bytes.extend([MAGIC, VERSION << 4 | kind as u8]);
+        bytes.extend([self.magic, VERSION << 4 | kind as u8]);
         bytes.extend(self.tier.to_le_bytes());
         bytes.extend([0; 4]);
         bytes.extend(self.own.to_le_bytes());
@@ -333,7 +350,7 @@
         };
         let mut blank = bytes.to_vec();
         blank.get_mut(6..10)?.fill(0);
-        let sound = bytes[0] == MAGIC && short(2)? == self.tier && short(6)? == crc32fast::hash(&blank);
+        let sound = bytes[0] == self.magic && short(2)? == self.tier && short(6)? == crc32fast::hash(&blank);
         let read = (kind, long(10)?, long(18)?, [short(26)?, short(30)?, short(34)?]);
         Some(read).filter(|_| sound && bytes.len() <= DATAGRAM)
     }
@@ -356,7 +373,7 @@
 
     impl Pair {
         fn new(seed: u64, loss: f64) -> Self {
-            let sides = [Channel::new(seed * 2 + 1, 9), Channel::new(seed * 2 + 2, 9)];
+            let sides = [Channel::new(TAKEOVER, seed * 2 + 1, 9), Channel::new(TAKEOVER, seed * 2 + 2, 9)];
             let rng = fastrand::Rng::with_seed(seed);
             let (got, anew) = (Default::default(), [0; 2]);
             Self { sides, under_way: vec![], rng, now: 1_000_000, loss, got, anew }
@@ -420,7 +437,7 @@
             }
             pair.run(30_000);
             let before = pair.got[1].len();
-            pair.sides[1] = Channel::new(1_000 + seed, 9);
+            pair.sides[1] = Channel::new(TAKEOVER, 1_000 + seed, 9);
             pair.run(3_000_000);
             assert_eq!((pair.got[1].len(), pair.anew[0]), (before, 1), "seed {seed}");
             let heard = pair.got[0].len();
@@ -434,19 +451,19 @@
     /// Guards against datagrams that are cut, spoilt, another tier's, or nothing at all.
     #[test]
     fn what_is_not_sound_is_dropped() {
-        let mut other = Channel::new(1, 9);
+        let mut other = Channel::new(TAKEOVER, 1, 9);
         other.greet(77);
         let mut sent = vec![];
         other.flush(1_000_000, &mut |bytes| sent.push(bytes));
         let sound = sent.remove(0);
-        let mut side = Channel::new(2, 9);
+        let mut side = Channel::new(TAKEOVER, 2, 9);
         for cut in 0..sound.len() {
             assert!(side.receive(0, &sound[..cut], 1).dropped);
             let mut spoilt = sound.clone();
             spoilt[cut] ^= 0x10;
             assert!(side.receive(0, &spoilt, 1).dropped);
         }
-        assert!(Channel::new(2, 8).receive(0, &sound, 1).dropped);
+        assert!(Channel::new(TAKEOVER, 2, 8).receive(0, &sound, 1).dropped);
         assert!(!side.receive(0, &sound, 1).dropped);
     }
 }
--- a/src/check.rs
+++ b/src/check.rs
@@ -267,6 +267,8 @@
     ("draining", Object, Null),
     ("membership", Object, Null),
     ("takeover", Object, Null),
+    ("status", Object, Null),
+    ("plans", Object, Null),
 ];
 const LIMITS: &[(&str, Is, Need)] = &[("sockets", ANY, May), ("disk_mb", Over0, Must)];
 const SETTINGS: &[(&str, Is, Need)] = &[
@@ -338,10 +340,26 @@
     ("room_mb", Whole(crate::takeover::ROOM_MB.0 as u64, crate::takeover::ROOM_MB.1 as u64), May),
     ("tier", Text, May),
 ];
+const STATUS: &[(&str, Is, Need)] = &[
+    ("room_mb", Whole(crate::status::ROOM_MB.0 as u64, crate::status::ROOM_MB.1 as u64), May),
+    ("keep_s", Whole(crate::status::KEEP_S.0 as u64, crate::status::KEEP_S.1 as u64), May),
+    ("replicas", Whole(crate::status::REPLICAS.0 as u64, crate::status::REPLICAS.1 as u64), May),
+    ("span_s", Whole(crate::status::SPAN_S.0 as u64, crate::status::SPAN_S.1 as u64), May),
+];
+const PLAN: &[(&str, Is, Need)] = &[
+    ("level", OneOf(&["any", "bounded", "session"]), May),
+    ("staleness_ms", Whole(crate::plans::STALENESS_MS.0 as u64, crate::plans::STALENESS_MS.1 as u64), May),
+    ("wait_ms", Whole(crate::plans::WAIT_MS.0 as u64, crate::plans::WAIT_MS.1 as u64), May),
+    ("or", OneOf(&["refuse", "tell-stale"]), May),
+    ("reads_per_s", Whole(1, u32::MAX as u64), May),
+    ("queries_per_min", Whole(1, u32::MAX as u64), May),
+    ("shards", Whole(1, u32::MAX as u64), May),
+    ("bytes_per_min", Whole(1, u64::MAX), May),
+];
 type Keys = &'static [(&'static str, Is, Need)];
 /// Sections of optional parts, and their keys.
 const SECTIONS: &[(&str, Keys)] =
-    &[("draining", DRAINING), ("membership", MEMBERSHIP), ("takeover", TAKEOVER)];
+    &[("draining", DRAINING), ("membership", MEMBERSHIP), ("takeover", TAKEOVER), ("status", STATUS)];
 
 fn object(faults: &mut Vec<Fault>, path: &str, value: Option<&Value>, keys: &[(&str, Is, Need)]) {
     // What is no object is told where its own key is looked at.
@@ -357,6 +375,15 @@
     }
 }
 
+fn unheard_of(faults: &mut Vec<Fault>, path: &str, value: &Value, keys: &[(&str, Is, Need)]) {
+    for key in value.as_object().into_iter().flatten().map(|(key, _)| key) {
+        if !keys.iter().any(|known| known.0 == key) {
+            let known: Vec<&str> = keys.iter().map(|known| known.0).collect();
+            faults.push(Fault::new(join(path, key), "unknown", format!("one of {}", known.join(", "))));
+        }
+    }
+}
+
 fn entries(faults: &mut Vec<Fault>, path: &str, list: Option<&Value>, keys: &[(&str, Is, Need)]) {
     for (at, entry) in list.and_then(Value::as_array).into_iter().flatten().enumerate() {
         let path = format!("{path}[{at}]");
@@ -384,6 +411,19 @@
     for (section, keys) in SECTIONS {
         object(&mut faults, section, document.get(*section), keys);
     }
+    for (name, plan) in document.get("plans").and_then(Value::as_object).into_iter().flatten() {
+        let path = join("plans", name);
+        if !plan.is_object() {
+            faults.push(Fault::new(&path, shown(plan), Object.expected()));
+        }
+        object(&mut faults, &path, Some(plan), PLAN);
+        unheard_of(&mut faults, &path, plan, PLAN);
+    }
+    if let Some(plans) = document.get("plans").and_then(Value::as_object)
+        && plans.len() > crate::plans::MOST_PLANS
+    {
+        faults.push(Fault::new("plans", plans.len().to_string(), "256 plans at most"));
+    }
     let classes = at("/settings/classes").and_then(Value::as_array);
     if classes.is_some_and(Vec::is_empty) {
         faults.push(Fault::new("settings.classes", "[]", "at least one class"));
@@ -411,14 +451,7 @@
     }
     // A part's section is its own: what it does not know was meant otherwise.
     for (section, keys) in SECTIONS {
-        let there = document.get(*section).and_then(Value::as_object);
-        for key in there.into_iter().flatten().map(|(key, _)| key) {
-            if !keys.iter().any(|known| known.0 == key) {
-                let known: Vec<&str> = keys.iter().map(|known| known.0).collect();
-                let expected = format!("one of {}", known.join(", "));
-                faults.push(Fault::new(join(section, key), "unknown", expected));
-            }
-        }
+        unheard_of(&mut faults, section, &document[*section], keys);
     }
     faults.truncate(MOST_TOLD);
     faults
@@ -458,7 +491,7 @@
 }
 
 /// Sections of optional parts: leaving one out turns the part off.
-const OPTIONAL: &[&str] = &["draining", "membership", "takeover"];
+const OPTIONAL: &[&str] = &["draining", "membership", "takeover", "status", "plans"];
 
 /// What a document changes against another, key by key; a class is named, and goes as a whole.
 pub fn changes(before: &Value, after: &Value) -> Vec<Change> {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -48,10 +48,15 @@
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
+pub mod channel;
 pub mod check;
 pub mod drain;
+pub mod estimate;
 pub mod interface;
 pub mod membership;
+pub mod mesh;
+pub mod plans;
 pub mod policy;
+pub mod status;
 pub mod takeover;
 pub mod wire;
--- a/src/membership.rs
+++ b/src/membership.rs
@@ -199,6 +199,32 @@
     pub other_size: u64,
 }
 
+/// What other parts may rest a choice on: a hint, never a proof.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Fact {
+    /// What the member is held for.
+    pub state: State,
+    /// Since when.
+    pub since: Micros,
+    /// Which of its lives.
+    pub incarnation: u32,
+    /// It is in this member's zone.
+    pub near: bool,
+}
+
+/// The view as other parts see it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Facts {
+    /// This member.
+    pub own: Rank,
+    /// All members, by rank.
+    pub members: Vec<Fact>,
+    /// Nobody is heard: what is held of the others is old.
+    pub isolated: bool,
+    /// Fewer than half are there: this may be the lesser side of a split.
+    pub minority: bool,
+}
+
 /// A change of the view.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize)]
 pub struct Change {
@@ -353,6 +379,23 @@
         self.period
     }
 
+    /// The view for other parts.
+    pub fn facts(&self, now: Micros) -> Facts {
+        let zone = self.members[usize::from(self.own)].record.zone;
+        let fact = |member: &Member| Fact {
+            state: member.state,
+            since: member.since,
+            incarnation: member.record.incarnation,
+            near: member.record.zone == zone,
+        };
+        Facts {
+            own: self.own,
+            members: self.members.iter().map(fact).collect(),
+            isolated: self.isolated(now),
+            minority: self.minority(),
+        }
+    }
+
     /// Nothing has been heard for so long that what this member says of others means nothing; it then declares
     /// nobody dead.
     pub fn isolated(&self, now: Micros) -> bool {
--- /dev/null
+++ b/src/mesh.rs
@@ -0,0 +1,269 @@
+//! Channels to many other senders, made when first needed and bounded together: for parts that tell others more than a
+//! datagram holds. [`crate::channel`] is one of them; takeover, which ties leases to its channels, keeps its own.
+//!
+//! Sans I/O. What is queued for a sender that does not come is dropped with its channel after [`GIVEN_UP`]; whoever
+//! uses a mesh must be able to say all of it again.
+
+use std::collections::BTreeMap;
+
+use serde::Serialize;
+
+use crate::channel::{Came, Channel};
+use crate::interface::Micros;
+use crate::membership::{Out, Rank};
+
+/// Channels at a time at most; beyond it the one that was heard the longest ago goes.
+pub const MOST_CHANNELS: usize = 64;
+/// Bytes that may wait in all channels together.
+pub const MOST_WAITING: usize = 4 << 20;
+/// A sender that has something queued and was not heard for so long is given up.
+pub const GIVEN_UP: Micros = 10_000_000;
+/// A channel that nobody used for so long is forgotten.
+pub const IDLE: Micros = 30_000_000;
+
+/// Why a message was not queued. Nothing of it is sent; the caller says it again later, or does without.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
+pub enum Refused {
+    /// There is no such sender in the tier, or it is this one.
+    #[error("sender {0} is not another one of this tier")]
+    Nobody(Rank),
+    /// [`MOST_WAITING`] or the channel's own bound is reached.
+    #[error("too much waits for sender {0} or for all of them")]
+    Full(Rank),
+}
+
+/// Counts since the process began.
+#[derive(Debug, Default, Clone, Copy, PartialEq, Eq, Serialize)]
+pub struct Counts {
+    /// Datagrams sent.
+    pub sent: u64,
+    /// Their bytes.
+    pub sent_bytes: u64,
+    /// Datagrams that were not sound, or of another time.
+    pub dropped: u64,
+    /// Channels that broke at a bound, or whose sender was given up, with something queued.
+    pub broken: u64,
+}
+
+#[derive(Debug)]
+struct Peer {
+    channel: Channel,
+    heard: Micros,
+    used: Micros,
+    queued: bool,
+}
+
+/// What came of a datagram, with the sender that it came from.
+#[derive(Debug, Default, PartialEq, Eq)]
+pub struct Arrived {
+    /// Whole messages, in order.
+    pub messages: Vec<Vec<u8>>,
+    /// That sender is a new process, or had given this one up: what was queued or under way may be lost.
+    pub anew: bool,
+}
+
+/// One sender's channels.
+#[derive(Debug)]
+pub struct Mesh {
+    magic: u8,
+    own: Rank,
+    size: usize,
+    tier: u32,
+    rng: fastrand::Rng,
+    peers: BTreeMap<Rank, Peer>,
+    /// Senders whose channels were dropped with something queued; told once by [`Mesh::lost`].
+    lost: Vec<Rank>,
+    /// What happened, for operators.
+    pub counts: Counts,
+}
+
+impl Mesh {
+    /// No channels yet. `magic` is one of those in [`crate::channel`], `tier` tells tiers apart that are wrongly given
+    /// the same addresses.
+    pub fn new(magic: u8, own: Rank, size: usize, tier: u32, seed: u64) -> Self {
+        Self {
+            magic,
+            own,
+            size,
+            tier: tier ^ size as u32,
+            rng: fastrand::Rng::with_seed(seed),
+            peers: BTreeMap::new(),
+            lost: Vec::new(),
+            counts: Counts::default(),
+        }
+    }
+
+    /// Whether a datagram is for this mesh, by its first byte.
+    pub fn claims(&self, bytes: &[u8]) -> bool {
+        bytes.first() == Some(&self.magic)
+    }
+
+    /// Whether that sender has answered, and is the process that it was.
+    pub fn is_up(&self, to: Rank) -> bool {
+        self.peers.get(&to).is_some_and(|peer| peer.channel.is_up())
+    }
+
+    /// When that sender was last heard on its channel, if there is one.
+    pub fn heard(&self, from: Rank) -> Option<Micros> {
+        self.peers.get(&from).filter(|peer| peer.channel.is_up()).map(|peer| peer.heard)
+    }
+
+    /// Bytes that wait in all channels.
+    pub fn waiting(&self) -> usize {
+        self.peers.values().map(|peer| peer.channel.waiting()).sum()
+    }
+
+    fn peer(&mut self, rank: Rank, now: Micros) -> Option<&mut Peer> {
+        if rank == self.own || usize::from(rank) >= self.size {
+            return None;
+        }
+        if !self.peers.contains_key(&rank) && self.peers.len() >= MOST_CHANNELS {
+            let oldest = self.peers.iter().min_by_key(|(_, peer)| peer.heard.max(peer.used)).map(|p| *p.0);
+            oldest.into_iter().for_each(|oldest| self.forget(oldest));
+        }
+        let (magic, tier, number) = (self.magic, self.tier, self.rng.u64(1..));
+        Some(self.peers.entry(rank).or_insert_with(|| Peer {
+            channel: Channel::new(magic, number, tier),
+            heard: now,
+            used: now,
+            queued: false,
+        }))
+    }
+
+    fn forget(&mut self, rank: Rank) {
+        if self.peers.remove(&rank).is_some_and(|peer| peer.queued) {
+            self.counts.broken += 1;
+            self.lost.push(rank);
+        }
+    }
+
+    /// Queues a message of at most [`crate::channel::MOST_BYTES`] bytes.
+    ///
+    /// # Errors
+    /// Says why it was not queued.
+    pub fn send(&mut self, now: Micros, to: Rank, message: &[u8]) -> Result<(), Refused> {
+        if self.waiting() + message.len() > MOST_WAITING {
+            return Err(Refused::Full(to));
+        }
+        let challenge = self.rng.u32(1..);
+        let peer = self.peer(to, now).ok_or(Refused::Nobody(to))?;
+        if !peer.queued {
+            // Silence counts from when there is something to answer.
+            peer.heard = peer.heard.max(now);
+        }
+        peer.channel.greet(challenge);
+        if !peer.channel.send(message) {
+            self.forget(to);
+            return Err(Refused::Full(to));
+        }
+        (peer.used, peer.queued) = (now, true);
+        Ok(())
+    }
+
+    /// A datagram of another sender has come, which [`Mesh::claims`].
+    pub fn receive(&mut self, now: Micros, from: Rank, bytes: &[u8]) -> Arrived {
+        let challenge = self.rng.u32(1..);
+        let Some(peer) = self.peer(from, now) else {
+            self.counts.dropped += 1;
+            return Arrived::default();
+        };
+        let Came { messages, anew, heard, dropped } = peer.channel.receive(now, bytes, challenge);
+        if heard {
+            peer.heard = now;
+        }
+        if !messages.is_empty() {
+            peer.used = now;
+        }
+        self.counts.dropped += u64::from(dropped);
+        Arrived { messages, anew }
+    }
+
+    /// Senders that were given up with something queued since the last call.
+    pub fn lost(&mut self) -> Vec<Rank> {
+        std::mem::take(&mut self.lost)
+    }
+
+    /// When it wants to be flushed next.
+    pub fn due(&self) -> Option<Micros> {
+        self.peers.values().filter_map(|peer| peer.channel.due()).min()
+    }
+
+    /// Sends what is due, and forgets channels that nobody uses or answers.
+    pub fn flush(&mut self, now: Micros, out: &mut Out) {
+        let counts = &mut self.counts;
+        for (rank, peer) in &mut self.peers {
+            peer.channel.flush(now, &mut |bytes| {
+                counts.sent += 1;
+                counts.sent_bytes += bytes.len() as u64;
+                out.push((*rank, bytes));
+            });
+            peer.queued = peer.channel.busy();
+        }
+        let idle = |peer: &Peer| now >= peer.used.max(peer.heard) + IDLE;
+        let silent = |peer: &Peer| peer.queued && now >= peer.heard + GIVEN_UP;
+        let gone = self.peers.iter().filter(|(_, peer)| idle(peer) || silent(peer)).map(|(rank, _)| *rank);
+        for rank in gone.collect::<Vec<_>>() {
+            self.forget(rank);
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::channel::STATUS;
+
+    /// Plays two sides for a time over a link that loses the datagrams it is told to.
+    fn play(sides: &mut [Mesh; 2], from: Micros, until: Micros, lose: impl Fn(usize) -> bool) -> Vec<Vec<u8>> {
+        let (mut said, mut sent) = (Vec::new(), 0);
+        for now in (from..until).step_by(1_000) {
+            for side in 0..2 {
+                let mut out = Out::new();
+                sides[side].flush(now, &mut out);
+                for (to, bytes) in out {
+                    sent += 1;
+                    if !lose(sent) {
+                        said.extend(sides[usize::from(to)].receive(now, side as Rank, &bytes).messages);
+                    }
+                }
+            }
+        }
+        said
+    }
+
+    fn pair() -> [Mesh; 2] {
+        [Mesh::new(STATUS, 0, 2, 9, 1), Mesh::new(STATUS, 1, 2, 9, 2)]
+    }
+
+    #[test]
+    fn messages_arrive_whole_and_in_order_though_every_third_datagram_is_lost() {
+        let mut sides = pair();
+        let messages: Vec<Vec<u8>> = (0..40).map(|n: u8| vec![n; 700]).collect();
+        for message in &messages {
+            assert_eq!(sides[0].send(0, 1, message), Ok(()));
+        }
+        assert_eq!(play(&mut sides, 0, 5_000_000, |sent| sent % 3 == 0), messages);
+        assert_eq!((sides[0].waiting(), sides[0].lost()), (0, vec![]));
+    }
+
+    #[test]
+    fn whoever_never_answers_is_given_up_and_told_of_once() {
+        let mut sides = pair();
+        assert_eq!(sides[0].send(0, 1, b"anybody"), Ok(()));
+        assert_eq!(play(&mut sides, 0, GIVEN_UP + 2_000, |_| true), Vec::<Vec<u8>>::new());
+        assert_eq!((sides[0].lost(), sides[0].lost(), sides[0].waiting()), (vec![1], vec![], 0));
+    }
+
+    #[test]
+    fn what_is_beyond_the_bounds_is_refused_and_named() {
+        let mut mesh = Mesh::new(STATUS, 0, 300, 9, 1);
+        assert_eq!(mesh.send(0, 0, b"own"), Err(Refused::Nobody(0)));
+        assert_eq!(mesh.send(0, 300, b"none"), Err(Refused::Nobody(300)));
+        let message = vec![0; 60_000];
+        let all = (1..300).flat_map(|rank| [rank; 20]);
+        let queued = all.map(|rank| mesh.send(0, rank, &message)).filter(Result::is_ok).count();
+        assert!(queued * 60_000 <= MOST_WAITING + 60_000 * 20, "{queued}");
+        assert!(mesh.waiting() <= MOST_WAITING);
+        assert!((1..300).filter(|rank| mesh.heard(*rank).is_some()).count() <= MOST_CHANNELS);
+    }
+}
--- a/src/net/config.rs
+++ b/src/net/config.rs
@@ -12,6 +12,8 @@
 use myrtleyard::drain::Marks;
 use myrtleyard::interface::Settings;
 use myrtleyard::membership;
+use myrtleyard::plans;
+use myrtleyard::status;
 use myrtleyard::takeover;
 use myrtleyard::takeover::lots::Memory;
 use serde::Deserialize;
@@ -53,6 +55,10 @@
     pub membership: Option<membership::Config>,
     /// Covers for what is in hand, where they are on.
     pub takeover: Option<takeover::Config>,
+    /// The status index, where it is on.
+    pub status: Option<status::Config>,
+    /// Plans by tenant, where they are on.
+    pub plans: Option<plans::Config>,
     /// The module's settings.
     pub settings: Settings,
     /// Names of classes, kinds and zones, in the settings' order.
@@ -119,6 +125,10 @@
     membership: Option<membership::Config>,
     #[serde(default)]
     takeover: Option<takeover::Config>,
+    #[serde(default)]
+    status: Option<status::Config>,
+    #[serde(default)]
+    plans: Option<plans::Config>,
     settings: Value,
 }
 
@@ -248,6 +258,18 @@
             return Err(("takeover", "is on, and takes over a quarter of disk_mb".to_owned()));
         }
     }
+    if raw.status.is_some() && raw.membership.is_none() {
+        return Err(("status", "is on without the section membership, which it needs,".to_owned()));
+    }
+    if let Some(plans) = &raw.plans {
+        if raw.status.is_none() {
+            return Err(("plans", "is on without the section status, which it needs,".to_owned()));
+        }
+        let unknown = |name: &&String| *name != "default" && !names.tenants.contains(name);
+        if let Some(name) = plans.keys().find(unknown) {
+            return Err(("plans", format!("{name} names no tenant of settings.realms, and")));
+        }
+    }
     Ok(Config {
         name: raw.name,
         listen: raw.listen,
@@ -264,6 +286,8 @@
         draining: raw.draining,
         membership: raw.membership,
         takeover: raw.takeover,
+        status: raw.status,
+        plans: raw.plans,
         settings,
         names,
         document,
--- a/src/net/parts/covering.rs
+++ b/src/net/parts/covering.rs
@@ -6,15 +6,14 @@
 use std::path::{Path, PathBuf};
 
 use myrtleyard::interface::Micros;
-use myrtleyard::membership::State;
-use myrtleyard::takeover::channel::MAGIC;
+use myrtleyard::membership::{Fact, Facts, State};
+use myrtleyard::channel::TAKEOVER;
 use myrtleyard::takeover::lots::Memory;
 use myrtleyard::takeover::{Fit, Takeover};
 use serde_json::{Value, json};
 
 use super::super::config::Config;
 use super::super::lasting;
-use super::view::View;
 use super::{Out, Part};
 
 /// The part.
@@ -61,12 +60,11 @@
     }
 
     /// Looks whom the view recommends as covers.
-    pub fn look(&mut self, view: Option<&View>) {
-        let members = view.map(View::members);
-        let fit = |(rank, elsewhere): (usize, &bool)| match members.as_ref().and_then(|all| all.get(rank)) {
+    pub fn look(&mut self, facts: Option<&Facts>) {
+        let fit = |(rank, elsewhere): (usize, &bool)| match facts.and_then(|facts| facts.members.get(rank)) {
             _ if !elsewhere => Fit::No,
-            Some((State::Dead | State::Left, _)) => Fit::No,
-            Some((_, true)) => Fit::Near,
+            Some(Fact { state: State::Dead | State::Left, .. }) => Fit::No,
+            Some(Fact { near: true, .. }) => Fit::Near,
             _ => Fit::Far,
         };
         self.core.set_fits(self.elsewhere.iter().enumerate().map(fit).collect());
@@ -102,7 +100,7 @@
     }
 
     fn datagram(&mut self, now: Micros, from: u16, bytes: &[u8], _out: &mut Out) -> bool {
-        let own = bytes.first() == Some(&MAGIC);
+        let own = bytes.first() == Some(&TAKEOVER);
         if own {
             // What it brings about is sent at the end of the turn, one answer for all.
             self.core.receive(now, from, bytes);
--- a/src/net/parts/mod.rs
+++ b/src/net/parts/mod.rs
@@ -99,7 +99,8 @@
     /// Calls those whose time has come.
     pub fn tick(&mut self, now: Micros, out: &mut Out) {
         if let Some(covering) = self.covering.as_mut().filter(|covering| covering.chooses(now)) {
-            covering.look(self.view.as_ref());
+            let facts = self.view.as_ref().map(|view| view.facts(now));
+            covering.look(facts.as_ref());
         }
         for part in self.each().filter(|part| part.due().is_some_and(|due| due <= now)) {
             part.tick(now, out);
--- a/src/net/parts/view.rs
+++ b/src/net/parts/view.rs
@@ -4,7 +4,7 @@
 use std::net::SocketAddr;
 
 use myrtleyard::interface::Micros;
-use myrtleyard::membership::{self, Change, MAGIC, Member, Membership, Place, Rank, State};
+use myrtleyard::membership::{self, Change, Facts, MAGIC, Member, Membership, Place, Rank, State};
 use serde_json::{Value, json};
 
 use super::super::config::Config;
@@ -72,10 +72,9 @@
 }
 
 impl View {
-    /// What is held of each member, and whether it is in this sender's zone.
-    pub fn members(&self) -> Vec<(State, bool)> {
-        let near = |member: &Member| member.record.zone == self.place.zone;
-        self.core.members().iter().map(|member| (member.state, near(member))).collect()
+    /// What other parts may rest a choice on.
+    pub fn facts(&self, now: Micros) -> Facts {
+        self.core.facts(now)
     }
 
     /// Writes down what has changed since the last time.
--- a/src/takeover/mod.rs
+++ b/src/takeover/mod.rs
@@ -1,11 +1,10 @@
 //! Work in hand survives the loss of its sender: each message that is covered has two other senders that know of it,
 //! and one of them takes it over when its owner is heard no more. [`lots`] decides who owns what and never looks at a
-//! clock; [`channel`] carries what senders tell each other; here are leases, the choice of covers, and the bounds.
+//! clock; [`crate::channel`] carries what senders tell each other; here are leases, the choice of covers, and the bounds.
 //!
 //! Sans I/O: time, chance and datagrams come from outside. What is to be sent may go only after what is to be
 //! remembered, if anything, is written down.
 
-pub mod channel;
 pub mod lots;
 
 use std::collections::{BTreeMap, BTreeSet};
@@ -13,7 +12,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::interface::Micros;
-use channel::Channel;
+use crate::channel::{self, Channel};
 use lots::{Fact, Item, Known, LotId, Lots, MOST_ITEMS, Memory, Op, Out, Rank, Said};
 
 /// Bounds of the lease, milliseconds.
@@ -231,7 +230,7 @@
     fn peer(&mut self, rank: Rank, now: Micros) -> &mut Peer {
         let (tier, number) = (self.tier, self.rng.u64(1..));
         self.peers.entry(rank).or_insert_with(|| Peer {
-            channel: Channel::new(number, tier),
+            channel: Channel::new(channel::TAKEOVER, number, tier),
             heard: now,
             orphans_at: None,
             left_out: 0,
@@ -252,7 +251,7 @@
                 // What can't be passed on in order is not passed on at all: to the other side this is a new process.
                 self.counts.broken += 1;
                 let (number, tier) = (self.rng.u64(1..), self.tier);
-                self.peer(peer, now).channel = Channel::new(number, tier);
+                self.peer(peer, now).channel = Channel::new(channel::TAKEOVER, number, tier);
                 self.lots.reset(peer, &mut out);
             }
         }
