Write nothing more of a message that is over while its call waits to connect

Cause: messages that travel as one call shared the wait of its most patient one (`Driver::begin`), and the request was composed before its connection was there (`Shared::call`). For a call alone the wait ran from when its task started, later than the module's clock.

Change: the request is composed once the connection is there, of the messages that are still wanted then. The driver tells the calls which messages are over before anybody else hears of it (given up, left to another sender, told to the platform); a check in front of the first byte guards the time in between, should that not go at once. What is left out ends as one that never ran; if nobody is left the connection is kept. Each message's own time binds, from the module's clock, on a resend after a closed connection and in a process that was taken over from as well. A message given up of which nothing was ever written is deferred, not undeliverable, unless others cover it.

Its like: a call that waits for a connection to an endpoint that leaves, or is gone, ends at once and goes elsewhere; so do those of a process that hands over, whose successor could not have them given up in time. A covered call whose message ends while it waits for its grant is reported as not made: it kept its slot for good before.

Not taken: calling the whole call off. The others of a batch would pay with an attempt each.

Seen to fail without it (nothing left out, no check, nothing withdrawn): all six new tests; the batch's test with the batch written that names the message the platform had been told of.

--- a/src/net/calls.rs
+++ b/src/net/calls.rs
@@ -2,12 +2,12 @@
 //! written once and never again by itself; how it fared is told by whether its last byte can have left.
 
 use std::cell::{Cell, RefCell};
-use std::collections::HashMap;
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::future::{Future, poll_fn};
 use std::io;
 use std::net::SocketAddr;
 use std::pin::{Pin, pin};
-use std::rc::Rc;
+use std::rc::{Rc, Weak};
 use std::task::{Context, Poll};
 use std::time::Duration;
 
@@ -47,6 +47,8 @@
     answer: RefCell<Vec<u8>>,
     /// Messages to be counted once they are written whole.
     due: RefCell<Option<Due>>,
+    /// The call that the connection is used for.
+    load: RefCell<Weak<Load>>,
 }
 
 /// Messages of a request that is being written.
@@ -97,10 +99,17 @@
 
 impl AsyncWrite for Counted {
     fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context, buf: &[u8]) -> Poll<io::Result<usize>> {
+        let load = self.traffic.load.borrow().upgrade();
+        if load.as_ref().is_some_and(|load| load.stale()) {
+            return Poll::Ready(Err(io::Error::other("a message is over")));
+        }
         let poll = Pin::new(&mut self.stream).poll_write(cx, buf);
         if let Poll::Ready(Ok(n)) = &poll {
             let written = &self.traffic.written;
             written.set(written.get() + *n as u64);
+            if let Some(load) = load.filter(|_| *n > 0) {
+                load.begun.set(true);
+            }
         }
         poll
     }
@@ -166,14 +175,11 @@
     /// Sends a request and waits for the head of its answer.
     ///
     /// # Errors
-    /// Fails when the connection breaks; gives the request back if nothing of it was written.
-    pub async fn send(
-        &mut self,
-        request: Request<Full<Bytes>>,
-    ) -> Result<Response<Incoming>, Option<Request<Full<Bytes>>>> {
+    /// Fails when the connection breaks.
+    pub async fn send(&mut self, request: Request<Full<Bytes>>) -> Result<Response<Incoming>, ()> {
         self.traffic.answer.borrow_mut().clear();
         let sent = self.sender.try_send_request(request);
-        Self::drive(&mut self.driver, sent).await.map_err(|mut e| e.take_message())
+        Self::drive(&mut self.driver, sent).await.map_err(|_| ())
     }
 
     /// Reads the rest of an answer.
@@ -210,6 +216,8 @@
     pub key: Option<String>,
     /// Its body.
     pub body: Bytes,
+    /// It is not written later, nor waited for after that unless others travel along that are.
+    pub until: Instant,
 }
 
 /// Limits that calls keep to.
@@ -230,8 +238,120 @@
     since: Instant,
 }
 
-/// Calls off all that travel along; works once.
-type CallOff = Rc<Cell<Option<oneshot::Sender<()>>>>;
+/// What travels as one call. Which of its messages are written is settled with the first byte alone: until
+/// then each of them may come to be over.
+struct Load {
+    endpoint: EndpointId,
+    /// Ends the call so, with all that travel along; works once.
+    off: Cell<Option<oneshot::Sender<Outcome>>>,
+    /// A byte of the request may have left.
+    begun: Cell<bool>,
+    /// Attempts that were over before that: nothing of them is written.
+    left_out: RefCell<BTreeSet<(MessageId, u16)>>,
+    /// The request that was composed has one of them.
+    outdated: Cell<bool>,
+    /// Messages in the request that was composed.
+    messages: Cell<usize>,
+    /// The connection that the request goes over.
+    traffic: RefCell<Option<Rc<Traffic>>>,
+}
+
+impl Load {
+    fn new(endpoint: EndpointId) -> (Rc<Self>, oneshot::Receiver<Outcome>) {
+        let (off, called_off) = oneshot::channel();
+        let load = Self {
+            endpoint,
+            off: Cell::new(Some(off)),
+            begun: Cell::new(false),
+            left_out: RefCell::default(),
+            outdated: Cell::new(false),
+            messages: Cell::new(0),
+            traffic: RefCell::default(),
+        };
+        (Rc::new(load), called_off)
+    }
+
+    fn end(&self, outcome: Outcome) {
+        if let Some(off) = self.off.take() {
+            let _ = off.send(outcome);
+        }
+    }
+
+    /// Whether the request must not be written as it is.
+    fn stale(&self) -> bool {
+        self.outdated.get() && !self.begun.get()
+    }
+
+    /// False once a byte of it may have left.
+    fn leave_out(&self, attempt: (MessageId, u16)) -> bool {
+        if !self.begun.get() {
+            self.left_out.borrow_mut().insert(attempt);
+            self.outdated.set(true);
+        }
+        !self.begun.get()
+    }
+
+    /// How one of its messages fared whose call ended so.
+    fn end_of(&self, part: &Part, outcome: Outcome) -> Outcome {
+        let left_out = self.left_out.borrow().contains(&(part.message, part.attempt));
+        // That no connection was made is to be known, whoever is still there to wait for it.
+        if left_out && outcome != Outcome::ConnectFailed { Outcome::Moot { no_slot: false } } else { outcome }
+    }
+
+    /// How a call ended whose answer did not come or can't be read: for a single message a first line with
+    /// 200 is true by itself.
+    fn unread(&self, outcome: Outcome) -> Outcome {
+        let told = self.traffic.borrow().as_ref().is_some_and(|traffic| traffic.says_delivered());
+        if told && self.messages.get() == 1 { Outcome::Delivered } else { outcome }
+    }
+
+    /// What is written, decided when it can be.
+    fn compose(&self, line: Line, parts: &[Part], until: Instant) -> Option<Composed> {
+        let now = Instant::now();
+        let late = parts.iter().filter(|part| part.until <= now);
+        self.left_out.borrow_mut().extend(late.map(|part| (part.message, part.attempt)));
+        self.outdated.set(false);
+        let left_out = self.left_out.borrow();
+        let parts = parts.iter().filter(|part| !left_out.contains(&(part.message, part.attempt)));
+        let parts: Vec<&Part> = parts.collect();
+        let left = until.saturating_duration_since(now).as_millis().max(1);
+        let request = Request::builder()
+            .method(Method::POST)
+            .header("host", line.address.to_string())
+            .header("req-deadline-ms", left.to_string());
+        let (request, body) = match *parts {
+            [] => return None,
+            [part] => {
+                let request = request.uri("/v1/messages").header("req-id", &part.id);
+                let request = match &part.key {
+                    Some(key) => request.header("idempotency-key", key),
+                    None => request,
+                };
+                (request, part.body.clone())
+            }
+            _ => {
+                let batch = parts.iter().map(|p| BatchPart {
+                    id: &p.id,
+                    key: p.key.as_deref(),
+                    body: STANDARD.encode(&p.body),
+                });
+                let body = serde_json::to_vec(&batch.collect::<Vec<_>>()).ok()?;
+                let request = request.uri("/v1/messages:batch").header("content-type", "application/json");
+                (request, Bytes::from(body))
+            }
+        };
+        let (length, messages) = (body.len(), parts.len());
+        // Ids and keys came as header values, so that they can go as such.
+        Some(Composed { request: request.body(Full::new(body)).ok()?, length, messages })
+    }
+}
+
+/// A request, its body's length, and the messages in it.
+struct Composed {
+    request: Request<Full<Bytes>>,
+    length: usize,
+    messages: usize,
+}
 
 struct Shared {
     limits: RefCell<Limits>,
@@ -242,32 +362,14 @@
     busy: Cell<usize>,
     /// Waits that were told. A connection may come up long after its call was decided on.
     waits: RefCell<HashMap<RouteId, Instant>>,
-    /// For each attempt that is out, what calls it off.
-    out: RefCell<HashMap<(MessageId, u16), CallOff>>,
+    /// For each attempt that is out, what it travels with.
+    out: RefCell<BTreeMap<(MessageId, u16), Rc<Load>>>,
 }
 
 /// All calls that are out and the connections that stand idle.
 #[derive(Clone)]
 pub struct Calls(Rc<Shared>);
 
-/// What is known of a call in progress when it is broken off.
-#[derive(Default)]
-struct Progress {
-    /// The last byte of the request may have been written.
-    may_run: Cell<bool>,
-    /// The connection that the request goes over.
-    traffic: RefCell<Option<Rc<Traffic>>>,
-}
-
-impl Progress {
-    /// How a call ended whose answer did not come or can't be read: for a single message a first line with
-    /// 200 is true by itself.
-    fn unread(&self, parts: &[Part], outcome: Outcome) -> Outcome {
-        let told = self.traffic.borrow().as_ref().is_some_and(|traffic| traffic.says_delivered());
-        if told && parts.len() == 1 { Outcome::Delivered } else { outcome }
-    }
-}
-
 #[derive(Serialize)]
 struct BatchPart<'a> {
     id: &'a str,
@@ -319,39 +421,43 @@
         self.0.out.borrow().len()
     }
 
-    /// Starts a call with one message or several; its end comes as [`Inbound::CallOver`].
-    pub fn start(&self, line: Line, parts: Vec<Part>, wait: Micros) {
+    /// Starts a call with one message or several; its end comes as [`Inbound::CallOver`]. Until a connection is
+    /// there any of the messages may be given up, and is not written then.
+    pub fn start(&self, line: Line, parts: Vec<Part>) {
         let shared = self.0.clone();
-        let (off, called_off) = oneshot::channel();
-        let off = Rc::new(Cell::new(Some(off)));
+        let (load, called_off) = Load::new(line.endpoint);
         for part in &parts {
-            shared.out.borrow_mut().insert((part.message, part.attempt), off.clone());
+            shared.out.borrow_mut().insert((part.message, part.attempt), load.clone());
         }
+        let begun = Instant::now();
+        let until = parts.iter().map(|part| part.until).max().unwrap_or(begun);
         tokio::task::spawn_local(async move {
-            let begun = Instant::now();
-            let until = begun + Duration::from_micros(wait);
-            let progress = Progress::default();
             let rest = tokio::select! {
-                result = timeout_at(until, shared.call(line, &parts, until, &progress)) => match result {
+                // What is called off must not come to be written first.
+                biased;
+                Ok(outcome) = called_off => {
+                    shared.report_end(&load, &parts, begun, outcome);
+                    None
+                }
+                result = timeout_at(until, shared.call(line, &load, &parts, until)) => match result {
                     Ok(Ok(answered)) => {
-                        shared.report_ends(line, &parts, begun, &answered);
+                        shared.report_ends(&load, &parts, begun, &answered);
+                        if let Some(wait) = answered.wait {
+                            shared.hold(line.route, wait);
+                        }
                         answered.rest
                     }
                     Ok(Err(outcome)) => {
-                        shared.report_end(line, &parts, begun, progress.unread(&parts, outcome));
+                        shared.report_end(&load, &parts, begun, load.unread(outcome));
                         None
                     }
                     Err(_) => {
-                        let ran = progress.may_run.get();
+                        let ran = load.begun.get();
                         let outcome = if ran { Outcome::TimedOut } else { Outcome::ConnectFailed };
-                        shared.report_end(line, &parts, begun, progress.unread(&parts, outcome));
+                        shared.report_end(&load, &parts, begun, load.unread(outcome));
                         None
                     }
                 },
-                Ok(()) = called_off => {
-                    shared.report_end(line, &parts, begun, Outcome::Cancelled);
-                    None
-                }
             };
             if let Some((conn, body)) = rest {
                 shared.finish(line, conn, body).await;
@@ -361,24 +467,41 @@
 
     /// Calls an attempt off by closing its connection, with all that travel along.
     pub fn cancel(&self, message: MessageId, attempt: u16) {
-        let off = self.0.out.borrow().get(&(message, attempt)).and_then(|off| off.take());
-        if let Some(off) = off {
-            let _ = off.send(());
+        if let Some(load) = self.0.out.borrow().get(&(message, attempt)) {
+            load.end(Outcome::Cancelled);
         }
     }
 
+    /// A message is over here: from now on nothing more of it is written, whatever travels along. Returns the
+    /// attempts that were out of which nothing was.
+    pub fn give_up(&self, message: MessageId) -> Vec<u16> {
+        let out = self.0.out.borrow();
+        let attempts = out.range((message, 0)..=(message, u16::MAX));
+        attempts.filter(|(id, load)| load.leave_out(**id)).map(|(id, _)| id.1).collect()
+    }
+
+    /// Ends the calls of which nothing is written yet, of all endpoints that are not to be called any more.
+    pub fn withdraw(&self, over: impl Fn(EndpointId) -> bool) {
+        let out = self.0.out.borrow();
+        let unwritten = out.values().filter(|load| !load.begun.get() && over(load.endpoint));
+        unwritten.for_each(|load| load.end(Outcome::Moot { no_slot: false }));
+    }
+
     /// Probes an endpoint; the result comes as [`Event::Probed`].
     pub fn probe(&self, line: Line) {
         let shared = self.0.clone();
         tokio::task::spawn_local(async move {
             let path = if shared.limits.borrow().report.is_empty() { "/health" } else { "/status/load" };
             let within = Duration::from_micros(shared.limits.borrow().connect);
-            let progress = Progress::default();
+            let (load, _) = Load::new(line.endpoint);
             let until = Instant::now() + within;
-            let request = Request::get(path).header("host", line.address.to_string());
+            let host = line.address.to_string();
+            let compose = || {
+                let request = Request::get(path).header("host", &host).body(Full::default()).ok()?;
+                Some(Composed { request, length: 0, messages: 0 })
+            };
             let asked = async {
-                let request = request.body(Full::default()).map_err(|_| Outcome::ConnectFailed)?;
-                let (mut conn, answer) = shared.exchange(line, request, (0, 0), until, &progress).await?;
+                let (mut conn, answer) = shared.exchange(line, &load, compose, until).await?;
                 let (head, body) = answer.into_parts();
                 let body = conn.0.body(body).await.map_err(|()| Outcome::Reset)?;
                 shared.keep(line, conn).await;
@@ -391,7 +514,7 @@
             let (outcome, report) = match timeout(within, asked).await {
                 Ok(Ok(seen)) => seen,
                 Ok(Err(outcome)) => (outcome, vec![]),
-                Err(_) if progress.may_run.get() => (Outcome::TimedOut, vec![]),
+                Err(_) if load.begun.get() => (Outcome::TimedOut, vec![]),
                 Err(_) => (Outcome::ConnectFailed, vec![]),
             };
             let endpoint = line.endpoint;
@@ -494,38 +617,41 @@
         }
     }
 
-    /// One request and the head of its answer. `length` is that of its body, which holds so many messages.
+    /// One request, composed once it can be written, and the head of its answer.
     async fn exchange(
         self: &Rc<Self>,
         line: Line,
-        mut request: Request<Full<Bytes>>,
-        (length, messages): (usize, usize),
+        load: &Rc<Load>,
+        compose: impl Fn() -> Option<Composed>,
         until: Instant,
-        progress: &Progress,
     ) -> Result<(Busy, Response<Incoming>), Outcome> {
         let mut may_reuse = true;
         loop {
             let (mut conn, reused) = self.connect(line, until, may_reuse).await?;
-            if self.held(line.route) {
+            // Nothing is waited for from here to the first byte; should that not go at once, `load` guards it.
+            let composed = if self.held(line.route) { None } else { compose() };
+            let Some(Composed { request, length, messages }) = composed else {
                 self.keep(line, conn).await;
                 return Err(Outcome::Moot { no_slot: false });
-            }
-            let before = conn.0.traffic.written.get();
+            };
+            let traffic = conn.0.traffic.clone();
+            let before = traffic.written.get();
             let figures = self.figures.clone();
-            let due = Due { messages, before, length: length as u64, figures };
-            conn.0.traffic.due.replace(Some(due));
-            progress.may_run.set(true);
-            progress.traffic.replace(Some(conn.0.traffic.clone()));
+            traffic.due.replace(Some(Due { messages, before, length: length as u64, figures }));
+            traffic.load.replace(Rc::downgrade(load));
+            load.messages.set(messages);
+            load.traffic.replace(Some(traffic.clone()));
             match conn.0.send(request).await {
                 Ok(answer) => return Ok((conn, answer)),
-                // The other side had closed it, and nothing was written: a new one is no second copy.
-                Err(Some(unsent)) if reused && conn.0.traffic.written.get() == before => {
-                    (request, may_reuse) = (unsent, false);
-                    progress.may_run.set(false);
+                // The other side had closed it, or a message was over, and nothing was written: a new one is no
+                // second copy. At most so many as there are messages are over.
+                Err(()) if (reused || load.stale()) && traffic.written.get() == before => {
+                    may_reuse &= !reused;
+                    load.traffic.replace(None);
                 }
-                Err(_) => {
+                Err(()) => {
                     // A head of at least a byte goes before the body: the last byte never left.
-                    let cut = conn.0.traffic.written.get() - before <= length as u64;
+                    let cut = traffic.written.get() - before <= length as u64;
                     return Err(if cut { Outcome::ConnectFailed } else { Outcome::Reset });
                 }
             }
@@ -535,38 +661,15 @@
     async fn call(
         self: &Rc<Self>,
         line: Line,
+        load: &Rc<Load>,
         parts: &[Part],
         until: Instant,
-        progress: &Progress,
     ) -> Result<Answered, Outcome> {
-        let left = until.saturating_duration_since(Instant::now()).as_millis().max(1);
-        let request = Request::builder()
-            .method(Method::POST)
-            .header("host", line.address.to_string())
-            .header("req-deadline-ms", left.to_string());
-        let (request, body) = if let [part] = parts {
-            let request = request.uri("/v1/messages").header("req-id", &part.id);
-            let request = match &part.key {
-                Some(key) => request.header("idempotency-key", key),
-                None => request,
-            };
-            (request, part.body.clone())
-        } else {
-            let parts: Vec<_> = parts
-                .iter()
-                .map(|p| BatchPart { id: &p.id, key: p.key.as_deref(), body: STANDARD.encode(&p.body) })
-                .collect();
-            let body = serde_json::to_vec(&parts).map_err(|_| Outcome::Moot { no_slot: false })?;
-            let request = request.uri("/v1/messages:batch").header("content-type", "application/json");
-            (request, Bytes::from(body))
-        };
-        let length = body.len();
-        // Ids and keys came as header values, so that they can go as such.
-        let request = request.body(Full::new(body)).map_err(|_| Outcome::Moot { no_slot: false })?;
-        let (mut conn, answer) = self.exchange(line, request, (length, parts.len()), until, progress).await?;
+        let compose = || load.compose(line, parts, until);
+        let (mut conn, answer) = self.exchange(line, load, compose, until).await?;
         let (head, body) = answer.into_parts();
         let (report, wait) = (self.report(&head.headers), told_wait(&head.headers));
-        if parts.len() > 1 && head.status == StatusCode::OK {
+        if load.messages.get() > 1 && head.status == StatusCode::OK {
             let body = conn.0.body(body).await.map_err(|()| Outcome::Reset)?;
             let told: Vec<BatchEnd> = serde_json::from_slice(&body).unwrap_or_default();
             let states: HashMap<&str, &str> =
@@ -586,23 +689,22 @@
         Ok(Answered { ends: vec![end; parts.len()], report, wait, rest: Some((conn, Some(body))) })
     }
 
-    fn report_end(&self, line: Line, parts: &[Part], begun: Instant, outcome: Outcome) {
+    fn report_end(&self, load: &Load, parts: &[Part], begun: Instant, outcome: Outcome) {
         let ends = vec![(outcome, false); parts.len()];
-        self.report_ends(line, parts, begun, &Answered { ends, report: vec![], wait: None, rest: None });
+        self.report_ends(load, parts, begun, &Answered { ends, report: vec![], wait: None, rest: None });
     }
 
-    fn report_ends(&self, line: Line, parts: &[Part], begun: Instant, answered: &Answered) {
+    fn report_ends(&self, load: &Load, parts: &[Part], begun: Instant, answered: &Answered) {
         let took = begun.elapsed().as_micros() as Micros;
-        let endpoint = line.endpoint;
+        let endpoint = load.endpoint;
         let mut over = Vec::with_capacity(parts.len());
         for (part, (outcome, gone)) in parts.iter().zip(&answered.ends) {
             let (message, attempt) = (part.message, part.attempt);
             self.out.borrow_mut().remove(&(message, attempt));
-            let (outcome, gone, report) = (*outcome, *gone, answered.report.clone());
+            let (outcome, gone, report) = (load.end_of(part, *outcome), *gone, answered.report.clone());
             over.push(AttemptOver { message, attempt, endpoint, outcome, gone, took, report });
         }
         if let Some(wait) = answered.wait {
-            self.hold(line.route, wait);
             let _ = self.inbound.send(Inbound::Event(Event::Wait { endpoint, wait }));
         }
         let _ = self.inbound.send(Inbound::CallOver(over));
@@ -667,3 +769,147 @@
         _ => Outcome::Error,
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use myrtleyard::interface::DestinationId;
+    use tokio::io::{AsyncReadExt, AsyncWriteExt};
+    use tokio::net::TcpListener;
+    use tokio::sync::mpsc::{UnboundedReceiver, unbounded_channel};
+    use tokio::task::LocalSet;
+
+    use super::*;
+
+    const PATIENCE: Duration = Duration::from_secs(30);
+    const ANSWER: &[u8] = b"HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n";
+    const NEVER: Outcome = Outcome::Moot { no_slot: false };
+
+    fn part(message: u32) -> Part {
+        let (id, body) = (format!("m{message}"), Bytes::from_static(b"body"));
+        let until = Instant::now() + PATIENCE;
+        Part { message: MessageId(message), attempt: 0, id, key: None, body, until }
+    }
+
+    struct World {
+        calls: Calls,
+        events: UnboundedReceiver<Inbound>,
+        listener: TcpListener,
+        line: Line,
+    }
+
+    impl World {
+        async fn new() -> io::Result<Self> {
+            let (inbound, events) = unbounded_channel();
+            let limits = Limits { connect: 20_000_000, idle: 9_000_000, connections: 9, report: vec![] };
+            let calls = Calls::new(limits, Rc::new(Figures::default()), inbound);
+            let listener = TcpListener::bind("127.0.0.1:0").await?;
+            let (endpoint, address) = (EndpointId([1; 6]), listener.local_addr()?);
+            let line = Line { endpoint, address, route: (DestinationId(7), None) };
+            Ok(Self { calls, events, listener, line })
+        }
+
+        /// How the messages of the next call that ends fared.
+        async fn ends(&mut self) -> Vec<(u32, Outcome)> {
+            match timeout(PATIENCE, self.events.recv()).await {
+                Ok(Some(Inbound::CallOver(ends))) => ends.iter().map(|e| (e.message.0, e.outcome)).collect(),
+                other => panic!("{other:?}"),
+            }
+        }
+    }
+
+    /// What comes over a connection until that many bytes of a body have.
+    async fn read(stream: &mut TcpStream) -> io::Result<String> {
+        let mut text = String::new();
+        while !text.ends_with("body") && !text.ends_with("}]") {
+            let mut bytes = [0; 512];
+            let n = stream.read(&mut bytes).await?;
+            assert!(n > 0, "it ends after {text}");
+            text += &String::from_utf8_lossy(&bytes[..n]);
+        }
+        Ok(text)
+    }
+
+    /// Guards the promise that nothing is sent on after its end was told, on a new connection and on a kept one.
+    #[tokio::test]
+    async fn what_is_given_up_before_its_first_byte_is_not_written() -> io::Result<()> {
+        let run = async {
+            let mut world = World::new().await?;
+            // Nobody is left: the connection comes up, and is kept.
+            world.calls.start(world.line, vec![part(1), part(2)]);
+            assert_eq!(world.calls.give_up(MessageId(1)), [0]);
+            assert_eq!(world.calls.give_up(MessageId(2)), [0]);
+            assert_eq!(world.ends().await, [(1, NEVER), (2, NEVER)]);
+            let (mut stream, _) = world.listener.accept().await?;
+            // The others go.
+            world.calls.start(world.line, vec![part(3), part(4), part(5)]);
+            assert_eq!(world.calls.give_up(MessageId(4)), [0]);
+            let text = read(&mut stream).await?;
+            assert!(text.contains("m3") && text.contains("m5") && !text.contains("m4"), "{text}");
+            assert_eq!(world.calls.give_up(MessageId(5)), [0; 0], "it may run");
+            stream.write_all(b"HTTP/1.1 200 OK\r\ncontent-length: 26\r\n\r\n").await?;
+            stream.write_all(br#"[{"id":"m3","state":"ok"}]"#).await?;
+            assert_eq!(world.ends().await, [(3, Outcome::Delivered), (4, NEVER), (5, Outcome::Error)]);
+            // One alone goes as such.
+            world.calls.start(world.line, vec![part(6), part(7)]);
+            assert_eq!(world.calls.give_up(MessageId(6)), [0]);
+            let text = read(&mut stream).await?;
+            assert!(text.starts_with("POST /v1/messages HTTP") && text.contains("m7"), "{text}");
+            stream.write_all(ANSWER).await?;
+            assert_eq!(world.ends().await, [(6, NEVER), (7, Outcome::Delivered)]);
+            Ok(())
+        };
+        LocalSet::new().run_until(run).await
+    }
+
+    /// Guards the same against a process that stands still: each message's time binds, whatever travels along.
+    #[tokio::test]
+    async fn a_message_whose_time_is_up_is_not_written() -> io::Result<()> {
+        let run = async {
+            let mut world = World::new().await?;
+            let late = Part { until: Instant::now(), ..part(1) };
+            world.calls.start(world.line, vec![late, part(2)]);
+            let (mut stream, _) = world.listener.accept().await?;
+            let text = read(&mut stream).await?;
+            assert!(text.starts_with("POST /v1/messages HTTP") && text.contains("m2"), "{text}");
+            stream.write_all(ANSWER).await?;
+            assert_eq!(world.ends().await, [(1, NEVER), (2, Outcome::Delivered)]);
+            Ok(())
+        };
+        LocalSet::new().run_until(run).await
+    }
+
+    /// Guards the moment between composing a request and its first byte, should that not go at once.
+    #[tokio::test]
+    async fn no_byte_leaves_of_a_request_that_is_outdated() -> io::Result<()> {
+        let run = async {
+            let world = World::new().await?;
+            let (load, _off) = Load::new(world.line.endpoint);
+            let mut conn = Conn::open(world.line.address).await.map_err(io::Error::other)?;
+            conn.traffic.load.replace(Rc::downgrade(&load));
+            let parts = [part(1), part(2)];
+            let composed = load.compose(world.line, &parts, parts[0].until);
+            assert!(load.leave_out((MessageId(1), 0)));
+            let request = composed.map(|c| c.request).ok_or(io::ErrorKind::Other)?;
+            assert!(conn.send(request).await.is_err());
+            assert_eq!((conn.traffic.written.get(), load.begun.get()), (0, false));
+            // What is left goes.
+            let mut conn = Conn::open(world.line.address).await.map_err(io::Error::other)?;
+            conn.traffic.load.replace(Rc::downgrade(&load));
+            let composed = load.compose(world.line, &parts, parts[0].until);
+            let request = composed.map(|c| c.request).ok_or(io::ErrorKind::Other)?;
+            let (mut first, _) = world.listener.accept().await?;
+            assert_eq!(first.read(&mut [0]).await?, 0);
+            let (mut second, _) = world.listener.accept().await?;
+            let answered = async {
+                let text = read(&mut second).await?;
+                assert!(text.contains("m2") && !text.contains("m1"), "{text}");
+                second.write_all(ANSWER).await
+            };
+            let (answer, answered) = tokio::join!(conn.send(request), answered);
+            answered?;
+            assert!(answer.is_ok() && load.begun.get());
+            Ok(())
+        };
+        LocalSet::new().run_until(run).await
+    }
+}
--- a/src/net/driver.rs
+++ b/src/net/driver.rs
@@ -23,7 +23,7 @@
 use super::figures::{End, Figures, Now};
 use super::handover::{self, Claim, Knowledge, Order, Predecessor, Relay};
 use super::intake::{Answer, HandedIn, Intake};
-use super::journal::{GivenUp, Journal, Live, Record, Taken, taken_on};
+use super::journal::{Attempt, GivenUp, Journal, Live, Record, Taken, taken_on};
 use super::listing::{Known, ListBody, Shape};
 use super::mgmt::{self, Mgmt};
 use super::names::{Names, following};
@@ -383,6 +383,8 @@
         tracing::info!(owed = self.journal.live().len(), "a new process takes over");
         self.figures.handed_over();
         self.calls.close_all_idle();
+        // From here on the next process decides, and can't have a call that waits given up in time.
+        self.calls.withdraw(|_| true);
         if let Some(peers) = self.peers.take() {
             peers.close().await;
         }
@@ -581,6 +583,7 @@
     }
 
     fn forget(&mut self, number: u32, id: &str) {
+        self.calls.give_up(MessageId(number));
         self.attempts.remove(&number);
         self.held.remove(id);
     }
@@ -652,6 +655,7 @@
         let now = self.clock.now();
         let mut actions = Vec::new();
         self.policy.handle(now, &said, &mut actions);
+        self.withdraw_calls(&said);
         let mut records = std::mem::take(&mut self.unwritten);
         let mut fresh = std::mem::take(&mut self.fresh);
         // Answered in the turn that took them: the journal never hears of these.
@@ -707,6 +711,17 @@
                     GivenUp::Undeliverable => Answer::Failed,
                 });
             } else if let Some(live) = self.journal.live().get(&number) {
+                let unwritten = self.calls.give_up(MessageId(number));
+                let never_ran = |a: &Attempt| a.never_ran || unwritten.contains(&a.number);
+                // The module can't know how far a call has come. What others called for is not known here.
+                let how = match how {
+                    GivenUp::Undeliverable
+                        if live.covered.is_none() && live.attempts.iter().all(never_ran) =>
+                    {
+                        GivenUp::Deferred(0)
+                    }
+                    how => how,
+                };
                 let id = live.taken.id.clone();
                 let (destination, attempts) = (live.taken.destination, live.attempts.len());
                 tracing::debug!(id, destination, attempts, ?how, "given up");
@@ -742,7 +757,7 @@
                 self.end_told(number, how, id);
             }
             let sends = self.keep_back(sends, now);
-            self.begin(sends);
+            self.begin(sends, now);
             self.with_parts(|parts, out| {
                 if let Some(covering) = &mut parts.covering {
                     covering.flush(now, out);
@@ -774,6 +789,20 @@
         }
     }
 
+    /// What waits for a connection to an endpoint that is leaving, or gone, goes elsewhere at once.
+    fn withdraw_calls(&self, said: &[Event]) {
+        let listed = |entries: &[Entry], endpoint, ready| {
+            entries.iter().any(|e| e.endpoint == endpoint && (e.listing == Listing::Ready) == ready)
+        };
+        for event in said {
+            match event {
+                Event::List(entries) => self.calls.withdraw(|endpoint| !listed(entries, endpoint, true)),
+                Event::Changes(entries) => self.calls.withdraw(|endpoint| listed(entries, endpoint, false)),
+                _ => {}
+            }
+        }
+    }
+
     /// Tells the module that a call of its was not made.
     fn not_made(&self, (message, attempt, endpoint, _): (MessageId, u16, EndpointId, Micros)) {
         let end = AttemptOver::unanswered(message, attempt, endpoint, Outcome::Moot { no_slot: false });
@@ -794,8 +823,9 @@
     }
 
     /// Starts the calls of a turn: what goes to one endpoint travels together as far as its kind allows.
-    fn begin(&mut self, sends: Vec<(MessageId, u16, EndpointId, Micros)>) {
-        let mut calls: Vec<(EndpointId, Vec<Part>, Micros)> = Vec::new();
+    /// Their time runs from the module's.
+    fn begin(&mut self, sends: Vec<(MessageId, u16, EndpointId, Micros)>, now: Micros) {
+        let mut calls: Vec<(EndpointId, Vec<Part>)> = Vec::new();
         let mut last: HashMap<EndpointId, usize> = HashMap::new();
         for (message, attempt, endpoint, wait) in sends {
             let Some(live) = self.journal.live().get(&message.0) else { continue };
@@ -803,20 +833,17 @@
             let known = self.endpoints.get(&endpoint);
             let (name, bundle) = known.map_or(("", 1), |known| (known.name.as_str(), known.bundle));
             tracing::debug!(id, attempt, endpoint = name, "a call begins");
-            let part = Part { message, attempt, id, key, body };
+            let part = Part { message, attempt, id, key, body, until: self.clock.instant(now + wait) };
             let call = last.get(&endpoint).copied().and_then(|at| calls.get_mut(at));
             match call.filter(|call| call.1.len() < bundle) {
-                Some(call) => {
-                    call.1.push(part);
-                    call.2 = call.2.max(wait);
-                }
+                Some(call) => call.1.push(part),
                 None => {
                     last.insert(endpoint, calls.len());
-                    calls.push((endpoint, vec![part], wait));
+                    calls.push((endpoint, vec![part]));
                 }
             }
         }
-        for (endpoint, parts, wait) in calls {
+        for (endpoint, parts) in calls {
             let Some(line) = self.line(endpoint) else {
                 // An address that can't be read is one where no connection can be made.
                 let failed = Outcome::ConnectFailed;
@@ -826,7 +853,7 @@
                 let _ = self.inbound.send(Inbound::CallOver(ends.collect()));
                 continue;
             };
-            self.calls.start(line, parts, wait);
+            self.calls.start(line, parts);
         }
     }
 
--- a/src/net/driver/covered.rs
+++ b/src/net/driver/covered.rs
@@ -128,7 +128,10 @@
 
     fn drop_waiting(&mut self, number: u32) {
         self.covered.bare.remove(&number);
-        self.covered.calls.retain(|held| held.send.0.0 != number);
+        let over = |held: &mut HeldCall| held.send.0.0 == number;
+        let over: Vec<HeldCall> = self.covered.calls.extract_if(.., over).collect();
+        // The module counts them as out until it hears of them.
+        over.into_iter().for_each(|held| self.not_made(held.send));
         self.covered.notices.retain(|held| held.message != number);
     }
 
@@ -350,14 +353,12 @@
             let live = self.journal.live().get(&held.send.0.0);
             live.is_some_and(|live| live.given_up.is_none())
         };
-        let sends: Vec<_> = free
-            .into_iter()
-            .filter(owed)
-            .map(|HeldCall { since, send: (message, attempt, endpoint, wait), .. }| {
-                (message, attempt, endpoint, wait.saturating_sub(now - since).max(1_000))
-            })
-            .collect();
-        self.begin(sends);
+        let (free, over): (Vec<HeldCall>, _) = free.into_iter().partition(owed);
+        over.into_iter().for_each(|held| self.not_made(held.send));
+        let left = |HeldCall { since, send: (message, attempt, endpoint, wait), .. }: HeldCall| {
+            (message, attempt, endpoint, wait.saturating_sub(now - since))
+        };
+        self.begin(free.into_iter().map(left).collect(), now);
         let told = |held: &mut HeldNotice| held.lot == lot && held.upto <= upto;
         let told: Vec<HeldNotice> = self.covered.notices.extract_if(.., told).collect();
         told.into_iter().for_each(|held| self.notify(held.message, held.how, held.id));
--- /dev/null
+++ b/tests/node/late.rs
@@ -0,0 +1,84 @@
+//! Connections to endpoints that come up late: what becomes of a message meanwhile binds the call that waits.
+
+use std::io::{BufReader, Write};
+use std::net::TcpStream;
+use std::time::Duration;
+
+use serde_json::{Value, json};
+
+use super::world::*;
+
+/// Nothing but time given up and the connection itself decides here.
+fn patient(config: &mut Value) {
+    config["mgmt"] = json!("127.0.0.1:0");
+    config["settings"]["limits"]["connect_timeout_us"] = json!(20_000_000);
+    for class in [0, 1] {
+        config["settings"]["classes"][class]["on_time_us"] = json!(20_000_000);
+    }
+}
+
+fn delivered(stream: TcpStream) -> Http {
+    stream.set_read_timeout(Some(PATIENCE)).unwrap();
+    let mut input = BufReader::new(stream);
+    let http = Http::read(&mut input).expect("a call comes");
+    input.get_mut().write_all(b"HTTP/1.1 200 X\r\ncontent-length: 0\r\n\r\n").unwrap();
+    http
+}
+
+/// Found on the standing test's join day: a call of several messages waited for a connection for as long as the most
+/// patient of them, and was written with one that the platform had been told the end of.
+#[test]
+fn a_message_given_up_while_its_call_waits_for_a_connection_is_left_out_of_it() {
+    let (platform, crowded) = (Platform::new(), Crowded::new());
+    let node = Node::start(&platform, &[], patient);
+    for (id, within_ms) in [("short", 900), ("long", 20_000), ("short too", 900)] {
+        assert_eq!(node.hand_in(id, "order", 7, within_ms).status(), 202);
+    }
+    platform.tell(&[listing("e1", 7, "bulk", crowded.address)]);
+    let mut told = platform.notice(204);
+    while told.len() < 2 {
+        told.extend(platform.notice(204));
+    }
+    let deferred = |id| json!({"id": id, "status": "deferred"});
+    assert_eq!(told, [deferred("short"), deferred("short too")], "they surely never ran");
+    let call = delivered(crowded.let_in());
+    assert_eq!(call.first, "POST /v1/messages HTTP/1.1", "one is left");
+    assert_eq!(call.headers["req-id"], "long");
+    wait_until(|| node.call("GET", "/control/counters").json()["answered"]["order"] == 1);
+}
+
+/// Guards drains: an endpoint that leaves gets nothing that was decided on before it was told to leave.
+#[test]
+fn a_call_that_waits_for_a_connection_to_an_endpoint_that_leaves_goes_elsewhere() {
+    for status in ["leaving", "left"] {
+        let (platform, crowded, other) = (Platform::new(), Crowded::new(), Served::new());
+        let mut known =
+            [listing("e1", 7, "plain", crowded.address), listing("e2", 7, "plain", other.address)];
+        let node = Node::start(&platform, &known[..1], patient);
+        assert_eq!(node.hand_in("a", "order", 7, 20_000).status(), 202);
+        known[0]["status"] = json!(status);
+        let begun = std::time::Instant::now();
+        platform.tell(&known[usize::from(status == "left")..]);
+        let call = other.next();
+        assert_eq!(call.http.headers["req-id"], "a");
+        assert!(begun.elapsed() < Duration::from_secs(2), "{status}: after {:?}", begun.elapsed());
+        call.reply(super::world::status(200));
+    }
+}
+
+/// A process that is taken over from begins nothing: what waits for a connection is the next one's to decide on.
+#[test]
+fn a_call_that_waits_for_a_connection_is_handed_over_as_one_that_never_ran() {
+    let (platform, crowded, other) = (Platform::new(), Crowded::new(), Served::new());
+    let mut old =
+        Node::start_inheriting_with(&platform, &[listing("e1", 7, "plain", crowded.address)], patient);
+    assert_eq!(old.hand_in("a", "order", 7, 20_000).status(), 202);
+    let new = old.succeeded();
+    platform.tell(&[listing("e2", 7, "plain", other.address)]);
+    let call = other.next();
+    assert_eq!(call.http.headers["req-id"], "a");
+    call.reply(status(200));
+    wait_until(|| new.call("GET", "/control/counters").json()["answered"]["order"] == 1);
+    old.terminate();
+    assert_eq!(old.exit_code(), Some(0));
+}
--- a/tests/node/main.rs
+++ b/tests/node/main.rs
@@ -2,6 +2,7 @@
 
 mod configuration;
 mod draining;
+mod late;
 mod world;
 
 use std::collections::BTreeSet;
@@ -263,17 +264,8 @@
 #[test]
 fn a_call_whose_connection_comes_up_within_a_wait_is_not_written() {
     let (platform, other) = (Platform::new(), Served::new());
-    // Its backlog is full, so that a connection comes up when the kernel asks once more, after a second.
-    let runtime = tokio::runtime::Builder::new_current_thread().enable_io().build().unwrap();
-    let crowded = runtime.block_on(async {
-        let socket = tokio::net::TcpSocket::new_v4().unwrap();
-        socket.bind("127.0.0.1:0".parse().unwrap()).unwrap();
-        socket.listen(0).unwrap().into_std().unwrap()
-    });
-    crowded.set_nonblocking(false).unwrap();
-    let address = crowded.local_addr().unwrap();
-    let first = std::net::TcpStream::connect(address).unwrap();
-    let known = [listing("e1", 7, "plain", address), listing("e2", 7, "plain", other.address)];
+    let crowded = Crowded::new();
+    let known = [listing("e1", 7, "plain", crowded.address), listing("e2", 7, "plain", other.address)];
     let node = Node::start(&platform, &known[..1], |config| {
         config["mgmt"] = json!("127.0.0.1:0");
         config["settings"]["limits"]["connect_timeout_us"] = json!(20_000_000);
@@ -290,14 +282,11 @@
     let told = std::time::Instant::now();
     assert!(told - begun < std::time::Duration::from_millis(900), "before the connection can come up");
     call.reply(Reply::Answer(429, vec![("retry-after", "2.5".into())], "".into()));
-    // There is room now: both connections come out of the backlog, and nothing comes over the second.
-    drop(crowded.accept().unwrap());
-    let (mut second, _) = crowded.accept().unwrap();
+    let mut second = crowded.let_in();
     assert!(told.elapsed() < wait, "it came up within the wait");
     second.set_read_timeout(Some(wait.saturating_sub(told.elapsed()))).unwrap();
     let read = std::io::Read::read(&mut second, &mut [0; 64]);
     assert!(read.is_err() || matches!(read, Ok(0)) || told.elapsed() >= wait, "{read:?} after {told:?}");
-    drop((first, second));
 }
 
 /// Guards against a second copy while the first may still be read: the connection is closed at the time-out.
--- a/tests/node/world.rs
+++ b/tests/node/world.rs
@@ -120,6 +120,35 @@
     }
 }
 
+/// A server whose backlog is full: a connection comes up only once it is let in, when the kernel asks once more.
+pub struct Crowded {
+    pub address: SocketAddr,
+    listener: TcpListener,
+    /// What fills the backlog.
+    _first: TcpStream,
+}
+
+impl Crowded {
+    pub fn new() -> Self {
+        let runtime = tokio::runtime::Builder::new_current_thread().enable_io().build().unwrap();
+        let listener = runtime.block_on(async {
+            let socket = tokio::net::TcpSocket::new_v4().unwrap();
+            socket.bind("127.0.0.1:0".parse().unwrap()).unwrap();
+            socket.listen(0).unwrap().into_std().unwrap()
+        });
+        listener.set_nonblocking(false).unwrap();
+        let address = listener.local_addr().unwrap();
+        let first = TcpStream::connect(address).unwrap();
+        Self { address, listener, _first: first }
+    }
+
+    /// The connection that waits.
+    pub fn let_in(&self) -> TcpStream {
+        drop(self.listener.accept().unwrap());
+        self.listener.accept().unwrap().0
+    }
+}
+
 fn converse(stream: TcpStream, connection: usize, ask: &Sender<Asked>) {
     let mut out = stream.try_clone().unwrap();
     let mut input = BufReader::new(stream);
