Ask anew for a list whose watch or poll is silent before what it missed binds

Cause: a watch was held for 20 s and given 3 s more (`HOLD`, `HOLD_SLACK`), so that one that fell silent was asked for again after up to 23 s. What it misses counts as told 6 s after it fell silent, and where lists are pushed, what the agent has counts at once, after an outage as well; sends have to cease 2 s later. A poll that stayed silent for 3 s was left to the module's pause, which is up to `ask_every` long: 5 to 10 s more on a large tier.

Change: a watch is held for half of the time in which sends must cease (1 s here; from the settings, 0.5 to 3 s) and given two fifths more. It is asked of the agent on this machine, which answers at no cost, so that asking more often costs a small request a second. A poll is given 2.5 s (discovery turns away what has waited for 2) and, if it alone was silent, is made again within a second, at random; a second silence in a row is the module's to pace, as any failure is, so that an outage does not have all senders ask at once.

Not taken: a hold of 20 s watched by probes beside it, which would be as many calls and one connection more.

Tests: silence, a head and a body that stop, a 503 and an unreadable list are each asked anew, and an indented list is read; a silent poll is made again once; the clocks add up.

--- a/src/net/platform.rs
+++ b/src/net/platform.rs
@@ -19,10 +19,15 @@
 use super::listing::ListBody;
 use super::{BODY_LIMIT, Inbound};
 
-/// How long a watch may be held open.
-const HOLD: Duration = Duration::from_secs(20);
-/// How much later its answer may come, and how long an answer may take that is not held.
-const HOLD_SLACK: Duration = Duration::from_secs(3);
+/// How long an answer may take where all senders ask the one discovery: that turns away what has waited for 2 s.
+/// A poll that is silent for longer is broken, and what it missed counts as told 6 s after it fell silent.
+const POLL_WITHIN: Duration = Duration::from_millis(2500);
+/// After a poll that fell silent the next one comes within this time, at random: were all polls silent, as in an
+/// outage, all senders would ask at once. Its answer comes within the 6 s, the 2 s for which it may wait included.
+const POLL_AGAIN: Duration = Duration::from_secs(1);
+/// Bounds on how long a watch is held, whatever the settings say.
+const SHORTEST_HOLD: Duration = Duration::from_millis(500);
+const LONGEST_HOLD: Duration = Duration::from_secs(3);
 /// Rest before a failed request is made again, unless the module says when: a watch goes on if it comes back
 /// within 200 ms.
 const AGAIN: Duration = Duration::from_millis(50);
@@ -58,8 +63,10 @@
 
 /// How the list is followed.
 pub enum Following {
-    /// By a watch from the version that is known.
-    Watch(u64),
+    /// By a watch from the version that is known, held for so long. It is asked of an agent on this machine, at
+    /// no cost, and what the agent has counts as told at once: whether the watch has fallen silent, or the agent
+    /// was and is back, must be found out well before sends to an endpoint that leaves have to cease.
+    Watch(u64, Duration),
     /// By asking for the whole list, and again after about such a rest. A watch would be answered, and asked
     /// for again, by all senders at once at each change, and discovery has not the room for that; what changes
     /// just after the answer to a watch that does not go on counts as told all the same.
@@ -71,7 +78,18 @@
     pub fn new(settings: &Settings, known: u64, seed: u64) -> Self {
         match settings.must_ask {
             true => Self::Ask(Duration::from_micros(settings.ask_round()), fastrand::Rng::with_seed(seed)),
-            false => Self::Watch(known),
+            false => {
+                let hold = Duration::from_micros(settings.rules.drain_grace / 2);
+                Self::Watch(known, hold.clamp(SHORTEST_HOLD, LONGEST_HOLD))
+            }
+        }
+    }
+
+    /// After how long an answer is taken not to come.
+    fn patience(&self) -> Duration {
+        match self {
+            Self::Watch(_, hold) => *hold * 7 / 5,
+            Self::Ask(..) => POLL_WITHIN,
         }
     }
 }
@@ -85,23 +103,24 @@
 ) {
     let mut whole = false;
     let mut conn = None;
+    // Whether the poll before fell silent as well.
+    let mut silent = false;
     if matches!(following, Following::Ask(..)) {
         wanted.watch.notified().await;
     }
     loop {
         let address = *discovery.borrow_and_update();
         let path = match following {
-            Following::Watch(from) if !whole => {
-                format!("/v1/endpoints?from={from}&hold_ms={}", HOLD.as_millis())
+            Following::Watch(from, hold) if !whole => {
+                format!("/v1/endpoints?from={from}&hold_ms={}", hold.as_millis())
             }
             _ => "/v1/endpoints".to_owned(),
         };
-        let patience = if path.contains('?') { HOLD + HOLD_SLACK } else { HOLD_SLACK };
         let Ok(request) = Request::get(path).header("host", address.to_string()).body(Full::default()) else {
             return;
         };
         let answer = tokio::select! {
-            answer = timeout(patience, ask(&mut conn, address, request)) => answer,
+            answer = timeout(following.patience(), ask(&mut conn, address, request)) => answer,
             () = wanted.whole.notified() => {
                 whole = true;
                 continue;
@@ -111,25 +130,34 @@
                 continue;
             }
         };
+        let silent_before = std::mem::replace(&mut silent, answer.is_err());
         let list = match answer {
             Ok(Ok((StatusCode::OK, body))) => serde_json::from_slice::<ListBody>(&body).ok(),
             _ => None,
         };
         let rest = match (&list, &mut following) {
-            (Some(list), Following::Watch(from)) => {
+            (Some(list), Following::Watch(from, _)) => {
                 *from = list.index;
                 Some(Duration::ZERO)
             }
             (Some(_), Following::Ask(rest, rng)) => Some(rest.mul_f64(0.86 + 0.28 * rng.f64())),
-            (None, Following::Watch(_)) => Some(AGAIN),
-            (None, Following::Ask(..)) => None,
+            (None, Following::Watch(..)) => Some(AGAIN),
+            // One that is silent may be alone in that. Else the module says when.
+            (None, Following::Ask(_, rng)) => {
+                (silent && !silent_before).then(|| POLL_AGAIN.mul_f64(rng.f64()))
+            }
         };
         if list.is_none() {
             conn = None;
         }
         whole = false;
-        let said = list.map_or(Inbound::Event(Event::ListFailed), Inbound::Listed);
-        if inbound.send(said).is_err() {
+        let said = match list {
+            Some(list) => Some(Inbound::Listed(list)),
+            // The module would put the next poll off.
+            None if rest.is_some() && matches!(following, Following::Ask(..)) => None,
+            None => Some(Inbound::Event(Event::ListFailed)),
+        };
+        if said.is_some_and(|said| inbound.send(said).is_err()) {
             return;
         }
         tokio::select! {
@@ -233,3 +261,118 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use std::io;
+
+    use tokio::io::{AsyncReadExt, AsyncWriteExt};
+    use tokio::net::{TcpListener, TcpStream};
+    use tokio::sync::mpsc::unbounded_channel;
+    use tokio::task::LocalSet;
+
+    use super::*;
+
+    const PATIENCE: Duration = Duration::from_secs(15);
+
+    struct Agent(TcpListener, UnboundedReceiver<Inbound>);
+
+    impl Agent {
+        /// What is followed so, and what of it the driver hears.
+        async fn new(following: Following, wanted: Rc<Wanted>) -> io::Result<Self> {
+            let listener = TcpListener::bind("127.0.0.1:0").await?;
+            let (inbound, heard) = unbounded_channel();
+            let (_, discovery) = watch::channel(listener.local_addr()?);
+            tokio::task::spawn_local(follow(discovery, following, wanted, inbound));
+            Ok(Self(listener, heard))
+        }
+
+        /// The next connection, and what is asked over it.
+        async fn asked(&self) -> io::Result<(TcpStream, String)> {
+            let (mut stream, _) = timeout(PATIENCE, self.0.accept()).await??;
+            let path = asked(&mut stream).await?;
+            Ok((stream, path))
+        }
+    }
+
+    async fn asked(stream: &mut TcpStream) -> io::Result<String> {
+        let mut text = String::new();
+        while !text.ends_with("\r\n\r\n") {
+            let mut bytes = [0; 512];
+            let n = timeout(PATIENCE, stream.read(&mut bytes)).await??;
+            assert!(n > 0, "it ends after {text}");
+            text += &String::from_utf8_lossy(&bytes[..n]);
+        }
+        Ok(text.split(' ').nth(1).unwrap_or_default().to_owned())
+    }
+
+    /// Guards drains: whatever the agent does that is no answer, it is asked anew, within the hold and a little.
+    #[tokio::test]
+    async fn a_watch_that_is_silent_cut_or_refused_is_asked_for_anew() -> io::Result<()> {
+        let run = async {
+            let hold = Duration::from_secs(1);
+            let mut agent = Agent::new(Following::Watch(1, hold), Rc::default()).await?;
+            let mut kept = Vec::new();
+            for answer in [
+                "",
+                "HTTP/1.1 200 OK\r\ncontent-le",
+                "HTTP/1.1 200 OK\r\ncontent-length: 99\r\n\r\n{\"index\":5,",
+                "HTTP/1.1 503 No\r\ncontent-length: 0\r\n\r\n",
+                "HTTP/1.1 200 OK\r\ncontent-length: 7\r\n\r\n{\"inde}",
+            ] {
+                let (mut stream, path) = agent.asked().await?;
+                assert_eq!(path, "/v1/endpoints?from=1&hold_ms=1000", "before {answer}");
+                stream.write_all(answer.as_bytes()).await?;
+                kept.push(stream);
+                let heard = timeout(PATIENCE, agent.1.recv()).await?;
+                assert!(matches!(heard, Some(Inbound::Event(Event::ListFailed))), "{answer}: {heard:?}");
+            }
+            let (mut stream, _) = agent.asked().await?;
+            let list = "{\r\n  \"index\": 7,\r\n  \"snapshot\": true,\r\n  \"endpoints\": [\r\n  ]\r\n}\r\n";
+            let answer = format!("HTTP/1.1 200 OK\r\ncontent-length: {}\r\n\r\n{list}", list.len());
+            stream.write_all(answer.as_bytes()).await?;
+            let heard = timeout(PATIENCE, agent.1.recv()).await?;
+            assert!(matches!(heard, Some(Inbound::Listed(ListBody { index: 7, .. }))), "{heard:?}");
+            assert_eq!(asked(&mut stream).await?, "/v1/endpoints?from=7&hold_ms=1000");
+            Ok(())
+        };
+        LocalSet::new().run_until(run).await
+    }
+
+    /// Guards drains where the list is asked for: a poll that falls silent alone is made again before what it missed
+    /// counts as told. Where the next one is silent, too, the module sees to it that not all ask at once.
+    #[tokio::test]
+    async fn a_silent_poll_is_made_again_at_once_but_once() -> io::Result<()> {
+        let run = async {
+            let wanted = Rc::new(Wanted::default());
+            wanted.watch.notify_one();
+            let round = Duration::from_secs(3600);
+            let following = Following::Ask(round, fastrand::Rng::with_seed(1));
+            let mut agent = Agent::new(following, wanted.clone()).await?;
+            let (_first, path) = agent.asked().await?;
+            assert_eq!(path, "/v1/endpoints");
+            let (_second, _) = agent.asked().await?;
+            assert!(agent.1.try_recv().is_err(), "the module would wait");
+            let heard = timeout(PATIENCE, agent.1.recv()).await?;
+            assert!(matches!(heard, Some(Inbound::Event(Event::ListFailed))), "{heard:?}");
+            assert!(
+                timeout(POLL_AGAIN + POLL_WITHIN, agent.0.accept()).await.is_err(),
+                "the module says when"
+            );
+            wanted.watch.notify_one();
+            agent.asked().await?;
+            Ok(())
+        };
+        LocalSet::new().run_until(run).await
+    }
+
+    /// The clocks: sends to an endpoint that leaves cease in time where its watch fell silent or the agent was, and
+    /// a silent poll's successor is answered within 6 s though it waits for its 2.
+    #[test]
+    fn what_is_missed_is_known_before_it_binds() {
+        let grace = Duration::from_secs(2);
+        let watch = Following::Watch(1, grace / 2);
+        assert!(watch.patience() + AGAIN + Duration::from_millis(250) < grace);
+        assert!(POLL_WITHIN + POLL_AGAIN + Duration::from_secs(2) < Duration::from_secs(6));
+    }
+}
