Let a refusal be no outage where others are served before it and ever since

The routes were closed, with `fulls=1 bad=0` and a last wait over 6 to 18 s ago. So one call refused above a limit was enough: `suspect` holds from an overload's span after the last delivery until the next one, which a sender of a call in four seconds is nearly always past, and the ramp then lets it make 0.06 calls a second (2 x 0.17 x 12 / 60 x 0.9), one in 16 s, for messages with 12 s to live; with 300 senders one in 80 s. Meanwhile destinations told of 12 to 14 calls a second got 6 to 11.

Change: a sender that is served as usual says so in a note of three bytes, unless it has heard so within a third of an overload's span, so that a destination costs about one note in a third of a span, from all senders together. A refusal is no suspicion where such word, or our own deliveries, go back to before it with no gap of a span and have not ended. A shut destination serves nobody, so that the row breaks, and what comes after its return proves nothing until our own success, as before; failures are left as they were, since where half the calls fail some are served. Not taken: to let suspicion lapse with time, since no time says that an outage is over; `x0` with the refusal, which is off by up to a second and, where refused calls use up the limit, low while shut, too.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -37,6 +37,7 @@
 const NOTE_TURN: u8 = 0x11;
 const NOTE_FULL: u8 = 0x12;
 const NOTE_LIMIT: u8 = 0x13;
+const NOTE_WELL: u8 = 0x14;
 /// A report that is further off from what is known of a limit, up or down, tells of another limit.
 const LIMIT_CHANGE: f64 = 1.5;
 /// What each further message adds to the weight of a call at a cold destination.
@@ -159,6 +160,9 @@
     answered_at: Micros,
     late: bool,
     delivered_at: Micros,
+    /// Since when, with no gap of an overload's span, and when last it was known to serve as usual: by our own
+    /// deliveries and by the others'.
+    well: (Micros, Micros),
 }
 
 /// A rate of events that fades with `span`, after a further event.
@@ -208,9 +212,17 @@
     }
 
     /// A sender that sends little sees no run: one failure or refusal with nothing delivered for an
-    /// overload's span holds it back until the next success.
+    /// overload's span holds it back until the next success. Not a refusal where others were served before it
+    /// and ever since: that is a limit used up. A shut destination serves nobody, and its return is no proof.
     fn suspect(&self, rules: &Rules, now: Micros) -> bool {
-        self.bad_run + self.fulls > 0 && now >= self.delivered_at + rules.overload_for
+        let served = self.bad_run == 0 && self.well.0 <= self.bad_since;
+        let seen = if served { self.well.1.max(self.delivered_at) } else { self.delivered_at };
+        self.bad_run + self.fulls > 0 && now >= seen + rules.overload_for
+    }
+
+    fn note_well(&mut self, rules: &Rules, now: Micros) {
+        let gap = now >= self.well.1 + rules.overload_for;
+        self.well = (if gap { now } else { self.well.0 }, now);
     }
 
     /// Guards against pushing over a returning destination: the share of its capacity to count on,
@@ -721,6 +733,7 @@
                 }
             }
             (NOTE_FULL, []) => route.book_full(now),
+            (NOTE_WELL, []) => route.note_well(&self.settings.rules, now),
             (NOTE_LIMIT, [low, high]) => {
                 let limit = f64::from(u16::from_le_bytes([*low, *high])) / 8.0;
                 route.reported = if limit > 0.0 { limit } else { route.reported };
@@ -755,6 +768,15 @@
                     if matches!(outcome, Outcome::Delivered | Outcome::Error) {
                         route.note_answer(call.sent, now);
                     }
+                    // All was well, and nobody has said so of late.
+                    let rules = &self.settings.rules;
+                    if (outcome, call.route.1) == (Outcome::Delivered, None)
+                        && now >= route.well.1 + rules.overload_for / 3
+                        && route.cold_share(rules, now).is_none()
+                    {
+                        route.note_well(rules, now);
+                        self.news.insert((NOTE_WELL, call.route.0));
+                    }
                     route.record(&self.settings, flight.0, call.sent, outcome, now);
                 }
             }
