--- a/src/net/control.rs
+++ b/src/net/control.rs
@@ -15,6 +15,8 @@
     Endpoints,
     /// Who of the fleet is there, as this sender sees it.
     Members,
+    /// How the status index stands.
+    Status,
     /// What is covered, held for others, and taken over.
     Takeover,
     /// Send clients elsewhere, and have all ended within this time if there is one.
@@ -58,6 +60,12 @@
         Self::new(StatusCode::OK, content)
     }
 
+    /// A no that has a stable name, says what happened, and what can be done.
+    pub fn typed(status: StatusCode, code: &str, why: impl ToString, remedy: &str) -> Self {
+        let why = why.to_string().replace(['\n', '\r'], " ");
+        Self::new(status, &json!({"code": code, "error": why, "remedy": remedy}))
+    }
+
     /// A no, in one line.
     pub fn no(status: StatusCode, why: impl ToString) -> Self {
         let why = why.to_string().replace(['\n', '\r'], " ");
--- a/src/net/driver.rs
+++ b/src/net/driver.rs
@@ -3,6 +3,7 @@
 
 mod covered;
 mod draining;
+mod indexed;
 
 use std::cell::RefCell;
 use std::collections::{BTreeMap, BTreeSet, HashMap};
@@ -12,6 +13,7 @@
 
 use myrtleyard::interface::*;
 use myrtleyard::policy::Policy;
+use myrtleyard::status::State;
 use myrtleyard::takeover::lots::Fact;
 use tokio::net::{TcpListener, UnixStream};
 use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel};
@@ -27,6 +29,7 @@
 use super::listing::{Known, ListBody, Shape};
 use super::mgmt::{self, Mgmt};
 use super::names::{Names, following};
+use super::parts::indexing::end_of;
 use super::parts::{self, Parts};
 use super::peers::Peers;
 use super::platform::{self, Notice};
@@ -193,6 +196,7 @@
         settings: config.settings,
     };
     driver.resume_covered();
+    driver.resume_indexed();
     let (first, followed) = match predecessor {
         Some(predecessor) => {
             let (first, followed) = driver.take_over(predecessor, inbound.clone(), config.seed);
@@ -324,6 +328,7 @@
                 (None, None) if live.attempts.iter().all(|a| a.never_ran) => GivenUp::Deferred(0),
                 (None, None) => GivenUp::Undeliverable,
             };
+            self.index_ended(number, end_of(given_up));
             self.figures.ended(&live.taken.class, given_up.into());
             self.unwritten.push(Record::GivenUp(number, given_up));
             self.unsaid.push((number, given_up, live.taken.id));
@@ -488,6 +493,7 @@
             Inbound::Control(ask, reply) => {
                 let _ = reply.send(self.control(ask, said));
             }
+            Inbound::StatusQuery(query, within, reply) => self.ask_status(*query, within, reply),
             Inbound::Terminate if self.stop_at.is_some() => {}
             Inbound::Terminate => {
                 let at = self.clock.now() + STOP_WITHIN;
@@ -539,6 +545,11 @@
             } else if never_ran {
                 self.tell_of(number, Fact::NeverRan(end.attempt));
             }
+            if terminal {
+                // That an endpoint knows it to be over does not tell how it ended.
+                let delivered = end.outcome == Outcome::Delivered;
+                self.index_ended(number, if delivered { State::Delivered } else { State::Unknown });
+            }
             self.unwritten.push(if terminal {
                 Record::Over(number)
             } else {
@@ -712,6 +723,7 @@
                 tracing::debug!(id, destination, attempts, ?how, "given up");
                 self.figures.ended(&live.taken.class, how.into());
                 records.push(Record::GivenUp(number, how));
+                self.index_ended(number, end_of(how));
                 self.unsaid.push((number, how, id));
             }
         }
@@ -732,6 +744,7 @@
             records.truncate(kept);
             self.withhold(records, fresh, &sends);
         } else {
+            self.index_taken(&fresh, now);
             for (number, fresh) in fresh {
                 self.cover(number, now);
                 let Taken { id, class, destination, .. } = &fresh.taken;
@@ -747,6 +760,9 @@
                 if let Some(covering) = &mut parts.covering {
                     covering.flush(now, out);
                 }
+                if let Some(indexing) = &mut parts.indexing {
+                    indexing.flush(now, out);
+                }
             });
         }
         self.figures.stand(Now {
@@ -799,6 +815,9 @@
         let mut last: HashMap<EndpointId, usize> = HashMap::new();
         for (message, attempt, endpoint, wait) in sends {
             let Some(live) = self.journal.live().get(&message.0) else { continue };
+            if let Some(indexing) = &mut self.parts.indexing {
+                indexing.calling(&live.taken, attempt, self.clock.now());
+            }
             let Taken { id, key, body, .. } = live.taken.clone();
             let known = self.endpoints.get(&endpoint);
             let (name, bundle) = known.map_or(("", 1), |known| (known.name.as_str(), known.bundle));
--- a/src/net/driver/covered.rs
+++ b/src/net/driver/covered.rs
@@ -419,6 +419,7 @@
         if self.parts.covering.as_ref().is_some_and(|covering| covering.core.alone(tag.lot)) {
             self.covered.bare.insert(number);
         }
+        self.index_adopted(&taken, told.since, tag.epoch, how);
         let attempts = known.attempts.last_key_value().map_or(0, |(last, _)| last + 1);
         let (from, destination) = (tag.lot.owner, taken.destination);
         tracing::debug!(id, from, destination, attempts, ?how, "taken over");
--- a/src/net/handover.rs
+++ b/src/net/handover.rs
@@ -349,7 +349,7 @@
                     let _ = done.send(Standing::HandedOver);
                     continue;
                 }
-                Inbound::Control(_, reply) => {
+                Inbound::Control(_, reply) | Inbound::StatusQuery(_, _, reply) => {
                     let _ = reply.send(Reply::no(StatusCode::CONFLICT, "handed over"));
                     continue;
                 }
--- a/src/net/mgmt.rs
+++ b/src/net/mgmt.rs
@@ -16,11 +16,13 @@
 use hyper_util::rt::{TokioIo, TokioTimer};
 use myrtleyard::check;
 use myrtleyard::interface::Micros;
+use myrtleyard::status::Query;
+use percent_encoding::percent_decode_str;
 use serde::de::DeserializeOwned;
 use serde_json::json;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{Semaphore, mpsc::UnboundedSender, oneshot, watch};
-use tokio::time::timeout;
+use tokio::time::{Instant, timeout};
 
 use super::config::{self, InForce};
 use super::control::{Ask, Reply};
@@ -39,6 +41,13 @@
 const BODY_WITHIN: Duration = Duration::from_millis(400);
 /// A call that names endpoints is no longer.
 const SMALL_BODY: usize = 16 * 1024;
+/// A query that names as many ids as it may is no longer.
+const QUERY_BODY: usize = 32 * 1024;
+
+/// From connecting until a query's answer is due: what is left is for writing it.
+const ANSWER_WITHIN: Duration = Duration::from_millis(820);
+/// One message's status, by its id.
+const MESSAGE: &str = "/control/status/message/";
 
 /// What operators can ask for.
 pub struct Mgmt {
@@ -80,7 +89,8 @@
 
     async fn serve(&self, stream: TcpStream) {
         let _ = stream.set_nodelay(true);
-        let service = service_fn(|request| self.answer(request));
+        let begun = Instant::now();
+        let service = service_fn(|request| self.answer(request, begun));
         // How a call breaks off is the caller's matter.
         let _ = http1::Builder::new()
             .timer(TokioTimer::new())
@@ -91,7 +101,11 @@
             .await;
     }
 
-    async fn answer(&self, request: Request<Incoming>) -> Result<Response<Full<Bytes>>, Infallible> {
+    async fn answer(
+        &self,
+        request: Request<Incoming>,
+        begun: Instant,
+    ) -> Result<Response<Full<Bytes>>, Infallible> {
         let get = request.method() == Method::GET;
         let post = request.method() == Method::POST;
         let path = request.uri().path().to_owned();
@@ -112,6 +126,18 @@
             "/control/endpoints" if get => self.ask(Ask::Endpoints).await,
             "/control/members" if get => self.ask(Ask::Members).await,
             "/control/takeover" if get => self.ask(Ask::Takeover).await,
+            "/control/status" if get => self.ask(Ask::Status).await,
+            "/control/status/query" if post => match whole(request, QUERY_BODY).await {
+                Ok(body) => match serde_json::from_slice(&body) {
+                    Ok(query) => self.status(query, begun).await,
+                    Err(e) => answered(unreadable(&e)),
+                },
+                Err(no) => answered(no),
+            },
+            path if get && path.starts_with(MESSAGE) => match one_message(path, request.uri().query()) {
+                Some(query) => self.status(query, begun).await,
+                None => answered(no_message()),
+            },
             "/control/endpoints/drain" if post => {
                 self.ask_with(request, |body| read(body).map(Ask::DrainEndpoints)).await
             }
@@ -120,11 +146,13 @@
             }
             "/control/config/check" if post => answered(self.check(request).await),
             "/control/ready" | "/control/counters" | "/control/drain" | "/control/endpoints"
-            | "/control/members" | "/control/takeover" => not_allowed("GET"),
+            | "/control/members" | "/control/takeover" | "/control/status" => not_allowed("GET"),
+            path if path.starts_with(MESSAGE) => not_allowed("GET"),
             "/control/out-of-service"
             | "/control/in-service"
             | "/control/endpoints/drain"
             | "/control/endpoints/restore"
+            | "/control/status/query"
             | "/control/config/check" => not_allowed("POST"),
             _ => plain(StatusCode::NOT_FOUND, "not found\n"),
         }))
@@ -153,6 +181,18 @@
         answered(replied.await.unwrap_or_else(|_| gone()))
     }
 
+    /// What the tier knows of some messages, with what is left of the time for the call.
+    async fn status(&self, query: Query, begun: Instant) -> Response<Full<Bytes>> {
+        if *self.standing.borrow() == Standing::Starting {
+            return answered(Reply::no(StatusCode::SERVICE_UNAVAILABLE, "starting"));
+        }
+        let within = ANSWER_WITHIN.saturating_sub(begun.elapsed()).as_micros() as Micros;
+        let (reply, replied) = oneshot::channel();
+        let _ = self.inbound.send(Inbound::StatusQuery(Box::new(query), within, reply));
+        let gone = || Reply::no(StatusCode::SERVICE_UNAVAILABLE, "stopping");
+        answered(replied.await.unwrap_or_else(|_| gone()))
+    }
+
     /// The same for a call with a body, which is read whole before anything is done.
     async fn ask_with(
         &self,
@@ -189,6 +229,28 @@
     }
 }
 
+/// A query of a single message, by its id in the path and its tenant: none is the one of messages without any.
+fn one_message(path: &str, query: Option<&str>) -> Option<Query> {
+    let text = |text: &str| percent_decode_str(text).decode_utf8().ok().map(|text| text.into_owned());
+    let id = text(path.strip_prefix(MESSAGE)?).filter(|id| !id.is_empty())?;
+    let tenant = match query {
+        None => String::new(),
+        Some(query) => text(query.strip_prefix("tenant=")?)?,
+    };
+    serde_json::from_value(json!({"tenant": tenant, "ids": [id]})).ok()
+}
+
+fn no_message() -> Reply {
+    let why = "the path names no message, or the query is another than tenant=NAME";
+    let remedy = "ask for /control/status/message/ID?tenant=NAME, both percent-encoded";
+    Reply::typed(StatusCode::BAD_REQUEST, "status-message", why, remedy)
+}
+
+fn unreadable(why: &serde_json::Error) -> Reply {
+    let remedy = "send a query as docs/status.md has it";
+    Reply::typed(StatusCode::BAD_REQUEST, "status-query", format!("the query can't be read: {why}"), remedy)
+}
+
 /// A call's body, if it comes whole, in time, and is no longer than that.
 async fn whole(request: Request<Incoming>, most: usize) -> Result<Bytes, Reply> {
     match timeout(BODY_WITHIN, Limited::new(request.into_body(), most).collect()).await {
@@ -229,7 +291,6 @@
 #[cfg(test)]
 mod tests {
     use tokio::io::{AsyncReadExt, AsyncWriteExt};
-    use tokio::time::Instant;
 
     use super::*;
 
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -87,6 +87,8 @@
     Service(bool, oneshot::Sender<Standing>),
     /// Operators ask for something else.
     Control(control::Ask, oneshot::Sender<control::Reply>),
+    /// The status index is asked; the answer is due within that time.
+    StatusQuery(Box<myrtleyard::status::Query>, Micros, oneshot::Sender<control::Reply>),
 }
 
 /// How one attempt ended.
--- a/src/net/parts/mod.rs
+++ b/src/net/parts/mod.rs
@@ -4,6 +4,7 @@
 
 pub mod covering;
 pub mod draining;
+pub mod indexing;
 pub mod view;
 
 use std::path::Path;
@@ -15,6 +16,7 @@
 use super::config::Config;
 use covering::Covering;
 use draining::Draining;
+use indexing::Indexing;
 use view::View;
 
 /// Datagrams to other senders, by their numbers.
@@ -50,6 +52,8 @@
     pub view: Option<View>,
     /// Covers for what is in hand.
     pub covering: Option<Covering>,
+    /// The status index.
+    pub indexing: Option<Indexing>,
 }
 
 impl Parts {
@@ -59,16 +63,18 @@
             draining: config.draining.map(|section| Draining::open(folder, section.max_marks)),
             view: View::open(config, now),
             covering: Covering::open(config, folder, now),
+            indexing: Indexing::open(config, folder, now),
         }
     }
 
     /// Bytes that parts may take of the folder that lasts.
     pub fn room(config: &Config) -> u64 {
         let marks = config.draining.map_or(0, |section| Draining::room(section.max_marks));
-        marks + config.takeover.as_ref().map_or(0, |_| Memory::ROOM)
+        let index = config.status.as_ref().map_or(0, |section| Indexing::room(section, config.disk));
+        marks + index + config.takeover.as_ref().map_or(0, |_| Memory::ROOM)
     }
 
-    /// The configuration has changed. Draining and covers stay as they were at the start, since their room was set
+    /// The configuration has changed. Draining, covers and the index stay as they were at the start, since their room was set
     /// aside then.
     pub fn adopt(&mut self, config: &Config, now: Micros, out: &mut Out) {
         match (&mut self.view, &config.membership) {
@@ -85,7 +91,8 @@
         let draining = self.draining.as_mut().map(|part| part as &mut dyn Part);
         let view = self.view.as_mut().map(|part| part as &mut dyn Part);
         let covering = self.covering.as_mut().map(|part| part as &mut dyn Part);
-        draining.into_iter().chain(view).chain(covering)
+        let indexing = self.indexing.as_mut().map(|part| part as &mut dyn Part);
+        draining.into_iter().chain(view).chain(covering).chain(indexing)
     }
 
     /// When the first of them wants to be called.
@@ -93,7 +100,8 @@
         let draining = self.draining.as_ref().and_then(Part::due);
         let view = self.view.as_ref().and_then(Part::due);
         let covering = self.covering.as_ref().and_then(Part::due);
-        draining.into_iter().chain(view).chain(covering).min()
+        let indexing = self.indexing.as_ref().and_then(Part::due);
+        draining.into_iter().chain(view).chain(covering).chain(indexing).min()
     }
 
     /// Calls those whose time has come.
@@ -102,6 +110,9 @@
             let facts = self.view.as_ref().map(|view| view.facts(now));
             covering.look(facts.as_ref());
         }
+        if let Some(indexing) = self.indexing.as_mut().filter(|indexing| indexing.core.looks(now)) {
+            indexing.look(self.view.as_ref().map(|view| view.facts(now)));
+        }
         for part in self.each().filter(|part| part.due().is_some_and(|due| due <= now)) {
             part.tick(now, out);
         }
--- /dev/null
+++ b/src/status/folder.rs
@@ -0,0 +1,148 @@
+//! Where a log is kept in the folder that lasts: segments that are only appended to. The oldest one goes once what it
+//! still holds is written again at the end, a few changes at a time, so that no write is long.
+//!
+//! Sans I/O: it says what is to be written, and whoever writes carries the steps out in order.
+
+use std::collections::VecDeque;
+
+use super::log::Log;
+
+/// Segments that the room is divided into.
+const PARTS: u64 = 16;
+/// Numbers of the oldest segment that are looked at in one write.
+const MOVED_AT_ONCE: usize = 64;
+/// A smaller room is not used, bytes.
+pub const LEAST_ROOM: u64 = 64 * 1024;
+
+/// Of the room, what segments come to; the rest is for all of the log written anew beside them.
+fn in_use(room: u64) -> u64 {
+    room / 3 * 2
+}
+
+/// Something to be done in the folder.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Step {
+    /// A new segment with that number holds this.
+    Begin(u64, Vec<u8>),
+    /// This is appended to that segment.
+    Append(u64, Vec<u8>),
+    /// That segment goes.
+    Remove(u64),
+}
+
+#[derive(Debug)]
+struct Segment {
+    at: u64,
+    bytes: u64,
+    /// Changes in it; those whose message changed again hold nothing any more.
+    numbers: Vec<u64>,
+}
+
+/// The segments of a log.
+#[derive(Debug)]
+pub struct Segments {
+    room: u64,
+    boot: u64,
+    list: VecDeque<Segment>,
+    next: u64,
+    /// Numbers of the oldest that were looked at.
+    moved: usize,
+}
+
+impl Segments {
+    /// None yet. `room` bytes at most are used, `next` is the first segment's number, beyond all that are there.
+    pub fn new(room: u64, boot: u64, next: u64) -> Self {
+        Self { room: in_use(room), boot, list: VecDeque::new(), next, moved: 0 }
+    }
+
+    /// Memory that a log may use whose changes stay here: a change takes less than half as much in the folder, and what
+    /// is held must be under half of the room.
+    pub fn memory(room: u64) -> usize {
+        usize::try_from(in_use(room) / 5 * 4).unwrap_or(usize::MAX)
+    }
+
+    /// Bytes in the folder.
+    pub fn bytes(&self) -> u64 {
+        self.list.iter().map(|segment| segment.bytes).sum()
+    }
+
+    /// Numbers of the segments that are there.
+    pub fn numbers(&self) -> impl Iterator<Item = u64> {
+        self.list.iter().map(|segment| segment.at)
+    }
+
+    /// Begins a new segment with all that the log holds; those before, which `old` names, go then.
+    pub fn begin(&mut self, log: &mut Log, old: impl IntoIterator<Item = u64>) -> Vec<Step> {
+        log.unwritten();
+        let mut steps = Vec::new();
+        self.append(log.head(self.boot), Vec::new(), true, &mut steps);
+        let numbers: Vec<u64> = log.numbers().collect();
+        let frames = numbers.iter().filter_map(|number| log.frame_of(*number));
+        self.append(frames.flatten().collect(), numbers, false, &mut steps);
+        let before: Vec<u64> = self.list.drain(..self.list.len() - 1).map(|segment| segment.at).collect();
+        steps.extend(before.into_iter().chain(old).map(Step::Remove));
+        self.moved = 0;
+        steps
+    }
+
+    fn append(&mut self, bytes: Vec<u8>, numbers: Vec<u64>, anew: bool, steps: &mut Vec<Step>) {
+        if anew {
+            self.list.push_back(Segment { at: self.next, bytes: 0, numbers: Vec::new() });
+            self.next += 1;
+        }
+        let Some(last) = self.list.back_mut() else { return };
+        last.bytes += bytes.len() as u64;
+        last.numbers.extend(numbers);
+        steps.push(if anew { Step::Begin(last.at, bytes) } else { Step::Append(last.at, bytes) });
+    }
+
+    /// Has the unwritten changes written, and makes room.
+    pub fn write(&mut self, log: &mut Log) -> Vec<Step> {
+        let mut steps = Vec::new();
+        let fresh = log.unwritten();
+        if !fresh.numbers.is_empty() {
+            let full = self.list.back().is_none_or(|last| last.bytes >= self.room / PARTS);
+            if full {
+                self.append(log.head(self.boot), Vec::new(), true, &mut steps);
+            }
+            self.append(fresh.bytes, fresh.numbers, false, &mut steps);
+        }
+        self.clean(log, &mut steps);
+        steps
+    }
+
+    fn clean(&mut self, log: &Log, steps: &mut Vec<Step>) {
+        // Each segment at most once a call.
+        for _ in 0..self.list.len() {
+            let total = self.bytes();
+            let pressed = total > self.room / PARTS * (PARTS - 2);
+            if self.list.len() < 2 || total <= self.room / 4 * 3 {
+                return;
+            }
+            let Some(oldest) = self.list.front() else { return };
+            let work = if pressed { usize::MAX } else { MOVED_AT_ONCE };
+            let upto = self.moved.saturating_add(work).min(oldest.numbers.len());
+            let looked: Vec<u64> = oldest.numbers[self.moved..upto].to_vec();
+            let whole = upto == oldest.numbers.len();
+            let (mut bytes, mut numbers) = (Vec::new(), Vec::new());
+            for number in looked {
+                if let Some(frame) = log.frame_of(number) {
+                    bytes.extend(frame);
+                    numbers.push(number);
+                }
+            }
+            self.moved = upto;
+            if !numbers.is_empty() {
+                self.append(bytes, numbers, false, steps);
+            }
+            if !whole {
+                return;
+            }
+            self.moved = 0;
+            steps.extend(self.list.pop_front().map(|oldest| Step::Remove(oldest.at)));
+            if !pressed {
+                return;
+            }
+        }
+    }
+}
--- a/src/status/mod.rs
+++ b/src/status/mod.rs
@@ -8,6 +8,14 @@
 //! - A *shard* is one owner's part of the index for one span of time, by when a message was taken on.
 //! - A message that another sender adopted has changes in two logs. What is known of it is the join of all of them.
 
+pub mod folder;
+pub mod index;
+pub mod log;
+pub mod query;
+pub mod replicate;
+pub mod shards;
+pub mod store;
+
 use std::collections::BTreeMap;
 
 use serde::{Deserialize, Serialize};
@@ -187,8 +195,14 @@
 }
 
 impl Entry {
-    /// Takes in what else is known of the same message: commutative, associative, idempotent.
+    /// Takes in what else is known of the same message: commutative, associative, idempotent. If its client handed one
+    /// id in more than once with different words, those that leave it the most time stand.
     pub fn join(&mut self, other: &Self) {
+        let words = |entry: &Self| (entry.deadline, entry.destination, entry.key);
+        if (words(other), &other.class) > (words(self), &self.class) {
+            (self.deadline, self.destination, self.key) = words(other);
+            self.class.clone_from(&other.class);
+        }
         self.states = self.states.join(other.states);
         self.attempts = self.attempts.max(other.attempts);
         self.changed_at = self.changed_at.max(other.changed_at);
@@ -249,19 +263,18 @@
 impl Query {
     /// Whether an entry is one that is asked for; `limit` aside.
     pub fn wants(&self, entry: &Entry) -> bool {
+        let told = || entry.states.told().is_some_and(|told| self.states.contains(&told));
+        (self.states.is_empty() || told()) && self.may_want(entry)
+    }
+
+    /// Whether an entry of one log may become one that is asked for once joined with another log's: what may still
+    /// change, its state, is left out.
+    pub fn may_want(&self, entry: &Entry) -> bool {
         self.tenant == entry.tenant
             && (self.ids.is_empty() || self.ids.contains(&entry.id))
             && (self.from..self.to).contains(&entry.taken_at)
-            && (self.states.is_empty() || entry.states.told().is_some_and(|told| self.states.contains(&told)))
             && (self.classes.is_empty() || self.classes.contains(&entry.class))
             && (self.destinations.is_empty() || self.destinations.contains(&entry.destination))
             && self.after.as_ref().is_none_or(|after| (entry.taken_at, &entry.id) > (after.0, &after.1))
     }
-
-    /// Whether an entry of one log may become one that is asked for once joined with another log's: what may still
-    /// change, its state, is left out.
-    pub fn may_want(&self, entry: &Entry) -> bool {
-        let states = Vec::new();
-        Self { states, ..self.clone() }.wants(entry)
-    }
 }
--- /dev/null
+++ b/src/status/query.rs
@@ -0,0 +1,686 @@
+//! Queries over the whole tier. The sender that is asked reads what it holds itself and asks others for the rest: for
+//! each owner the best server of its route, after a while the next one. Answers join by message, so that it does not
+//! matter who answers twice. Reading goes in slices, and ends at a deadline with what there is.
+//!
+//! A part that was cut at its limit tells up to which place it is whole; the answer ends at the least of those places,
+//! and says where to go on.
+
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+
+use serde::{Deserialize, Serialize};
+
+use super::log::Log;
+use super::shards::{Key, Table, key_of, size_of};
+use super::store::Store;
+use super::{Entry, LogId, MOST_IDS, MOST_ROWS, Query, Rank, Reached, State};
+use crate::interface::Micros;
+
+/// A query takes so long at most: management answers are due within 1 s.
+pub const LONGEST: Micros = 800_000;
+/// A server that has not answered for so long is not waited for alone: the route's next one is asked too.
+pub const HEDGE: Micros = 200_000;
+/// Kept of the deadline for the way back.
+const MARGIN: Micros = 40_000;
+/// Entries that are looked at in a turn at most, for all queries together.
+pub const LOOKED_A_TURN: usize = 2_048;
+/// Own queries at a time at most.
+pub const MOST_RUNNING: usize = 32;
+/// Queries of other senders at a time at most.
+pub const MOST_SERVING: usize = 64;
+/// Servers that one query waits for at a time at most.
+const MOST_OUT: usize = 32;
+/// Servers of one owner that are tried at most.
+const MOST_SERVERS: usize = 4;
+/// Bytes of rows in one message, about.
+const PIECE: usize = 32 * 1024;
+/// An entry without an end is told as unknown so long after its deadline.
+const OVERDUE: Micros = 30_000_000;
+
+/// Who serves whose logs: for each owner the senders to ask, the best first; this sender may be one of them.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct Routes(pub BTreeMap<Rank, Vec<Rank>>);
+
+/// Why a query is not taken.
+#[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
+pub enum Refused {
+    /// Too many ids.
+    #[error("{0} ids are asked for, over {MOST_IDS}")]
+    Ids(usize),
+    /// The limit is none.
+    #[error("a limit of {0} is not between 1 and {MOST_ROWS}")]
+    Limit(u32),
+    /// Too many at a time.
+    #[error("{MOST_RUNNING} queries are under way")]
+    Busy,
+}
+
+impl Refused {
+    /// A stable name.
+    pub fn code(&self) -> &'static str {
+        match self {
+            Self::Ids(_) => "status-ids",
+            Self::Limit(_) => "status-limit",
+            Self::Busy => "status-busy",
+        }
+    }
+
+    /// What an operator can do.
+    pub fn remedy(&self) -> &'static str {
+        match self {
+            Self::Ids(_) => "ask for fewer at a time",
+            Self::Limit(_) => "set limit within its bounds, and go on with `after`",
+            Self::Busy => "ask again in a second, or another sender",
+        }
+    }
+}
+
+/// A query on its way to a server.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct SubQuery {
+    /// The asker's number for it.
+    pub number: u64,
+    /// What is asked for.
+    pub query: Query,
+    /// Whose logs.
+    pub owners: Vec<Rank>,
+    /// How long an answer is of use, microseconds.
+    pub within: Micros,
+}
+
+/// One log, as far as a server has it.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Holding {
+    /// Which.
+    pub log: LogId,
+    /// All is there up to this.
+    pub reached: Reached,
+    /// Its horizon.
+    pub known_since: Micros,
+    /// Spans in which entries were looked at, entries, and their bytes.
+    pub touched: (u32, u64, u64),
+}
+
+/// An answer of a server, in pieces.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Piece {
+    /// The asker's number.
+    pub number: u64,
+    /// Entries that may be wanted.
+    pub rows: Vec<Entry>,
+    /// It is the last one, and says:
+    pub end: Option<PieceEnd>,
+}
+
+/// What a server says with the last piece.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PieceEnd {
+    /// Which logs were read. An owner without one has none here.
+    pub logs: Vec<Holding>,
+    /// Beyond this place rows may be missing.
+    pub whole_upto: Option<(Micros, String)>,
+    /// It had too much to do, and read nothing.
+    pub busy: bool,
+}
+
+/// Why part of an answer is missing.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Why {
+    /// Nobody who holds it answered in time.
+    NoAnswer,
+    /// Whoever answered holds nothing of it.
+    NotHeld,
+    /// Nobody is known to ask.
+    NoServer,
+}
+
+/// Shards that are missing: one owner's.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize)]
+pub struct Missing {
+    /// Whose.
+    pub owner: Rank,
+    /// The first and the last span that the query could have touched.
+    pub spans: (u32, u32),
+    /// Why.
+    pub why: Why,
+}
+
+/// A log that is in an answer.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize)]
+pub struct Told {
+    /// Which.
+    pub log: LogId,
+    /// Who read it.
+    pub server: Rank,
+    /// Up to which position.
+    pub reached: Reached,
+    /// Its horizon: what was taken on before may have been left out.
+    pub known_since: Micros,
+}
+
+/// What a query really read, by link.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize)]
+pub struct Touched {
+    /// Where.
+    pub server: Rank,
+    /// Of which log.
+    pub log: LogId,
+    /// Spans in which entries were looked at.
+    pub shards: u32,
+    /// Entries looked at.
+    pub entries: u64,
+    /// Their bytes.
+    pub bytes: u64,
+    /// Bytes of the server's whole answer, told with its first log.
+    pub wire_bytes: u64,
+    /// From asking it to its last piece, microseconds.
+    pub took_us: Micros,
+}
+
+/// What came of a query.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize)]
+pub struct Answer {
+    /// Messages, by when they were taken on, then by id.
+    pub rows: Vec<Entry>,
+    /// Where to go on, if there may be more.
+    pub next: Option<(Micros, String)>,
+    /// Shards are missing, or something could not be read in time.
+    pub partial: bool,
+    /// Owners that were asked for.
+    pub asked: usize,
+    /// Of them, those whose logs were read.
+    pub reached: usize,
+    /// The others.
+    pub missing: Vec<Missing>,
+    /// What was read, with whose position.
+    pub logs: Vec<Told>,
+    /// What was taken on before this may be missing: the latest horizon of them all.
+    pub known_since: Micros,
+    /// Ids that were asked for and of which nothing is known; not that there never was such a message.
+    pub not_known: Vec<String>,
+    /// What it cost.
+    pub touched: Vec<Touched>,
+    /// From asking to this, microseconds.
+    pub took_us: Micros,
+}
+
+/// All logs that are here.
+#[derive(Debug, Clone, Copy)]
+pub struct Here<'a> {
+    /// The own one.
+    pub log: &'a Log,
+    /// Those of others.
+    pub store: &'a Store,
+    /// A shard's span.
+    pub span: Micros,
+}
+
+impl<'a> Here<'a> {
+    fn of(&self, owner: Rank) -> Vec<LogId> {
+        let own = (self.log.id().owner == owner).then_some(self.log.id());
+        own.into_iter().chain(self.store.of(owner).map(|(id, _)| *id)).collect()
+    }
+
+    fn table(&self, id: LogId) -> Option<&'a Table> {
+        if id == self.log.id() {
+            return Some(self.log.table());
+        }
+        self.store.logs().get(&id).map(|copy| &copy.table)
+    }
+
+    fn holding(&self, id: LogId, now: Micros) -> Option<Holding> {
+        let table = self.table(id)?;
+        let own = id == self.log.id();
+        let reached = if own { self.log.reached(now) } else { self.store.logs().get(&id)?.reached };
+        Some(Holding { log: id, reached, known_since: table.known_since(), touched: (0, 0, 0) })
+    }
+}
+
+/// Reading some logs that are here, in slices.
+#[derive(Debug)]
+struct Scan {
+    query: Query,
+    waiting: VecDeque<LogId>,
+    at: Option<(Holding, Option<(Micros, Key)>, Option<u32>)>,
+    /// Ids that are still to be looked up in the log at hand.
+    ids: usize,
+    found: BTreeMap<(Micros, Key), Entry>,
+    /// Rows found in the log at hand, and the place of the last.
+    here: usize,
+    last: Option<(Micros, String)>,
+    logs: Vec<Holding>,
+    whole_upto: Option<(Micros, String)>,
+}
+
+fn least(a: Option<(Micros, String)>, b: Option<(Micros, String)>) -> Option<(Micros, String)> {
+    a.into_iter().chain(b).min()
+}
+
+impl Scan {
+    fn new(query: Query, logs: impl IntoIterator<Item = LogId>) -> Self {
+        let waiting: VecDeque<LogId> = logs.into_iter().collect();
+        let (at, ids, found) = (None, 0, BTreeMap::new());
+        Self { query, waiting, at, ids, found, here: 0, last: None, logs: Vec::new(), whole_upto: None }
+    }
+
+    /// Goes on as far as the budget lasts; whether it is through.
+    fn step(&mut self, here: Here, now: Micros, budget: &mut usize) -> bool {
+        loop {
+            if *budget == 0 {
+                return false;
+            }
+            if self.at.is_none() {
+                let Some(next) = self.waiting.pop_front() else { return true };
+                // A log costs something even if it holds nothing.
+                *budget -= 1;
+                // What is claimed is what holds now, before anything of it is read.
+                self.at = here.holding(next, now).map(|holding| (holding, None, None));
+                (self.ids, self.here, self.last) = (0, 0, None);
+                continue;
+            }
+            let Some((mut holding, from, mut span)) = self.at.take() else { continue };
+            let Some(table) = here.table(holding.log) else { continue };
+            let (shards, entries, bytes) = &mut holding.touched;
+            let mut look = |entry: &Entry| {
+                *entries += 1;
+                *bytes += size_of(entry) as u64;
+                let now_in = u32::try_from(entry.taken_at / here.span.max(1)).unwrap_or(u32::MAX);
+                if span.replace(now_in) != Some(now_in) {
+                    *shards += 1;
+                }
+            };
+            if !self.query.ids.is_empty() {
+                while let Some(id) = self.query.ids.get(self.ids).filter(|_| *budget > 0) {
+                    *budget -= 1;
+                    self.ids += 1;
+                    if let Some(held) = table.get(&key_of(&self.query.tenant, id)) {
+                        look(&held.entry);
+                        if self.query.may_want(&held.entry) {
+                            let entry = held.entry.clone();
+                            self.found.insert((entry.taken_at, key_of(&entry.tenant, &entry.id)), entry);
+                        }
+                    }
+                }
+                if self.ids < self.query.ids.len() {
+                    self.at = Some((holding, from, span));
+                    return false;
+                }
+                self.logs.push(holding);
+                continue;
+            }
+            let most = self.query.limit as usize;
+            let (found, query) = (&mut self.found, &self.query);
+            let (mut count, mut last, mut cut) = (self.here, self.last.take(), false);
+            let place = table.scan(query, from, budget, &mut |entry| {
+                look(entry);
+                if !query.may_want(entry) {
+                    return true;
+                }
+                cut = count == most;
+                if cut {
+                    return false;
+                }
+                count += 1;
+                last = Some((entry.taken_at, entry.id.clone()));
+                let place = (entry.taken_at, key_of(&entry.tenant, &entry.id));
+                match found.get_mut(&place) {
+                    Some(known) => known.join(entry),
+                    None => drop(found.insert(place, entry.clone())),
+                }
+                true
+            });
+            if cut {
+                // Rows of this log go no further than its last one.
+                self.whole_upto = least(self.whole_upto.take(), last.take());
+            }
+            (self.here, self.last) = (count, last);
+            if let Some(place) = place {
+                self.at = Some((holding, Some(place), span));
+                return false;
+            }
+            self.logs.push(holding);
+        }
+    }
+}
+
+/// An owner whose logs a query wants.
+#[derive(Debug)]
+struct Wanted {
+    servers: VecDeque<Rank>,
+    /// When the last one was asked.
+    asked: Option<Micros>,
+    tried: bool,
+    answered: bool,
+    reached: bool,
+}
+
+/// What is out at a server.
+#[derive(Debug)]
+struct Out {
+    owners: Vec<Rank>,
+    since: Micros,
+    wire_bytes: u64,
+}
+
+/// A query that was asked here.
+#[derive(Debug)]
+struct Running {
+    query: Query,
+    begun: Micros,
+    until: Micros,
+    owners: BTreeMap<Rank, Wanted>,
+    out: BTreeMap<Rank, Out>,
+    own: Vec<(Scan, Vec<Rank>)>,
+    rows: BTreeMap<Key, Entry>,
+    whole_upto: Option<(Micros, String)>,
+    logs: Vec<Told>,
+    touched: Vec<Touched>,
+}
+
+/// Another sender's query.
+#[derive(Debug)]
+struct Serving {
+    asker: Rank,
+    number: u64,
+    until: Micros,
+    scan: Scan,
+}
+
+/// What is to be told to another sender.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Say {
+    /// A query.
+    Ask(SubQuery),
+    /// Part of an answer.
+    Piece(Piece),
+}
+
+/// All queries under way at a sender.
+#[derive(Debug)]
+pub struct Queries {
+    own: Rank,
+    next: u64,
+    running: BTreeMap<u64, Running>,
+    serving: VecDeque<Serving>,
+    answers: Vec<(u64, Answer)>,
+    say: Vec<(Rank, Say)>,
+}
+
+impl Queries {
+    /// None. Numbers begin at one drawn by chance, so that an answer to an earlier process is nobody's.
+    pub fn new(own: Rank, seed: u64) -> Self {
+        let (running, serving) = (BTreeMap::new(), VecDeque::new());
+        Self { own, next: seed, running, serving, answers: Vec::new(), say: Vec::new() }
+    }
+
+    /// Whether something is under way.
+    pub fn busy(&self) -> bool {
+        !self.running.is_empty() || !self.serving.is_empty()
+    }
+
+    /// Answers that are there.
+    pub fn answers(&mut self) -> Vec<(u64, Answer)> {
+        std::mem::take(&mut self.answers)
+    }
+
+    /// What is to be sent.
+    pub fn say(&mut self) -> Vec<(Rank, Say)> {
+        std::mem::take(&mut self.say)
+    }
+
+    /// Takes a query that is to be answered within that time, [`LONGEST`] at most.
+    ///
+    /// # Errors
+    /// Says why it is not taken.
+    pub fn ask(&mut self, now: Micros, query: Query, routes: Routes, within: Micros) -> Result<u64, Refused> {
+        if query.ids.len() > MOST_IDS {
+            return Err(Refused::Ids(query.ids.len()));
+        }
+        if query.limit == 0 || query.limit as usize > MOST_ROWS {
+            return Err(Refused::Limit(query.limit));
+        }
+        if self.running.len() >= MOST_RUNNING {
+            return Err(Refused::Busy);
+        }
+        let wanted = |(owner, servers): (Rank, Vec<Rank>)| {
+            let servers: VecDeque<Rank> = servers.into_iter().take(MOST_SERVERS).collect();
+            (owner, Wanted { servers, asked: None, tried: false, answered: false, reached: false })
+        };
+        self.next = self.next.wrapping_add(1);
+        let running = Running {
+            query,
+            begun: now,
+            until: now + within.min(LONGEST),
+            owners: routes.0.into_iter().map(wanted).collect(),
+            out: BTreeMap::new(),
+            own: Vec::new(),
+            rows: BTreeMap::new(),
+            whole_upto: None,
+            logs: Vec::new(),
+            touched: Vec::new(),
+        };
+        self.running.insert(self.next, running);
+        Ok(self.next)
+    }
+
+    /// Another sender asks. What it may cost is bounded; whoever asks beyond that is told so.
+    pub fn asked(&mut self, now: Micros, from: Rank, asked: SubQuery, here: Here) {
+        let SubQuery { number, mut query, owners, within } = asked;
+        let sane = query.ids.len() <= MOST_IDS && (1..=MOST_ROWS).contains(&(query.limit as usize));
+        if self.serving.len() >= MOST_SERVING || !sane {
+            let end = PieceEnd { logs: vec![], whole_upto: None, busy: true };
+            let piece = Piece { number, rows: vec![], end: Some(end) };
+            self.say.push((from, Say::Piece(piece)));
+            return;
+        }
+        // Which state a message has shows only once all logs are joined.
+        query.states.clear();
+        let owners: BTreeSet<Rank> = owners.into_iter().collect();
+        let logs: Vec<LogId> = owners.into_iter().flat_map(|owner| here.of(owner)).collect();
+        let until = now + within.min(LONGEST);
+        self.serving.push_back(Serving { asker: from, number, until, scan: Scan::new(query, logs) });
+    }
+
+    /// Part of another sender's answer has come, in that many bytes.
+    pub fn piece(&mut self, now: Micros, from: Rank, piece: Piece, wire_bytes: u64) {
+        let Some(running) = self.running.get_mut(&piece.number) else { return };
+        let Some(out) = running.out.get_mut(&from) else { return };
+        out.wire_bytes += wire_bytes;
+        for entry in piece.rows {
+            // Nobody's answer makes a row of another tenant's message.
+            if running.query.may_want(&entry) {
+                running.row(entry);
+            }
+        }
+        let Some(end) = piece.end else { return };
+        let Some(Out { owners, since, wire_bytes }) = running.out.remove(&from) else { return };
+        if end.busy {
+            // The next server is asked at once.
+            let asked = running.owners.iter_mut().filter(|(owner, _)| owners.contains(owner));
+            asked.for_each(|(_, wanted)| wanted.asked = Some(0));
+            return;
+        }
+        running.read(from, &owners, end.logs, end.whole_upto, (wire_bytes, now.saturating_sub(since)));
+    }
+
+    /// Goes on with all of them, within [`LOOKED_A_TURN`].
+    pub fn step(&mut self, now: Micros, here: Here) {
+        let mut budget = LOOKED_A_TURN;
+        let numbers: Vec<u64> = self.running.keys().copied().collect();
+        // Each gets its part of the turn, so that a large one holds up nobody.
+        let share = LOOKED_A_TURN / (numbers.len() + self.serving.len()).max(1);
+        for number in numbers {
+            let Some(running) = self.running.get_mut(&number) else { continue };
+            running.route(now, self.own, number, here, &mut self.say);
+            let mut part = share.max(64).min(budget);
+            budget -= part;
+            running.scan(now, self.own, here, &mut part);
+            budget += part;
+            if now >= running.until || running.through() {
+                let Some(running) = self.running.remove(&number) else { continue };
+                self.answers.push((number, running.finish(now, here.span)));
+            }
+        }
+        for _ in 0..self.serving.len() {
+            let Some(mut serving) = self.serving.pop_front() else { break };
+            let mut part = share.max(64).min(budget);
+            budget -= part;
+            let through = serving.scan.step(here, now, &mut part);
+            budget += part;
+            if through {
+                self.tell(serving);
+            } else if now < serving.until {
+                self.serving.push_back(serving);
+            }
+        }
+    }
+
+    fn tell(&mut self, serving: Serving) {
+        let Serving { asker, number, scan, .. } = serving;
+        let (mut rows, mut bytes) = (Vec::new(), 0);
+        for entry in scan.found.into_values() {
+            bytes += size_of(&entry);
+            rows.push(entry);
+            if bytes >= PIECE {
+                let piece = Piece { number, rows: std::mem::take(&mut rows), end: None };
+                self.say.push((asker, Say::Piece(piece)));
+                bytes = 0;
+            }
+        }
+        let end = Some(PieceEnd { logs: scan.logs, whole_upto: scan.whole_upto, busy: false });
+        self.say.push((asker, Say::Piece(Piece { number, rows, end })));
+    }
+}
+
+impl Running {
+    fn row(&mut self, entry: Entry) {
+        let key = key_of(&entry.tenant, &entry.id);
+        match self.rows.get_mut(&key) {
+            Some(known) => known.join(&entry),
+            None => drop(self.rows.insert(key, entry)),
+        }
+    }
+
+    /// A server has told all that it has of some owners.
+    fn read(
+        &mut self,
+        server: Rank,
+        owners: &[Rank],
+        logs: Vec<Holding>,
+        whole_upto: Option<(Micros, String)>,
+        (wire_bytes, took_us): (u64, Micros),
+    ) {
+        self.whole_upto = least(self.whole_upto.take(), whole_upto);
+        for owner in owners {
+            if let Some(wanted) = self.owners.get_mut(owner) {
+                wanted.answered = true;
+                wanted.reached |= logs.iter().any(|holding| holding.log.owner == *owner);
+            }
+        }
+        for (n, holding) in logs.into_iter().enumerate() {
+            let Holding { log, reached, known_since, touched: (shards, entries, bytes) } = holding;
+            let wire_bytes = if n == 0 { wire_bytes } else { 0 };
+            self.touched.push(Touched { server, log, shards, entries, bytes, wire_bytes, took_us });
+            self.logs.push(Told { log, server, reached, known_since });
+        }
+    }
+
+    /// Asks whoever is to be asked next.
+    fn route(&mut self, now: Micros, own: Rank, number: u64, here: Here, say: &mut Vec<(Rank, Say)>) {
+        let mut ask: BTreeMap<Rank, Vec<Rank>> = BTreeMap::new();
+        let out = &self.out;
+        for (owner, wanted) in &mut self.owners {
+            if wanted.reached || wanted.asked.is_some_and(|at| now < at + HEDGE && !wanted.answered) {
+                continue;
+            }
+            let Some(server) = wanted.servers.front().copied() else { continue };
+            let room = ask.contains_key(&server) || out.len() + ask.len() < MOST_OUT;
+            // One question to a server at a time: its answer names no owners.
+            if server != own && (!room || out.contains_key(&server)) {
+                continue;
+            }
+            wanted.servers.pop_front();
+            (wanted.asked, wanted.tried, wanted.answered) = (Some(now), true, false);
+            ask.entry(server).or_default().push(*owner);
+        }
+        for (server, owners) in ask {
+            if server == own {
+                let logs: Vec<LogId> = owners.iter().flat_map(|owner| here.of(*owner)).collect();
+                let query = Query { states: Vec::new(), ..self.query.clone() };
+                self.own.push((Scan::new(query, logs), owners));
+                continue;
+            }
+            let within = self.until.saturating_sub(now + MARGIN);
+            let query = Query { states: Vec::new(), ..self.query.clone() };
+            say.push((server, Say::Ask(SubQuery { number, query, owners: owners.clone(), within })));
+            self.out.insert(server, Out { owners, since: now, wire_bytes: 0 });
+        }
+    }
+
+    fn scan(&mut self, now: Micros, own: Rank, here: Here, budget: &mut usize) {
+        while let Some((scan, _)) = self.own.first_mut() {
+            if !scan.step(here, now, budget) {
+                return;
+            }
+            let (scan, owners) = self.own.remove(0);
+            scan.found.into_values().for_each(|entry| self.row(entry));
+            self.read(own, &owners, scan.logs, scan.whole_upto, (0, now.saturating_sub(self.begun)));
+        }
+    }
+
+    fn through(&self) -> bool {
+        let through = |w: &Wanted| w.reached || w.servers.is_empty() && (w.answered || !w.tried);
+        self.own.is_empty() && self.owners.values().all(through)
+    }
+
+    fn finish(self, now: Micros, span: Micros) -> Answer {
+        let Self { query, owners, rows, whole_upto, logs, touched, own, .. } = self;
+        let last_span = |at: Micros| u32::try_from(at / span.max(1)).unwrap_or(u32::MAX);
+        let spans = (last_span(query.from), last_span(query.to.min(now)));
+        let missing: Vec<Missing> = owners
+            .iter()
+            .filter(|(_, wanted)| !wanted.reached)
+            .map(|(owner, wanted)| {
+                let why = match (wanted.tried, wanted.answered) {
+                    (false, _) => Why::NoServer,
+                    (true, false) => Why::NoAnswer,
+                    (true, true) => Why::NotHeld,
+                };
+                Missing { owner: *owner, spans, why }
+            })
+            .collect();
+        let not_known = query.ids.iter().filter(|id| !rows.contains_key(&key_of(&query.tenant, id)));
+        let not_known = not_known.cloned().collect();
+        let overdue = |mut entry: Entry| {
+            if !entry.states.ended() && now > entry.deadline.saturating_add(OVERDUE) {
+                entry.states = entry.states.with(State::Unknown);
+            }
+            entry
+        };
+        let mut rows: Vec<Entry> =
+            rows.into_values().map(overdue).filter(|entry| query.wants(entry)).collect();
+        rows.sort_by(|a, b| (a.taken_at, &a.id).cmp(&(b.taken_at, &b.id)));
+        let whole = |entry: &Entry| {
+            whole_upto.as_ref().is_none_or(|(at, id)| (entry.taken_at, &entry.id) <= (*at, id))
+        };
+        rows.retain(whole);
+        let mut next = whole_upto.clone();
+        if rows.len() > query.limit as usize {
+            rows.truncate(query.limit as usize);
+            next = rows.last().map(|last| (last.taken_at, last.id.clone()));
+        }
+        Answer {
+            partial: !missing.is_empty() || !own.is_empty(),
+            asked: owners.len(),
+            reached: owners.len() - missing.len(),
+            known_since: logs.iter().map(|told| told.known_since).max().unwrap_or(0),
+            took_us: now.saturating_sub(self.begun),
+            rows,
+            next,
+            missing,
+            logs,
+            not_known,
+            touched,
+        }
+    }
+}
--- /dev/null
+++ b/tests/node/status.rs
@@ -0,0 +1,157 @@
+//! The status index on running senders: asked at one what another has, with its owner there, killed, and back.
+
+use std::net::UdpSocket;
+
+use serde_json::{Value, json};
+
+use super::world::*;
+
+/// Addresses for notes on hosts apart, all of them free a moment ago.
+fn addresses(count: u8) -> Vec<String> {
+    let sockets: Vec<UdpSocket> =
+        (0..count).map(|n| UdpSocket::bind(format!("127.0.0.{}:0", n + 2)).unwrap()).collect();
+    sockets.iter().map(|socket| socket.local_addr().unwrap().to_string()).collect()
+}
+
+/// Three senders with the index on.
+fn tier(platform: &Platform, endpoints: &[Value]) -> Vec<Node> {
+    let peers = addresses(3);
+    let start = |own: &String| {
+        Node::start(platform, endpoints, |config| {
+            config["mgmt"] = json!("127.0.0.1:0");
+            config["peers"] = json!(peers);
+            config["peer_listen"] = json!(own);
+            config["limits"]["disk_mb"] = json!(20);
+            config["membership"] = json!({"period_ms": 100});
+            config["status"] = json!({"room_mb": 2});
+            let realm = |name| json!({"name": name, "quota_per_s": 1000.0, "fraction": 0.5});
+            config["settings"]["realms"] = json!([realm("water"), realm("light")]);
+        })
+    };
+    peers.iter().map(start).collect()
+}
+
+fn hand_in(node: &Node, id: &str, tenant: &str, dest: u16) {
+    let text = String::from_utf8(handing_in(id, "order", dest, 20_000)).unwrap();
+    let text = text.replace("Req-Kind", &format!("Req-Owner: {tenant}\r\nReq-Kind"));
+    assert_eq!(node.ask(text.as_bytes()).status(), 202);
+}
+
+fn message(node: &Node, id: &str, tenant: &str) -> Value {
+    let told = node.call("GET", &format!("/control/status/message/{id}?tenant={tenant}"));
+    assert_eq!(told.status(), 200);
+    told.json()
+}
+
+/// States as bits, once the answer is whole and has the message.
+fn states(node: &Node, id: &str) -> Option<u64> {
+    message(node, id, "water")["rows"][0]["states"].as_u64()
+}
+
+const TAKEN_AND_CALLED: u64 = 1 + 2;
+const DELIVERED: u64 = 32;
+const UNKNOWN: u64 = 16;
+
+#[test]
+fn any_sender_tells_what_became_of_a_message_and_only_to_its_tenant() {
+    let (platform, endpoint) = (Platform::new(), Served::new());
+    let nodes = tier(&platform, &[listing("e1", 7, "plain", endpoint.address)]);
+    hand_in(&nodes[0], "one", "water", 7);
+    wait_until(|| states(&nodes[1], "one") == Some(TAKEN_AND_CALLED));
+    endpoint.next().reply(status(200));
+    for node in &nodes {
+        wait_until(|| states(node, "one") == Some(TAKEN_AND_CALLED + DELIVERED));
+    }
+    wait_until(|| message(&nodes[2], "one", "water")["partial"] == false);
+    let answer = message(&nodes[2], "one", "water");
+    assert_eq!((&answer["asked"], &answer["reached"]), (&json!(3), &json!(3)));
+    assert_eq!(answer["rows"][0]["attempts"], 1);
+    let other = message(&nodes[2], "one", "light");
+    assert_eq!((&other["rows"], &other["not_known"]), (&json!([]), &json!(["one"])));
+    let listed = nodes[1].post("/control/status/query", r#"{"tenant": "water", "states": ["delivered"]}"#);
+    assert_eq!(listed.json()["rows"][0]["id"], "one");
+    for wrong in [r#"{"tenant": "water", "limit": 0}"#, r#"{"ids": ["one"]}"#] {
+        let no = nodes[1].post("/control/status/query", wrong);
+        assert_eq!(no.status(), 400);
+        assert!(["code", "error", "remedy"].iter().all(|key| no.json()[key].is_string()), "{:?}", no.json());
+    }
+}
+
+/// Guards against a status that goes with its sender: replicas have it, and the folder gives it back.
+#[test]
+fn a_killed_senders_messages_are_told_by_replicas_and_by_itself_again() {
+    let (platform, endpoint) = (Platform::new(), Served::new());
+    let mut nodes = tier(&platform, &[listing("e1", 7, "plain", endpoint.address)]);
+    wait_until(|| {
+        nodes[0].call("GET", "/control/status").json()["index"]["replicas"].as_array().unwrap().len() == 2
+    });
+    hand_in(&nodes[0], "done", "water", 7);
+    endpoint.next().reply(status(200));
+    hand_in(&nodes[0], "held", "water", 9);
+    let log = nodes[0].call("GET", "/control/status").json()["index"]["log"].clone();
+    let last = || nodes[0].call("GET", "/control/status").json()["index"]["last"].clone();
+    let there = |node: &Node, last: &Value| {
+        let report = node.call("GET", "/control/status").json();
+        let copies = report["index"]["copies"].as_array().unwrap().clone();
+        copies.iter().any(|copy| copy["log"] == log && copy["upto"] == *last)
+    };
+    wait_until(|| states(&nodes[0], "done") == Some(TAKEN_AND_CALLED + DELIVERED));
+    let last = last();
+    wait_until(|| there(&nodes[1], &last) && there(&nodes[2], &last));
+    nodes[0].kill();
+    let begun = std::time::Instant::now();
+    let answer = message(&nodes[1], "done", "water");
+    assert!(begun.elapsed().as_millis() < 1_000);
+    assert_eq!(answer["rows"][0]["states"], TAKEN_AND_CALLED + DELIVERED);
+    assert_eq!(states(&nodes[2], "held"), Some(1));
+    let own = answer["logs"].as_array().unwrap().iter().find(|told| told["log"] == log).unwrap().clone();
+    assert!(own["server"] != 0 && own["reached"]["upto"] == last, "{own}");
+    let back = nodes.remove(0).kill_and_restart();
+    let report = back.call("GET", "/control/status").json();
+    assert_eq!((&report["index"]["log"], report["kept"].as_bool()), (&log, Some(true)));
+    assert!(report["index"]["last"].as_u64() >= last.as_u64());
+    assert_eq!(states(&back, "done"), Some(TAKEN_AND_CALLED + DELIVERED));
+    assert_eq!(states(&nodes[0], "held"), Some(1));
+    // Without its folder it is another life, and what the one before told is at its replicas.
+    let back = back.kill_and_restart_after(|state| std::fs::remove_dir_all(state).unwrap());
+    assert_ne!(back.call("GET", "/control/status").json()["index"]["log"], log);
+    wait_until(|| states(&back, "done") == Some(TAKEN_AND_CALLED + DELIVERED));
+    let answer = message(&back, "done", "water");
+    assert!(answer["known_since"].as_u64() > own["known_since"].as_u64(), "the lost folder is told");
+}
+
+/// Guards against an end that passes for none: what the journal had closed and the index had not written is unknown.
+#[test]
+fn an_end_that_was_not_kept_is_told_as_unknown() {
+    let (platform, endpoint) = (Platform::new(), Served::new());
+    let mut nodes = tier(&platform, &[listing("e1", 7, "plain", endpoint.address)]);
+    hand_in(&nodes[0], "one", "water", 7);
+    let call = endpoint.next();
+    wait_until(|| states(&nodes[0], "one") == Some(TAKEN_AND_CALLED));
+    // The index as it was before the end, the journal as after it.
+    let kept: Vec<(String, Vec<u8>)> = nodes[0]
+        .files()
+        .into_iter()
+        .filter(|name| name.starts_with("status."))
+        .map(|name| (name.clone(), std::fs::read(nodes[0].state().join(name)).unwrap()))
+        .collect();
+    assert!(!kept.is_empty());
+    call.reply(status(200));
+    wait_until(|| states(&nodes[0], "one") == Some(TAKEN_AND_CALLED + DELIVERED));
+    let back = nodes.remove(0).kill_and_restart_after(|state| {
+        for (name, bytes) in &kept {
+            std::fs::write(state.join(name), bytes).unwrap();
+        }
+    });
+    wait_until(|| states(&back, "one").is_some_and(|states| states & UNKNOWN > 0));
+}
+
+/// Guards the promise that without its section the index costs nothing.
+#[test]
+fn without_its_section_there_is_no_index() {
+    let platform = Platform::new();
+    let node = Node::start(&platform, &[], |config| config["mgmt"] = json!("127.0.0.1:0"));
+    let no = node.call("GET", "/control/status/message/a?tenant=t");
+    assert_eq!((no.status(), &no.json()["code"]), (404, &json!("status-off")));
+    assert!(!node.files().iter().any(|name| name.starts_with("status")));
+}
--- /dev/null
+++ b/tests/status.rs
@@ -0,0 +1,330 @@
+//! The status index: what joins, what is kept, and what may be claimed. Whole tiers of it are in `status_tier`.
+
+use std::collections::BTreeMap;
+
+use myrtleyard::status::folder::{Segments, Step};
+use myrtleyard::status::log::{Log, restore};
+use myrtleyard::status::query::{Answer, Here, LONGEST, LOOKED_A_TURN, Queries, Refused, Routes};
+use myrtleyard::status::shards::{Table, key_of};
+use myrtleyard::status::store::{Batch, Store};
+use myrtleyard::status::{Change, Entry, Life, Query, Reached, State, States};
+use proptest::prelude::*;
+
+fn entry(id: &str, tenant: &str, taken_at: u64, states: &[State]) -> Entry {
+    Entry {
+        id: id.into(),
+        class: "note".into(),
+        tenant: tenant.into(),
+        destination: 7,
+        key: None,
+        taken_at,
+        deadline: taken_at + 24_000_000,
+        changed_at: taken_at,
+        attempts: 0,
+        states: states.iter().fold(States::default(), |states, state| states.with(*state)),
+        owner: (0, 1),
+    }
+}
+
+fn any_entry() -> impl Strategy<Value = Entry> {
+    let owner = (0..3u32, 0..3u16);
+    (0..64u8, 0..5u16, 0..50u64, 0..50u64, owner, 0..3u16).prop_map(
+        |(states, attempts, taken_at, later, owner, words)| Entry {
+            states: States(states),
+            attempts,
+            changed_at: taken_at + later,
+            deadline: 100 + u64::from(words % 2),
+            destination: words,
+            owner,
+            ..entry("a", "t", taken_at, &[])
+        },
+    )
+}
+
+proptest! {
+    /// Guards against what order, repetition and a second owner after a takeover could do to what is told.
+    #[test]
+    fn what_is_known_of_a_message_is_a_join(parts in prop::collection::vec(any_entry(), 1..7), seed: u64) {
+        let joined = |parts: &[Entry]| {
+            let mut all = parts[0].clone();
+            parts[1..].iter().for_each(|part| all.join(part));
+            all
+        };
+        let all = joined(&parts);
+        let mut other = parts.clone();
+        other.extend(parts.clone());
+        fastrand::Rng::with_seed(seed).shuffle(&mut other);
+        prop_assert_eq!(&joined(&other), &all);
+        let (first, rest) = parts.split_at(parts.len() / 2);
+        if !first.is_empty() {
+            let mut halves = joined(first);
+            halves.join(&joined(rest));
+            prop_assert_eq!(&halves, &all);
+        }
+        for part in &parts {
+            prop_assert!(State::ALL.into_iter().all(|state| all.states.has(state) || !part.states.has(state)));
+            prop_assert!(all.states.ended() || !part.states.ended());
+        }
+    }
+}
+
+/// A folder in memory.
+#[derive(Default, Clone)]
+struct Folder(BTreeMap<u64, Vec<u8>>);
+
+impl Folder {
+    fn carry_out(&mut self, steps: Vec<Step>) {
+        for step in steps {
+            match step {
+                Step::Begin(at, bytes) => assert!(self.0.insert(at, bytes).is_none()),
+                Step::Append(at, bytes) => self.0.get_mut(&at).unwrap().extend(bytes),
+                Step::Remove(at) => drop(self.0.remove(&at)),
+            }
+        }
+    }
+
+    fn segments(&self) -> Vec<(u64, Vec<u8>)> {
+        self.0.iter().map(|(at, bytes)| (*at, bytes.clone())).collect()
+    }
+
+    fn bytes(&self) -> u64 {
+        self.0.values().map(|bytes| bytes.len() as u64).sum()
+    }
+}
+
+const ROOM: u64 = 100_000;
+
+fn filled(changes: u64) -> (Log, Segments, Folder) {
+    let mut log = Log::new(1, Life(7), Segments::memory(ROOM), 1 << 40, 5);
+    let (mut segments, mut folder) = (Segments::new(ROOM, 9, 1), Folder::default());
+    folder.carry_out(segments.begin(&mut log, []));
+    for n in 0..changes {
+        log.put(entry(&format!("m{}", n % (changes / 2).max(1)), "t", n + 10, &[State::Taken]));
+        folder.carry_out(segments.write(&mut log));
+    }
+    (log, segments, folder)
+}
+
+fn rows(log: &Log) -> Vec<(u64, Entry)> {
+    let mut rows: Vec<_> = log.table().rows().map(|held| (held.number, held.entry.clone())).collect();
+    rows.sort_by_key(|row| row.0);
+    rows
+}
+
+/// Guards against a number that means two things: a process that is killed within a write goes on in its life with what
+/// it had told, and with nothing else.
+#[test]
+fn a_killed_owner_goes_on_where_what_it_told_ends() {
+    let (log, mut segments, folder) = filled(40);
+    let restored = restore(&folder.segments(), 9, 1_000);
+    let again = Log::resume(1, restored, Life(8), 1 << 20, 1 << 40);
+    assert_eq!((again.id(), again.last(), rows(&again)), (log.id(), log.last(), rows(&log)));
+    let mut longer = log;
+    longer.put(entry("new", "t", 99, &[State::Taken]));
+    let mut whole = folder.clone();
+    whole.carry_out(segments.write(&mut longer));
+    let (at, bytes) = folder.0.last_key_value().unwrap();
+    for cut in bytes.len()..whole.0[at].len() {
+        let mut torn = folder.clone();
+        torn.0.insert(*at, whole.0[at][..cut].to_vec());
+        let again = Log::resume(1, restore(&torn.segments(), 9, 1_000), Life(8), 1 << 20, 1 << 40);
+        assert_eq!((again.id().life, again.last()), (Life(7), 40), "cut at {cut}");
+        assert_eq!(again.table().known_since(), 5);
+    }
+}
+
+/// Guards against a life that goes on though something of it may be lost: its numbers would be given out twice.
+#[test]
+fn whoever_is_not_sure_draws_a_new_life_and_tells_from_when_it_knows() {
+    let (log, _, folder) = filled(400);
+    assert!(folder.0.len() > 2, "{} segments", folder.0.len());
+    let mut doubtful: Vec<(&str, Folder, u64, u64)> = vec![
+        ("nothing is there", Folder::default(), 9, 1_000),
+        ("the machine was started since", folder.clone(), 10, 1_000),
+        ("the clock went back", folder.clone(), 9, 100),
+    ];
+    let ats: Vec<u64> = folder.0.keys().copied().collect();
+    let changed = |act: &dyn Fn(&mut Folder)| {
+        let mut changed = folder.clone();
+        act(&mut changed);
+        changed
+    };
+    doubtful.push(("one is lost", changed(&|f| drop(f.0.remove(&ats[1]))), 9, 1_000));
+    doubtful.push(("an older one is cut", changed(&|f| drop(f.0.get_mut(&ats[1]).unwrap().pop())), 9, 1_000));
+    doubtful.push(("one is spoilt", changed(&|f| f.0.get_mut(&ats[1]).unwrap()[60] ^= 1), 9, 1_000));
+    doubtful.push(("the newest is spoilt", changed(&|f| f.0.get_mut(&ats[2]).unwrap()[60] ^= 1), 9, 1_000));
+    for (why, folder, boot, now) in doubtful {
+        let again = Log::resume(1, restore(&folder.segments(), boot, now), Life(8), 1 << 20, 1 << 40);
+        assert_eq!((again.id().life, again.table().known_since()), (Life(8), now), "{why}");
+        assert_eq!(again.last(), again.table().len() as u64, "{why}: all of it is written in the new life");
+        let known = rows(&log);
+        for (_, entry) in rows(&again) {
+            assert!(known.iter().any(|(_, known)| known.id == entry.id), "{why}");
+        }
+    }
+}
+
+/// Guards the disk: whatever is written for however long, the folder stays within its room and holds what the log does.
+#[test]
+fn the_folder_stays_within_its_room_and_holds_the_log() {
+    let mut rng = fastrand::Rng::with_seed(3);
+    let mut log = Log::new(1, Life(7), Segments::memory(ROOM), 1 << 40, 0);
+    let (mut segments, mut folder) = (Segments::new(ROOM, 9, 1), Folder::default());
+    folder.carry_out(segments.begin(&mut log, []));
+    let (mut most, mut horizon) = (0, 0);
+    for n in 0..6_000u64 {
+        let states = if rng.u8(..10) < 8 { [State::Delivered] } else { [State::Taken] };
+        for _ in 0..rng.u8(1..4) {
+            log.put(entry(&format!("m{}", n - rng.u64(..n.min(30) + 1)), "t", n, &states));
+        }
+        folder.carry_out(segments.write(&mut log));
+        assert_eq!(segments.bytes(), folder.bytes());
+        most = most.max(folder.bytes());
+        assert!(log.table().known_since() >= horizon);
+        horizon = log.table().known_since();
+        if n % 500 == 499 {
+            let again = Log::resume(1, restore(&folder.segments(), 9, 1 << 40), Life(8), 1 << 30, 1 << 50);
+            assert_eq!((again.id(), again.last()), (log.id(), log.last()));
+            let again: BTreeMap<_, _> = rows(&again).into_iter().collect();
+            assert!(rows(&log).into_iter().all(|(number, entry)| again.get(&number) == Some(&entry)));
+        }
+        if n % 1_700 == 1_699 {
+            // A new process: all of it is written anew beside what is there.
+            let old: Vec<u64> = folder.0.keys().copied().collect();
+            let next = old.last().unwrap() + 1;
+            segments = Segments::new(ROOM, 9, next);
+            let steps = segments.begin(&mut log, old);
+            let mut beside = folder.clone();
+            beside.carry_out(steps.iter().filter(|s| !matches!(s, Step::Remove(_))).cloned().collect());
+            most = most.max(beside.bytes());
+            folder.carry_out(steps);
+        }
+    }
+    assert!(most <= ROOM && most > ROOM / 2, "{most} bytes");
+    assert!(horizon > 5_000 && log.table().bytes() <= Segments::memory(ROOM), "known since {horizon}");
+}
+
+/// Guards what an answer says of its horizon: nothing that was taken on since is left out, the oldest ends go first.
+#[test]
+fn at_its_bound_a_table_gives_up_the_oldest_ended_ones_and_says_so() {
+    let mut table = Table::default();
+    for n in 0..200u64 {
+        let ended = n % 10 != 0;
+        table.put(
+            n + 1,
+            entry(&format!("m{n}"), "t", n, if ended { &[State::Delivered] } else { &[State::Taken] }),
+        );
+        table.bound(40_000, 0, 0);
+        assert!(table.bytes() <= 40_000);
+        for taken in table.known_since()..=n {
+            assert!(table.get(&key_of("t", &format!("m{taken}"))).is_some(), "{taken}");
+        }
+    }
+    let open = table.rows().filter(|held| !held.entry.states.ended()).count();
+    assert!(open == 20 && table.known_since() > 100, "{open} open, {}", table.known_since());
+    table.bound(usize::MAX, 190, 5);
+    assert_eq!(table.rows().filter(|held| held.entry.states.ended()).count(), table.len() - open);
+}
+
+/// Guards positions: a batch that does not go on where the copy is, or comes from one who told less, claims nothing.
+#[test]
+fn a_batch_with_a_gap_before_it_is_left_and_claims_nothing() {
+    let log = myrtleyard::status::LogId { owner: 1, life: Life(7) };
+    let batch = |from, to, claim: Option<u64>| Batch {
+        log,
+        from,
+        to,
+        known_since: 0,
+        claim: claim.map(|upto| Reached { upto, as_of: 50 }),
+        changes: vec![Change { number: to, entry: entry(&format!("m{to}"), "t", to, &[State::Taken]) }],
+    };
+    let mut store = Store::new(1 << 20, 1 << 40);
+    assert_eq!(store.apply(1, 1, batch(0, 3, Some(3))).reached, Reached { upto: 3, as_of: 50 });
+    let have = store.apply(2, 1, batch(5, 9, Some(9)));
+    assert!(have.gap && have.cursor == 3 && have.reached.upto == 3);
+    assert_eq!(store.logs()[&log].table.len(), 1);
+    // Another one who kept the same log begins with what it has; where the first one was is nothing to it.
+    let have = store.apply(3, 2, batch(3, 8, Some(8)));
+    assert!(have.gap && have.cursor == 0 && have.reached.upto == 3);
+    // A claim beyond what came is no claim, and none goes back.
+    assert_eq!(store.apply(4, 1, batch(3, 4, Some(6))).reached.upto, 3);
+    assert_eq!(store.apply(5, 1, batch(4, 6, Some(2))).reached.upto, 3);
+}
+
+/// One sender's log with so many messages, and a query on it: the answer, and how many turns it took.
+fn ask(messages: u64, query: Query, routes: Routes, turns: u64) -> (Answer, u64) {
+    let mut log = Log::new(1, Life(7), 1 << 30, 1 << 40, 0);
+    for n in 0..messages {
+        log.put(entry(&format!("m{n:06}"), if n % 2 == 0 { "even" } else { "odd" }, n, &[State::Taken]));
+    }
+    let store = Store::new(1 << 20, 1 << 40);
+    let here = Here { log: &log, store: &store, span: 1_000 };
+    let mut queries = Queries::new(1, 5);
+    let number = queries.ask(0, query, routes, LONGEST).unwrap();
+    for turn in 1..=turns {
+        queries.step(turn * 5_000, here);
+        if let Some((told, answer)) = queries.answers().pop() {
+            assert_eq!(told, number);
+            return (answer, turn);
+        }
+    }
+    panic!("no answer in {turns} turns");
+}
+
+fn query(text: &str) -> Query {
+    serde_json::from_str(text).unwrap()
+}
+
+fn alone() -> Routes {
+    Routes(BTreeMap::from([(1, vec![1])]))
+}
+
+/// Guards one tenant's messages against another's questions, and the loop against a long one.
+#[test]
+fn an_answer_is_one_tenants_and_comes_in_slices() {
+    let (answer, turns) =
+        ask(20_000, query(r#"{"tenant": "odd", "limit": 10, "from": 19000}"#), alone(), 200);
+    assert_eq!((answer.rows.len(), answer.partial, turns), (10, false, 1));
+    assert!(answer.rows.iter().all(|row| row.tenant == "odd" && row.taken_at >= 19_000));
+    assert_eq!(answer.next, Some((19_019, "m019019".into())));
+    let (answer, turns) =
+        ask(20_000, query(r#"{"tenant": "odd", "limit": 1000, "states": ["delivered"]}"#), alone(), 200);
+    assert!(answer.rows.is_empty() && !answer.partial);
+    // It found a thousand that may have ended elsewhere, and goes on after them.
+    assert_eq!((answer.next, turns), (Some((1_999, "m001999".into())), 1));
+    let (answer, turns) = ask(20_000, query(r#"{"tenant": "none"}"#), alone(), 200);
+    assert!(answer.rows.is_empty() && answer.touched[0].entries == 20_000, "{:?}", answer.touched);
+    assert!(turns as usize >= 20_000 / LOOKED_A_TURN, "{turns} turns");
+    let (answer, _) = ask(10, query(r#"{"tenant": "odd", "ids": ["m000001", "m000002", "x"]}"#), alone(), 2);
+    assert_eq!(answer.rows.iter().map(|row| row.id.as_str()).collect::<Vec<_>>(), ["m000001"]);
+    assert_eq!(answer.not_known, ["m000002", "x"]);
+}
+
+/// Guards against pages that leave something out or tell it twice.
+#[test]
+fn pages_hold_every_message_once() {
+    let (mut after, mut seen) = (None, vec![]);
+    loop {
+        let asked = Query { after, ..query(r#"{"tenant": "even", "limit": 7}"#) };
+        let (answer, _) = ask(100, asked, alone(), 5);
+        seen.extend(answer.rows.into_iter().map(|row| row.id));
+        after = answer.next;
+        if after.is_none() {
+            break;
+        }
+    }
+    assert_eq!(seen, (0..100).step_by(2).map(|n| format!("m{n:06}")).collect::<Vec<_>>());
+}
+
+/// Guards against an answer that passes for whole: who did not answer is named, and the deadline holds.
+#[test]
+fn a_cut_answer_names_what_is_missing_in_time() {
+    let routes = Routes(BTreeMap::from([(1, vec![1]), (2, vec![2, 3]), (3, vec![])]));
+    let (answer, turns) = ask(10, query(r#"{"tenant": "even"}"#), routes, 200);
+    assert!(answer.partial && turns * 5_000 == LONGEST && answer.rows.len() == 5);
+    let missing: Vec<_> = answer.missing.iter().map(|missing| missing.owner).collect();
+    assert_eq!((missing, answer.asked, answer.reached), (vec![2, 3], 3, 1));
+    let mut queries = Queries::new(1, 5);
+    let refused = queries.ask(0, query(r#"{"tenant": "t", "limit": 1001}"#), alone(), LONGEST);
+    assert_eq!(refused, Err(Refused::Limit(1_001)));
+}
