Have the horizon outlast the process, and play indexes of a whole tier against the truth

Cause: what a log left out for want of room was gone from its folder with the segment that held it, while the newest segment's head still had the horizon of its beginning: after a kill the log would have passed for whole from there.

Change: a segment is begun with the present horizon before one goes that held what was left out. Tests: the join, the folder (torn, spoilt, bounded), slices, pages and deadlines; a tier of five in virtual time, with what owners really did as the measure; three real senders, one of them killed with and without its folder.

--- a/src/status/folder.rs
+++ b/src/status/folder.rs
@@ -6,6 +6,7 @@
 use std::collections::VecDeque;
 
 use super::log::Log;
+use crate::interface::Micros;
 
 /// Segments that the room is divided into.
 const PARTS: u64 = 16;
@@ -47,12 +48,14 @@
     next: u64,
     /// Numbers of the oldest that were looked at.
     moved: usize,
+    /// The horizon that the newest one begins with.
+    horizon: Micros,
 }
 
 impl Segments {
     /// None yet. `room` bytes at most are used, `next` is the first segment's number, beyond all that are there.
     pub fn new(room: u64, boot: u64, next: u64) -> Self {
-        Self { room: in_use(room), boot, list: VecDeque::new(), next, moved: 0 }
+        Self { room: in_use(room), boot, list: VecDeque::new(), next, moved: 0, horizon: 0 }
     }
 
     /// Memory that a log may use whose changes stay here: a change takes less than half as much in the folder, and what
@@ -75,7 +78,7 @@
     pub fn begin(&mut self, log: &mut Log, old: impl IntoIterator<Item = u64>) -> Vec<Step> {
         log.unwritten();
         let mut steps = Vec::new();
-        self.append(log.head(self.boot), Vec::new(), true, &mut steps);
+        self.anew(log, &mut steps);
         let numbers: Vec<u64> = log.numbers().collect();
         let frames = numbers.iter().filter_map(|number| log.frame_of(*number));
         self.append(frames.flatten().collect(), numbers, false, &mut steps);
@@ -85,6 +88,11 @@
         steps
     }
 
+    fn anew(&mut self, log: &Log, steps: &mut Vec<Step>) {
+        self.horizon = log.table().known_since();
+        self.append(log.head(self.boot), Vec::new(), true, steps);
+    }
+
     fn append(&mut self, bytes: Vec<u8>, numbers: Vec<u64>, anew: bool, steps: &mut Vec<Step>) {
         if anew {
             self.list.push_back(Segment { at: self.next, bytes: 0, numbers: Vec::new() });
@@ -103,7 +111,7 @@
         if !fresh.numbers.is_empty() {
             let full = self.list.back().is_none_or(|last| last.bytes >= self.room / PARTS);
             if full {
-                self.append(log.head(self.boot), Vec::new(), true, &mut steps);
+                self.anew(log, &mut steps);
             }
             self.append(fresh.bytes, fresh.numbers, false, &mut steps);
         }
@@ -139,6 +147,10 @@
                 return;
             }
             self.moved = 0;
+            if log.table().known_since() > self.horizon {
+                // What was left out goes with the segment: the horizon has to be there before.
+                self.anew(log, steps);
+            }
             steps.extend(self.list.pop_front().map(|oldest| Step::Remove(oldest.at)));
             if !pressed {
                 return;
