--- a/tests/node/main.rs
+++ b/tests/node/main.rs
@@ -3,6 +3,7 @@
 mod configuration;
 mod draining;
 mod late;
+mod status;
 mod world;
 
 use std::collections::BTreeSet;
