--- a/src/channel.rs
+++ b/src/channel.rs
@@ -15,6 +15,8 @@
 pub const STATUS: u8 = 0xc5;
 /// The same, for starts.
 pub const START: u8 = 0xd1;
+/// The same, for estimates.
+pub const ESTIMATE: u8 = 0xe3;
 const VERSION: u8 = 1;
 const HEAD: usize = 38;
 /// Bytes of a datagram at most.
@@ -90,7 +92,7 @@
 
 impl Channel {
     /// A channel of the process that drew `own`, in the tier with that checksum; `magic` is one of [`TAKEOVER`],
-    /// [`STATUS`] and [`START`].
+    /// [`STATUS`], [`START`] and [`ESTIMATE`].
     pub fn new(magic: u8, own: u64, tier: u32) -> Self {
         Self {
             magic,
--- /dev/null
+++ b/src/estimate/estimator.rs
@@ -0,0 +1,388 @@
+//! One sender's estimates: it makes summaries of its own shards, holds those of the others, predicts, decides, and
+//! learns from what queries took. All rooms of [`crate::estimate`] in one, for the part round it.
+
+use std::collections::BTreeMap;
+
+use serde::Serialize;
+
+use super::decide::{self, Cut, Decided, Limits, Running};
+use super::known::{self, Catalogue, Known};
+use super::learned::{Figure, Learned, Touched};
+use super::lend::{self, Budgets, Cost, Note, Short};
+use super::predict::{Estimate, predict};
+use super::sending::Runs;
+use super::summary::{Summary, Version};
+use super::{Decision, Prediction, Reason};
+use crate::channel::ESTIMATE;
+use crate::interface::Micros;
+use crate::membership::{Facts, Out, Rank};
+use crate::mesh::{self, Mesh};
+use crate::plans::{self, Plan};
+use crate::status::{self, Entry, LogId, Query, ShardId};
+
+/// Own summaries are made anew so often at most.
+pub const MAKE_EVERY: Micros = 2_000_000;
+/// Entries that are summarised at a time at most, beyond those of one shard; the rest is for the next time.
+pub const MOST_ENTRIES: usize = 10_000;
+/// Messages begin with what they are about.
+const SUMMARIES: u8 = 1;
+/// See [`SUMMARIES`].
+const BUDGETS: u8 = 2;
+
+/// Why a query can't be estimated.
+#[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
+pub enum NoEstimate {
+    /// Too many ids.
+    #[error("{0} ids")]
+    Ids(usize),
+    /// No row can be in it.
+    #[error("nothing is taken on from {0} and before {1}")]
+    Times(Micros, Micros),
+    /// Too many rows.
+    #[error("{0} rows")]
+    Rows(u32),
+}
+
+impl NoEstimate {
+    /// Stable, for programs.
+    pub fn code(&self) -> &'static str {
+        match self {
+            Self::Ids(_) => "estimate.ids",
+            Self::Times(..) => "estimate.times",
+            Self::Rows(_) => "estimate.rows",
+        }
+    }
+
+    /// What an operator can do.
+    pub fn remedy(&self) -> &'static str {
+        match self {
+            Self::Ids(_) => "name 256 ids at most, and ask again for the others",
+            Self::Times(..) => "have \"from\" before \"to\", both in Unix microseconds",
+            Self::Rows(_) => "have \"limit\" from 1 to 1000, and go on with \"after\"",
+        }
+    }
+}
+
+/// Holds a query against the bounds that [`status`] sets.
+///
+/// # Errors
+/// Says what is beyond them.
+pub fn check(query: &Query) -> Result<(), NoEstimate> {
+    if query.ids.len() > status::MOST_IDS {
+        return Err(NoEstimate::Ids(query.ids.len()));
+    }
+    if query.from >= query.to {
+        return Err(NoEstimate::Times(query.from, query.to));
+    }
+    if !(1..=status::MOST_ROWS as u32).contains(&query.limit) {
+        return Err(NoEstimate::Rows(query.limit));
+    }
+    Ok(())
+}
+
+/// What operators are told of a query.
+#[derive(Debug, Clone, PartialEq, Serialize)]
+pub struct Told {
+    /// What it will touch as it is to run.
+    pub prediction: Prediction,
+    /// What is to be done with it.
+    pub decision: Decision,
+    /// Of the last 100 queries of its shape, how many read as many bytes as predicted; none while there are fewer.
+    pub held: Option<u32>,
+}
+
+/// What an own shard looked like when its summary was made.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+struct Print {
+    entries: u64,
+    changed: Micros,
+    /// Changes of one instant are told apart by it.
+    states: u64,
+}
+
+/// Everything together.
+#[derive(Debug)]
+pub struct Estimator {
+    own: Rank,
+    length: Micros,
+    plans: plans::Config,
+    mesh: Mesh,
+    /// What is held of all shards.
+    pub known: Known,
+    /// What queries really took.
+    pub learned: Learned,
+    /// What runs really took.
+    pub runs: Runs,
+    /// Tenants' budgets.
+    pub budgets: Budgets,
+    facts: Option<Facts>,
+    /// Own shards as last summarised, with the version of what is to be known of them.
+    prints: BTreeMap<u32, (Print, Version)>,
+    made: u64,
+    makes_at: Micros,
+    /// The latest own time that was told, and how far the clock was behind it.
+    latest: Micros,
+    slack: Micros,
+    log: Option<LogId>,
+    /// Queries that were cut, and decisions, counted.
+    pub counts: Counts,
+}
+
+/// Counts since the process began.
+#[derive(Debug, Default, Clone, Copy, PartialEq, Eq, Serialize)]
+pub struct Counts {
+    /// Queries that ran as they were.
+    pub run: u64,
+    /// With less.
+    pub narrowed: u64,
+    /// Not then.
+    pub later: u64,
+    /// Not at all.
+    pub refused: u64,
+    /// Went past their bound.
+    pub cut: u64,
+}
+
+impl Estimator {
+    /// Nothing is known yet. `span` is the length of own spans in microseconds; `tier` is the view's checksum.
+    pub fn new(
+        own: Rank,
+        size: usize,
+        tier: u32,
+        span: Micros,
+        plans: plans::Config,
+        seed: u64,
+        now: Micros,
+    ) -> Self {
+        Self {
+            own,
+            length: span.max(1),
+            plans,
+            mesh: Mesh::new(ESTIMATE, own, size, tier, seed),
+            known: Known::new(own, size, seed, now),
+            learned: Learned::default(),
+            runs: Runs::default(),
+            budgets: Budgets::new(own, seed, now),
+            facts: None,
+            prints: BTreeMap::new(),
+            made: 0,
+            makes_at: now,
+            latest: 0,
+            slack: 0,
+            log: None,
+            counts: Counts::default(),
+        }
+    }
+
+    /// The plans have changed.
+    pub fn adopt(&mut self, plans: plans::Config) {
+        self.plans = plans;
+    }
+
+    /// A tenant's plan.
+    pub fn plan(&self, tenant: &str) -> Plan {
+        plan(&self.plans, tenant)
+    }
+
+    /// The view as it is now.
+    pub fn look(&mut self, facts: Facts) {
+        self.facts = Some(facts);
+    }
+
+    /// Whether own summaries may be made anew.
+    pub fn makes(&self, now: Micros) -> bool {
+        now >= self.makes_at
+    }
+
+    /// Makes own summaries: of all shards that have changed, the newest first, as far as [`MOST_ENTRIES`] go.
+    /// `entries` gives all own ones by when they were taken on, `upto` is the last change that they have, `unix` the
+    /// time by which new messages get their `taken_at`.
+    pub fn summarise<'a, I: Iterator<Item = (ShardId, &'a Entry)>>(
+        &mut self,
+        now: Micros,
+        unix: Micros,
+        (log, upto): (LogId, u64),
+        entries: impl Fn() -> I,
+    ) {
+        self.makes_at = now.saturating_add(MAKE_EVERY);
+        if self.log.replace(log).is_some_and(|before| before != log) {
+            self.prints.clear();
+        }
+        self.made += 1;
+        let version = Version { upto, made: self.made };
+        let mut prints: BTreeMap<u32, Print> = BTreeMap::new();
+        for (shard, entry) in entries() {
+            let none = Print { entries: 0, changed: 0, states: 0 };
+            let print = prints.entry(shard.span).or_insert(none);
+            print.entries += 1;
+            print.changed = print.changed.max(entry.changed_at);
+            print.states = print.states.wrapping_add(u64::from(entry.states.0) + 1);
+            self.latest = self.latest.max(entry.taken_at);
+        }
+        // What is taken on at a clock that went back comes before what was told of.
+        self.slack = self.slack.max(self.latest.saturating_sub(unix));
+        self.latest = self.latest.max(unix);
+        self.prints.retain(|span, _| prints.contains_key(span));
+        let mut dirty = Vec::new();
+        let mut work = 0;
+        for (span, print) in prints.iter().rev() {
+            if self.prints.get(span).is_some_and(|(before, _)| before == print) {
+                continue;
+            }
+            // What is not made now is listed as newer than its summary.
+            if work > 0 && work + print.entries as usize > MOST_ENTRIES {
+                let unmade = Print { entries: 0, ..*print };
+                self.prints.insert(*span, (unmade, version));
+                continue;
+            }
+            work += print.entries as usize;
+            self.prints.insert(*span, (*print, version));
+            dirty.push(*span);
+        }
+        let mut wanted: BTreeMap<u32, Vec<&Entry>> = dirty.iter().map(|span| (*span, Vec::new())).collect();
+        for (shard, entry) in entries() {
+            if let Some(list) = wanted.get_mut(&shard.span) {
+                list.push(entry);
+            }
+        }
+        let summaries =
+            wanted.into_iter().map(|(span, list)| Summary::of(log, span, version, list)).collect();
+        let incarnation = self.facts.as_ref().and_then(|facts| facts.members.get(usize::from(self.own)));
+        let catalogue = Catalogue {
+            log,
+            incarnation: incarnation.map_or(0, |fact| fact.incarnation),
+            version,
+            as_of: unix,
+            slack: self.slack,
+            length: self.length,
+            spans: self.prints.iter().map(|(span, (_, version))| (*span, *version)).collect(),
+            older: false,
+        };
+        self.known.tell(now, catalogue, summaries);
+    }
+
+    /// What a query will touch.
+    pub fn predict(&self, now: Micros, query: &Query) -> Estimate {
+        predict(query, &self.known, self.facts.as_ref(), &self.learned, self.own, now)
+    }
+
+    /// What would become of a query that has to be answered within that time, without running or charging it.
+    pub fn told(&self, now: Micros, unix: Micros, query: &Query, within: Micros) -> Told {
+        let plan = self.plan(&query.tenant);
+        let mut predicted = |query: &Query| self.predict(now, query);
+        let limits = Limits { plan: &plan, within, unix };
+        let Decided { mut decision, estimate } = decide::decide(query, limits, Ok(()), &mut predicted);
+        let cost = Cost { queries: 1, bytes: estimate.prediction.bytes.most };
+        if !matches!(decision, Decision::Refused { .. })
+            && let Err(Short { after, reason }) = self.budgets.foresee(now, &query.tenant, cost)
+        {
+            decision = Decision::Later { after, reason };
+        }
+        let held = self.learned.held(estimate.basis.shape, Figure::Bytes);
+        Told { prediction: estimate.prediction, decision, held }
+    }
+
+    /// Decides a query that is to run now, and charges it. It runs as the decision says if [`Running`] comes along.
+    pub fn begin(
+        &mut self,
+        now: Micros,
+        unix: Micros,
+        query: &Query,
+        within: Micros,
+    ) -> (Decided, Option<Running>) {
+        let plan = self.plan(&query.tenant);
+        let limits = Limits { plan: &plan, within, unix };
+        let mut decided = decide::decide(query, limits, Ok(()), &mut |query| self.predict(now, query));
+        if let Decision::Refused { .. } = decided.decision {
+            self.counts.refused += 1;
+            return (decided, None);
+        }
+        let cost = Cost { queries: 1, bytes: decided.estimate.prediction.bytes.most };
+        let later = Err(Short { after: lend::ASK_EVERY, reason: Reason::Budget });
+        let had = self
+            .facts
+            .as_ref()
+            .map_or(later, |facts| self.budgets.want(now, facts, &query.tenant, &plan, cost));
+        let begun =
+            had.and_then(|()| Running::begin(&mut self.budgets, now, &query.tenant, &decided.estimate));
+        match begun {
+            Ok(running) => {
+                let narrowed = matches!(decided.decision, Decision::Narrowed { .. });
+                *(if narrowed { &mut self.counts.narrowed } else { &mut self.counts.run }) += 1;
+                (decided, Some(running))
+            }
+            Err(Short { after, reason }) => {
+                self.counts.later += 1;
+                decided.decision = Decision::Later { after, reason };
+                (decided, None)
+            }
+        }
+    }
+
+    /// A query has ended, whole or cut: its charge is corrected, and what it touched is learned if it was whole.
+    pub fn end(&mut self, now: Micros, decided: &Decided, running: Running, touched: Result<Touched, Cut>) {
+        running.end(&mut self.budgets, now);
+        match touched {
+            Ok(touched) => self.learned.learn(&decided.estimate.basis, &touched),
+            Err(_) => self.counts.cut += 1,
+        }
+    }
+
+    /// Whether a datagram is for this.
+    pub fn claims(&self, bytes: &[u8]) -> bool {
+        self.mesh.claims(bytes)
+    }
+
+    /// A datagram of another sender has come, which [`Estimator::claims`].
+    pub fn receive(&mut self, now: Micros, from: Rank, bytes: &[u8]) {
+        for message in self.mesh.receive(now, from, bytes).messages {
+            match message.split_first() {
+                Some((&SUMMARIES, rest)) => self.known.receive(now, from, rest),
+                Some((&BUDGETS, rest)) => {
+                    let (Ok(note), Some(facts)) = (postcard::from_bytes::<Note>(rest), &self.facts) else {
+                        self.known.counts.unreadable += 1;
+                        continue;
+                    };
+                    self.budgets.receive(now, facts, from, note, |tenant| plan(&self.plans, tenant));
+                }
+                _ => self.known.counts.unreadable += 1,
+            }
+        }
+    }
+
+    /// When it wants to be called next.
+    pub fn due(&self) -> Micros {
+        self.known.due().min(self.mesh.due().unwrap_or(Micros::MAX))
+    }
+
+    /// Does what is due, and sends.
+    pub fn tick(&mut self, now: Micros, out: &mut Out) {
+        let mesh = &mut self.mesh;
+        let mut send = |to: Rank, bytes: &[u8]| mesh.send(now, to, &[&[SUMMARIES], bytes].concat()).is_ok();
+        self.known.tick(now, self.facts.as_ref(), &mut send);
+        if let Some(facts) = &self.facts {
+            self.budgets.tick(now, facts);
+        }
+        self.flush(now, out);
+    }
+
+    /// Sends what queries and datagrams brought about.
+    pub fn flush(&mut self, now: Micros, out: &mut Out) {
+        for (to, note) in self.budgets.said() {
+            // What does not go is asked for again, or lapses.
+            if let Ok(bytes) = postcard::to_allocvec(&note) {
+                let _ = self.mesh.send(now, to, &[&[BUDGETS], &bytes[..]].concat());
+            }
+        }
+        self.mesh.flush(now, out);
+    }
+
+    /// What passed between senders.
+    pub fn traffic(&self) -> (known::Counts, mesh::Counts) {
+        (self.known.counts, self.mesh.counts)
+    }
+}
+
+fn plan(plans: &plans::Config, tenant: &str) -> Plan {
+    plans.get(tenant).or_else(|| plans.get("default")).cloned().unwrap_or_default()
+}
--- a/src/estimate/mod.rs
+++ b/src/estimate/mod.rs
@@ -5,6 +5,15 @@
 //! A prediction is made from summaries that shards' owners make of themselves. It never says that a shard is not touched
 //! which holds a row within what its summary covers.
 
+pub mod decide;
+pub mod estimator;
+pub mod known;
+pub mod learned;
+pub mod lend;
+pub mod predict;
+pub mod sending;
+pub mod summary;
+
 use serde::{Deserialize, Serialize};
 
 use crate::interface::Micros;
--- /dev/null
+++ b/src/estimate/predict.rs
@@ -0,0 +1,317 @@
+//! What a query will touch, told from summaries alone.
+//!
+//! A shard is *touched* if an entry is read there: by ids one that has such an id and is the tenant's, else any of the
+//! query's range of time, up to the row at which a log's part of the answer is full. Left out are only shards whose
+//! summary shows that there is none, and so no row. On a settled tier (each catalogue and summary is there, no owner is in doubt, and
+//! nothing that is asked for may be newer than they are) `most` is a bound; otherwise it is the upper end of nine in
+//! ten. What may have been written since is added at the rate at which the owner's newest spans grew.
+
+use super::known::{Held, Known};
+use super::learned::{Basis, FIGURES, Figure, Learned, Shape};
+use super::{Doubt, Interval, Prediction};
+use crate::channel::SEGMENT;
+use crate::interface::Micros;
+use crate::membership::{Facts, Rank, State};
+use crate::status::Query;
+
+/// From that age on a catalogue counts for old.
+pub const OLD: Micros = 30_000_000;
+/// A member that is there for less than that counts for starting.
+pub const STARTING: Micros = 10_000_000;
+/// Added to the tail of a query that hits a sender which is suspected or cut off.
+pub const SUSPECT_TAIL: Micros = 250_000;
+/// The same for one that starts.
+pub const STARTING_TAIL: Micros = 100_000;
+/// Doubts that are told at most.
+pub const MOST_DOUBTS: usize = 64;
+/// A question to one sender, and its part of the answer beside rows: bytes.
+const CALL: u64 = 128;
+/// Datagram bytes beside a segment's.
+const AROUND: u64 = 256 - SEGMENT as u64;
+/// Until a link is known, microseconds.
+const TRIP: f64 = 2_000.0;
+/// Reading one entry, microseconds, until more is learned.
+const READ: f64 = 0.5;
+/// How much further intervals go for each owner in doubt, as part of all owners.
+const DOUBT: f64 = 2.0;
+
+/// A prediction, and what it was made from.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Estimate {
+    /// As it is told.
+    pub prediction: Prediction,
+    /// To be given back with what was touched.
+    pub basis: Basis,
+}
+
+#[derive(Default)]
+struct Sum {
+    least: u64,
+    shards: f64,
+    most: u64,
+    entries: f64,
+    most_entries: u64,
+    bytes: f64,
+    most_bytes: u64,
+    rows: f64,
+    most_rows: u64,
+    /// Shards that are known to be there without a summary, and may be touched.
+    blind: u64,
+    /// What each other sender is asked for: shards, and rows that it gives.
+    asked: Vec<(Rank, f64, u64, f64)>,
+    doubts: Vec<Doubt>,
+    unsure: bool,
+    /// Owners in doubt, of so many.
+    doubtful: f64,
+    owners: f64,
+}
+
+impl Sum {
+    fn doubt(&mut self, doubt: Doubt, unsure: bool) {
+        if self.doubts.len() < MOST_DOUBTS && !self.doubts.contains(&doubt) {
+            self.doubts.push(doubt);
+        }
+        if unsure {
+            self.unsure = true;
+            self.doubtful += 1.0;
+        }
+    }
+}
+
+/// What a query will touch. `own` is read without a datagram; `now` is the clock by which `known` was told of things.
+pub fn predict(
+    query: &Query,
+    known: &Known,
+    facts: Option<&Facts>,
+    learned: &Learned,
+    own: Rank,
+    now: Micros,
+) -> Estimate {
+    let mut sum = Sum::default();
+    let members = facts.map_or(0, |facts| facts.members.len());
+    for owner in (0..members).map(|rank| rank as Rank).filter(|owner| known.present(*owner).is_none()) {
+        // One that was never heard of may be cut off and hold much.
+        let gone = known.all().any(|held| held.catalogue.log.owner == owner);
+        let doubt = if gone { Doubt::Gone { owner } } else { Doubt::Missing { owner } };
+        sum.owners += 1.0;
+        sum.doubt(doubt, true);
+    }
+    for held in known.all() {
+        log(query, held, facts, now, &mut sum);
+    }
+    let typical =
+        if sum.shards > 0.0 { (sum.entries / sum.shards, sum.bytes / sum.shards) } else { (0.0, 0.0) };
+    if sum.blind > 0 {
+        // A shard without a summary is like the others, if it has anything of the tenant's.
+        let blind = sum.blind as f64 * if sum.shards > 0.0 { 0.9 } else { 0.5 };
+        let share = if sum.entries > 0.0 { sum.rows / sum.entries } else { 1.0 };
+        sum.rows += blind * typical.0 * share;
+        sum.shards += blind;
+        sum.entries += blind * typical.0;
+        sum.bytes += blind * typical.1;
+        sum.most = sum.most.saturating_add(sum.blind);
+        sum.unsure = true;
+    }
+    told(query, sum, (facts, now), learned, own)
+}
+
+/// One log's shards.
+fn log(query: &Query, held: &Held, facts: Option<&Facts>, now: Micros, sum: &mut Sum) {
+    let catalogue = &held.catalogue;
+    let owner = catalogue.log.owner;
+    let length = catalogue.length.max(1);
+    let fact = facts.and_then(|facts| facts.members.get(usize::from(owner)));
+    let dead = fact.is_some_and(|fact| matches!(fact.state, State::Dead | State::Left));
+    sum.owners += 1.0;
+    let mut own = Sum::default();
+    let mut wanted = (0.0, 0u64);
+    let (mut lacking, mut full) = (0, false);
+    for (span, version) in &catalogue.spans {
+        let start = u64::from(*span).saturating_mul(length);
+        let after = query.after.as_ref().map_or(query.from, |after| query.from.max(after.0));
+        if start >= query.to || start.saturating_add(length) <= after {
+            continue;
+        }
+        let Some((summary, new)) = held.summary(*span, *version) else {
+            lacking += 1;
+            continue;
+        };
+        // An older one than the catalogue's may lack entries.
+        sum.unsure |= !new;
+        let Some(part) = summary.part(query) else { continue };
+        full |= !query.ids.is_empty() && summary.ids.full();
+        own.shards += if part.surely { 1.0 } else { -(-part.entries).exp_m1() };
+        own.least += u64::from(part.surely && !dead);
+        own.most = own.most.saturating_add(1);
+        own.entries += part.entries;
+        own.most_entries = own.most_entries.saturating_add(part.most);
+        own.bytes += part.bytes;
+        own.most_bytes = own.most_bytes.saturating_add(part.most_bytes);
+        own.rows += part.rows.0;
+        wanted = (wanted.0 + part.rows.1, wanted.1.saturating_add(part.most_rows));
+    }
+    sum.blind += lacking;
+    if lacking > 0 {
+        sum.doubt(Doubt::Missing { owner }, true);
+    }
+    if full {
+        sum.doubt(Doubt::Full { owner }, false);
+    }
+    if catalogue.older {
+        sum.doubt(Doubt::Missing { owner }, true);
+    }
+    let age = held.age(now);
+    if dead || held.over.is_some() {
+        sum.doubt(Doubt::Gone { owner }, true);
+    } else {
+        if age >= OLD {
+            sum.doubt(Doubt::Old { owner, age }, true);
+        }
+        sum.unsure |= since(query, held, age, &mut own, &mut wanted.0);
+    }
+    if own.most == 0 && own.shards == 0.0 {
+        return;
+    }
+    // Reading a log ends with the first row that is too many.
+    let limit = f64::from(query.limit) + 1.0;
+    let through = if query.ids.is_empty() { (limit / wanted.0.max(limit)).min(1.0) } else { 1.0 };
+    if wanted.1 > u64::from(query.limit) && query.ids.is_empty() {
+        own.least = own.least.min(1);
+    }
+    own.shards = if through < 1.0 { (own.shards * through).max(1.0) } else { own.shards };
+    sum.least += own.least;
+    sum.shards += own.shards;
+    sum.most = sum.most.saturating_add(own.most);
+    sum.entries += own.entries * through;
+    sum.most_entries = sum.most_entries.saturating_add(own.most_entries);
+    sum.bytes += own.bytes * through;
+    sum.most_bytes = sum.most_bytes.saturating_add(own.most_bytes);
+    sum.rows += own.rows * through;
+    sum.most_rows = sum.most_rows.saturating_add(wanted.1);
+    sum.asked.push((owner, own.shards, own.most, own.rows * through));
+}
+
+/// What may have been written since the catalogue was made; whether anything may have.
+fn since(query: &Query, held: &Held, age: Micros, own: &mut Sum, wanted: &mut f64) -> bool {
+    let catalogue = &held.catalogue;
+    if query.to <= catalogue.as_of.saturating_sub(catalogue.slack) {
+        return false;
+    }
+    let until = query.to.min(catalogue.as_of.saturating_add(age));
+    let from = query.from.max(catalogue.as_of);
+    let window = until.saturating_sub(from);
+    // The newest two spans tell the rate of now: one alone may have just begun.
+    let mut rate = (0.0, 0.0, 0.0, 0.0, Micros::MAX);
+    for (span, (summary, _)) in held.summaries.iter().rev().take(2) {
+        let open = Query { from: 0, to: Micros::MAX, after: None, ..query.clone() };
+        let part = summary.part(&open).unwrap_or_default();
+        let begun = u64::from(*span).saturating_mul(catalogue.length);
+        rate.0 += part.entries;
+        rate.1 += part.bytes;
+        rate.2 += part.rows.0;
+        rate.3 += part.rows.1;
+        rate.4 = rate.4.min(begun);
+    }
+    let seen = catalogue.as_of.saturating_sub(rate.4);
+    // Ids that are asked for were given before.
+    if window == 0 || seen == 0 || rate.0 == 0.0 || !query.ids.is_empty() {
+        return true;
+    }
+    let times = window as f64 / seen as f64;
+    own.entries += rate.0 * times;
+    own.bytes += rate.1 * times;
+    own.rows += rate.2 * times;
+    *wanted += rate.3 * times;
+    let length = catalogue.length.max(1);
+    let spans = until / length - catalogue.as_of / length;
+    let known = catalogue.spans.last().is_some_and(|(span, _)| u64::from(*span) == catalogue.as_of / length);
+    let begun = spans.saturating_add(u64::from(!known));
+    let each = rate.0 * times / (spans as f64 + 1.0);
+    own.shards += begun as f64 * -(-each).exp_m1();
+    own.most = own.most.saturating_add(begun);
+    true
+}
+
+/// Everything together, as it is told.
+fn told(
+    query: &Query,
+    mut sum: Sum,
+    (facts, now): (Option<&Facts>, Micros),
+    learned: &Learned,
+    own: Rank,
+) -> Estimate {
+    let shape = Shape::of(query);
+    let ids: u64 = query.ids.iter().map(|id| id.len() as u64 + 1).sum();
+    let row = if sum.entries > 0.0 { sum.bytes / sum.entries } else { 0.0 };
+    let (mut wire, mut datagrams) = ((0.0, 0), (0.0, 0));
+    let (mut time, mut tail) = (TRIP / 4.0 + sum.entries * READ, 0);
+    let limit = f64::from(query.limit);
+    for (rank, shards, most, rows) in &sum.asked {
+        if *rank == own {
+            continue;
+        }
+        let chance = shards.min(1.0);
+        let body = (ids + CALL) as f64 + rows.min(limit) * row;
+        let packets = (body / SEGMENT as f64).ceil() + 1.0;
+        // What is sent is acknowledged, by half as many.
+        datagrams.0 += chance * packets * 1.5;
+        wire.0 += chance * (body + packets * 1.5 * AROUND as f64);
+        let least = ids + CALL + (sum.most_bytes / sum.most.max(1)).saturating_mul(*most);
+        let packets = least.div_ceil(SEGMENT as u64) + 1;
+        datagrams.1 = packets.saturating_mul(4).saturating_add(datagrams.1);
+        wire.1 = packets.saturating_mul(4 * 256).saturating_add(wire.1);
+        time = f64::max(time, learned.trip(*rank, TRIP) + sum.entries * READ);
+        tail = tail.max(priced(*rank, facts, now));
+    }
+    let wider = learned.missed(shape);
+    if let Some(wider) = wider {
+        sum.doubt(Doubt::Missed { wider }, false);
+    }
+    let doubt = DOUBT * sum.doubtful / sum.owners.max(1.0);
+    let round = |figure: f64| figure.round() as u64;
+    let structural: [(f64, u64, u64); FIGURES] = [
+        (sum.shards, sum.least, sum.most),
+        (sum.entries, sum.least, sum.most_entries),
+        (sum.bytes, 0, sum.most_bytes),
+        (wire.0, 0, wire.1),
+        (datagrams.0, 0, datagrams.1),
+        (sum.rows, 0, sum.most_rows),
+    ];
+    let figures =
+        [Figure::Shards, Figure::Entries, Figure::Bytes, Figure::WireBytes, Figure::Datagrams, Figure::Rows];
+    let bound = !sum.unsure;
+    let told = figures.map(|figure| {
+        let (expected, least, most) = structural[figure as usize];
+        let raw = Interval { least, expected: round(expected), most };
+        let mut told = learned.interval(shape, figure, raw, expected, doubt);
+        let repeats = matches!(figure, Figure::WireBytes | Figure::Datagrams) && most > 0;
+        if bound && !repeats {
+            // Nothing is beyond it. Datagrams that get lost are sent again: where there are any, nothing bounds them.
+            told.most = most;
+            told.expected = told.expected.min(most);
+            told.least = told.least.min(told.expected);
+        }
+        told
+    });
+    let [shards, entries, bytes, wire_bytes, datagrams, rows] = told;
+    let (median, high) = learned.time(shape, shards.expected, time);
+    let raw = structural.map(|figure| figure.0);
+    let time_told = (median, high.max(median).saturating_add(tail));
+    let doubts = sum.doubts;
+    let prediction =
+        Prediction { shards, entries, bytes, wire_bytes, datagrams, rows, time: time_told, bound, doubts };
+    Estimate { prediction, basis: Basis { shape, raw, told, raw_time: time } }
+}
+
+/// What hitting a sender adds to the tail.
+fn priced(rank: Rank, facts: Option<&Facts>, now: Micros) -> Micros {
+    let Some(facts) = facts else { return 0 };
+    let Some(fact) = facts.members.get(usize::from(rank)) else { return SUSPECT_TAIL };
+    match fact.state {
+        _ if facts.isolated => SUSPECT_TAIL,
+        State::Alive if now < fact.since.saturating_add(STARTING) => STARTING_TAIL,
+        State::Alive => 0,
+        State::Joining => STARTING_TAIL,
+        State::Suspect | State::Dead | State::Left => SUSPECT_TAIL,
+    }
+}
--- /dev/null
+++ b/src/estimate/sending.rs
@@ -0,0 +1,319 @@
+//! What a planned run of messages will take: calls, attempts, bytes, connections and time, from what the module knows of
+//! each destination (told limits, what all senders told of them, own pace, backlog, breaker), and whether it fits into
+//! the tenant's share.
+//!
+//! A run goes in at one sender and as fast as it is taken. Where a limit is told, this sender has all of it at best and
+//! one part of all senders' at worst; where none is, its pace, or its slots over the time of an answer.
+
+use std::collections::BTreeMap;
+
+use serde::{Deserialize, Serialize};
+
+use super::learned::{BAND, Track, log};
+use super::{Doubt, Interval};
+use crate::interface::{DestinationId, Micros, Outlook, RouteOutlook, Settings};
+
+/// Destinations that one run names at most.
+pub const MOST_DESTINATIONS: usize = 1_024;
+/// Classes whose runs are learned from at most.
+const MOST_CLASSES: usize = 64;
+/// Bytes of a call's head and its answer, about.
+const CALL: u64 = 320;
+/// Bytes of a message in a batch beside its body, about; the body goes in base64, four for three.
+const IN_BATCH: u64 = 64;
+/// Part of a told limit that all senders together plan to use.
+const MARGIN: f64 = 0.95;
+/// Time of an answer until one was seen, microseconds.
+const TOOK: f64 = 100_000.0;
+/// Part of a batch that is filled where messages wait, until more is learned.
+const FILLED: f64 = 0.7;
+
+/// A planned run.
+#[derive(Debug, Clone, PartialEq, Eq, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Run {
+    /// Of which class, by name.
+    pub class: String,
+    /// Whose, by name; empty for none.
+    #[serde(default)]
+    pub tenant: String,
+    /// Where to, evenly.
+    pub destinations: Vec<u16>,
+    /// How many messages.
+    pub messages: u64,
+    /// Bytes of a body.
+    #[serde(default)]
+    pub body_bytes: u64,
+    /// In which time they are handed in, milliseconds; at once if it is left out.
+    #[serde(default)]
+    pub over_ms: u64,
+}
+
+/// Why a run can't be estimated.
+#[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
+pub enum NoRun {
+    /// The class is not one of the settings'.
+    #[error("there is no class {0}")]
+    Class(String),
+    /// The tenant is not one of the settings'.
+    #[error("there is no tenant {0}")]
+    Tenant(String),
+    /// No destination, or too many.
+    #[error("{0} destinations")]
+    Destinations(usize),
+    /// A destination without endpoints.
+    #[error("destination {0} has no endpoint in the list")]
+    Nowhere(u16),
+}
+
+impl NoRun {
+    /// Stable, for programs.
+    pub fn code(&self) -> &'static str {
+        match self {
+            Self::Class(_) => "estimate.class",
+            Self::Tenant(_) => "estimate.tenant",
+            Self::Destinations(_) => "estimate.destinations",
+            Self::Nowhere(_) => "estimate.nowhere",
+        }
+    }
+
+    /// What an operator can do.
+    pub fn remedy(&self) -> &'static str {
+        match self {
+            Self::Class(_) => "name one of settings.classes",
+            Self::Tenant(_) => "name one of settings.realms",
+            Self::Destinations(_) => "name between 1 and 1024 destinations, or split the run",
+            Self::Nowhere(_) => "see GET /control/endpoints; wait until discovery lists one, or leave it out",
+        }
+    }
+}
+
+/// Whether a run fits into its tenant's share, as this sender judges it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize)]
+#[serde(rename_all = "snake_case", tag = "share")]
+pub enum Fits {
+    /// At once.
+    Now,
+    /// Once what was handed in of late has faded.
+    After {
+        /// Microseconds from now.
+        after: Micros,
+    },
+    /// Only if it is handed in more slowly.
+    Over {
+        /// In that time, milliseconds.
+        over_ms: u64,
+    },
+}
+
+/// What a run will take.
+#[derive(Debug, Clone, PartialEq, Serialize)]
+pub struct Planned {
+    /// Endpoints that may be called.
+    pub endpoints: u64,
+    /// Calls, a batch being one.
+    pub calls: Interval,
+    /// Attempts, one for each message of a call.
+    pub attempts: Interval,
+    /// Bytes on the wire, both ways.
+    pub wire_bytes: Interval,
+    /// Connections in use at a time.
+    pub connections: Interval,
+    /// Microseconds until all are delivered.
+    pub time: Interval,
+    /// Whether all are there within the class's deadline.
+    pub in_time: bool,
+    /// Destinations at which nothing goes now, and for how long yet, microseconds.
+    pub shut: BTreeMap<u16, Micros>,
+    /// Whether it fits into the tenant's share.
+    #[serde(flatten)]
+    pub fits: Fits,
+    /// What the intervals suffer from.
+    pub doubts: Vec<Doubt>,
+}
+
+/// What a run really took.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Took {
+    /// Calls, attempts, bytes on the wire, microseconds.
+    pub figures: [u64; 4],
+}
+
+/// What runs of each class really took, over what was said.
+#[derive(Debug, Default)]
+pub struct Runs(BTreeMap<String, [Track; 4]>);
+
+impl Runs {
+    /// A run has ended. `raw` is what [`plan`] gave with it, `told` its intervals in the same order.
+    pub fn learn(&mut self, class: &str, raw: [f64; 4], told: &Planned, took: Took) {
+        if !self.0.contains_key(class) && self.0.len() >= MOST_CLASSES {
+            return;
+        }
+        let tracks = self.0.entry(class.to_owned()).or_insert([Track::new(BAND); 4]);
+        let told = [told.calls, told.attempts, told.wire_bytes, told.time];
+        for ((track, raw), (told, took)) in tracks.iter_mut().zip(raw).zip(told.iter().zip(took.figures)) {
+            track.learn(log(took as f64) - log(raw), told.holds(took));
+        }
+    }
+}
+
+/// Calls a second that a route takes from this sender: at worst, about, at best.
+fn rates(route: &RouteOutlook, settings: &Settings) -> [f64; 3] {
+    let took = route.took.map_or(TOOK, |(mean, _)| mean.max(1.0));
+    let slots = (settings.slots * 3 / 4).max(1) as f64 * 1e6 / took;
+    let senders = settings.senders.max(1) as f64;
+    let mut rates = match route.limit {
+        limit if limit > 0.0 => {
+            let all = limit * MARGIN;
+            // The others use some of it; how much is not known here.
+            [all / senders, all / senders.sqrt(), all]
+        }
+        _ => [slots / 4.0, slots / 2.0, slots],
+    };
+    let bound = if route.pace.is_finite() { route.pace } else { slots };
+    rates[0] = rates[0].min(bound);
+    rates[1] = rates[1].min(bound).min(slots);
+    rates[2] = rates[2].min(slots);
+    if let Some(share) = route.cold {
+        let ramp = (settings.rules.fall_multiple * share * route.served.max(route.limit / senders)).max(0.1);
+        rates = [rates[0].min(ramp), rates[1].min(ramp), rates[2]];
+    }
+    rates.map(|rate| rate.max(0.01))
+}
+
+/// Seconds and counts of one destination.
+struct Leg {
+    calls: [f64; 3],
+    time: [f64; 3],
+    connections: f64,
+    shut: Micros,
+}
+
+fn leg(outlook: &Outlook, messages: f64, now: Micros, settings: &Settings) -> Leg {
+    let bundle = outlook.bundle.max(1) as f64;
+    let each = outlook.routes.iter().map(|route| rates(route, settings));
+    let rate = each.fold([0.0; 3], |sum, rate| [sum[0] + rate[0], sum[1] + rate[1], sum[2] + rate[2]]);
+    let rate = if outlook.routes.is_empty() { [1.0, 4.0, 16.0] } else { rate };
+    let shut = outlook.routes.iter().map(|route| route.shut_until.saturating_sub(now)).min().unwrap_or(0);
+    let deviations = |times: f64| {
+        let took = outlook.routes.iter().map(|route| route.took.unwrap_or((TOOK, TOOK)));
+        took.map(|(mean, off)| mean + times * off).fold(0.0, f64::max) / 1e6
+    };
+    let filled = (bundle * FILLED).max(1.0);
+    let calls = [messages, messages / filled, (messages / bundle).ceil()];
+    let waiting = outlook.backlog as f64;
+    let wait = shut as f64 / 1e6;
+    // An open breaker's trial may fail again, and then waits twice as long.
+    let worst = if shut > 0 { 3.0 * wait + 1.0 } else { 0.0 };
+    let time = [
+        worst + (waiting + calls[0]) / rate[0] + deviations(5.0),
+        wait + (waiting / filled + calls[1]) / rate[1] + deviations(1.0),
+        wait + calls[2] / rate[2] + deviations(0.0) / 2.0,
+    ];
+    let busy = rate[1] * deviations(0.0);
+    let connections = busy.min(calls[1]).clamp(1.0, (settings.slots as f64).max(1.0));
+    Leg { calls, time, connections, shut }
+}
+
+/// What a run will take, and what that was made from, for [`Runs::learn`]. `class` and `tenant` are its places in the
+/// settings; `outlook` tells of a destination; `now` is the module's clock.
+///
+/// # Errors
+/// Says what is wrong with the run.
+pub fn plan(
+    run: &Run,
+    (class, tenant): (Option<usize>, Option<usize>),
+    settings: &Settings,
+    runs: &Runs,
+    now: Micros,
+    outlook: impl Fn(DestinationId) -> Outlook,
+) -> Result<(Planned, [f64; 4]), NoRun> {
+    let class = class.and_then(|class| settings.classes.get(class));
+    let class = class.ok_or_else(|| NoRun::Class(run.class.clone()))?;
+    if !(1..=MOST_DESTINATIONS).contains(&run.destinations.len()) {
+        return Err(NoRun::Destinations(run.destinations.len()));
+    }
+    let quota = match tenant.and_then(|tenant| settings.tenants.get(tenant)) {
+        _ if run.tenant.is_empty() => None,
+        Some(tenant) => Some(tenant.quota),
+        None => return Err(NoRun::Tenant(run.tenant.clone())),
+    };
+    let each = run.messages as f64 / run.destinations.len() as f64;
+    let (mut endpoints, mut calls, mut connections) = (0u64, [0.0; 3], 0.0);
+    let (mut time, mut shut, mut tenant_rate) = ([0.0f64; 3], BTreeMap::new(), 0.0);
+    let (mut bytes, mut most_bytes, mut least_bytes) = (0.0, 0.0, 0.0);
+    let (body, in_batch) = (run.body_bytes as f64, run.body_bytes as f64 * 4.0 / 3.0 + IN_BATCH as f64);
+    for to in &run.destinations {
+        let outlook = outlook(DestinationId(*to));
+        if outlook.endpoints == 0 {
+            return Err(NoRun::Nowhere(*to));
+        }
+        endpoints = endpoints.saturating_add(outlook.endpoints as u64);
+        tenant_rate = outlook.tenant_rate;
+        let leg = leg(&outlook, each, now, settings);
+        for at in 0..3 {
+            calls[at] += leg.calls[at];
+            time[at] = time[at].max(leg.time[at]);
+        }
+        connections += leg.connections;
+        if leg.shut > 0 {
+            shut.insert(*to, leg.shut);
+        }
+        let message = if outlook.bundle > 1 { in_batch } else { body };
+        bytes += leg.calls[1] * CALL as f64 + each * message;
+        least_bytes += leg.calls[2] * CALL as f64 + each * body;
+        most_bytes += (leg.calls[0] * CALL as f64 + each * message) * f64::from(settings.try_limit.max(1));
+    }
+    let over = run.over_ms as f64 / 1e3;
+    let time = time.map(|time| time.max(over) * 1e6);
+    let raw = [calls[1], run.messages as f64, bytes, time[1]];
+    let tries = f64::from(settings.try_limit.max(1));
+    let ends = [
+        (calls[2], calls[0] * tries),
+        (run.messages as f64, run.messages as f64 * tries),
+        (least_bytes, most_bytes),
+        (time[2], time[0]),
+    ];
+    let tracks = runs.0.get(&run.class);
+    let told = std::array::from_fn::<Interval, 4, _>(|at| {
+        let structural =
+            Interval { least: ends[at].0 as u64, expected: raw[at] as u64, most: ends[at].1 as u64 };
+        let track = tracks.map_or(Track::new(BAND), |tracks| tracks[at]);
+        track.interval(structural, raw[at], 0.0)
+    });
+    let [calls, attempts, wire_bytes, time] = told;
+    let most = (connections * 2.0).ceil().min(settings.slots as f64) as u64;
+    let used = connections.ceil() as u64;
+    let missed = tracks.into_iter().flatten().filter_map(Track::widened).max();
+    let planned = Planned {
+        endpoints,
+        calls,
+        attempts,
+        wire_bytes,
+        connections: Interval { least: 1.min(used), expected: used.min(most), most },
+        time,
+        in_time: time.most <= class.deadline,
+        shut,
+        fits: fits(run, quota, tenant_rate, class.aim, settings.senders),
+        doubts: missed.map(|wider| Doubt::Missed { wider }).into_iter().collect(),
+    };
+    Ok((planned, raw))
+}
+
+/// A tenant's share, as a sender judges it, is exceeded when what came here of late, as often as there are senders, is
+/// more than its quota; what came fades over an aim.
+fn fits(run: &Run, quota: Option<f64>, rate: f64, aim: Micros, senders: usize) -> Fits {
+    let Some(quota) = quota else { return Fits::Now };
+    let part = quota / senders.max(1) as f64;
+    let aim = aim.max(1) as f64 / 1e6;
+    // What is handed in at once counts as so many in an aim.
+    let own = run.messages as f64 / (run.over_ms as f64 / 1e3).max(aim);
+    if own > part {
+        return Fits::Over { over_ms: (run.messages as f64 / part.max(1e-9) * 1e3).ceil() as u64 };
+    }
+    if rate + own <= part {
+        return Fits::Now;
+    }
+    let room = (part - own).max(part * 1e-3);
+    Fits::After { after: (aim * (rate / room).ln().max(0.0) * 1e6) as Micros }
+}
--- /dev/null
+++ b/src/estimate/summary.rs
@@ -0,0 +1,312 @@
+//! What a shard's owner says of it: enough to leave the shard out of a query safely, and to guess what is read in it.
+//!
+//! Names are kept as CRC-32: two names of one checksum count together, which makes a bound larger and never false. Ids
+//! and destinations are kept in Bloom filters (Bloom, 1970): what was put in is always found, other things sometimes.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use fastbloom::BloomFilter;
+use serde::{Deserialize, Serialize};
+
+use crate::interface::Micros;
+use crate::status::{Entry, LogId, Query, State};
+
+/// Tenants and classes that one summary tells apart, in pairs; the smallest ones beyond it count together.
+pub const MOST_CELLS: usize = 64;
+/// Bits of the filter for ids at most.
+pub const ID_BITS: usize = 16_384;
+/// Bits of the filter for destinations at most.
+pub const DESTINATION_BITS: usize = 1_024;
+/// Bits for each key, where there is room: one in a hundred other keys is found then.
+const BITS_A_KEY: usize = 10;
+/// A filter that finds this part of all other keys is full.
+const FULL: f64 = 0.5;
+/// Bytes of an entry beside its names.
+const ENTRY: u64 = 48;
+
+/// A name as summaries have it.
+pub fn name(text: &str) -> u32 {
+    crc32fast::hash(text.as_bytes())
+}
+
+/// Bytes that reading an entry counts for. It never changes over an entry's life.
+pub fn weight(entry: &Entry) -> u64 {
+    ENTRY + (entry.id.len() + entry.class.len() + entry.tenant.len()) as u64
+}
+
+/// How new a summary or a catalogue is: by the log's position, then by how often its owner's process made one.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct Version {
+    /// All changes up to this number are in it.
+    pub upto: u64,
+    /// Entries that go at the index's bounds are no changes.
+    pub made: u64,
+}
+
+/// A Bloom filter as it goes over the wire.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+struct Bits {
+    bytes: Vec<u8>,
+    hashes: u32,
+}
+
+/// What can't be a filter.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
+#[error("a filter of {bytes} bytes and {hashes} hashes is none; that sender runs another program")]
+pub struct NoFilter {
+    bytes: usize,
+    hashes: u32,
+}
+
+/// A set that forgets nothing and may find what was not put in.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(try_from = "Bits", into = "Bits")]
+pub struct Filter(BloomFilter);
+
+impl TryFrom<Bits> for Filter {
+    type Error = NoFilter;
+
+    fn try_from(bits: Bits) -> Result<Self, NoFilter> {
+        let (words, rest) = bits.bytes.as_chunks::<8>();
+        let fits = !words.is_empty() && rest.is_empty() && bits.bytes.len() <= ID_BITS / 8;
+        if !fits || !(1..=8).contains(&bits.hashes) {
+            return Err(NoFilter { bytes: bits.bytes.len(), hashes: bits.hashes });
+        }
+        let words = words.iter().map(|word| u64::from_le_bytes(*word)).collect();
+        Ok(Self(BloomFilter::from_vec(words).seed(&0).hashes(bits.hashes)))
+    }
+}
+
+impl From<Filter> for Bits {
+    fn from(filter: Filter) -> Self {
+        let bytes = filter.0.as_slice().iter().flat_map(|word| word.to_le_bytes()).collect();
+        Self { bytes, hashes: filter.0.num_hashes() }
+    }
+}
+
+impl Filter {
+    fn of<K: std::hash::Hash>(keys: &BTreeSet<K>, most: usize) -> Self {
+        let bits = (keys.len() * BITS_A_KEY).clamp(64, most).next_multiple_of(64);
+        // The best number of hashes is bits a key times ln 2.
+        let hashes = (bits as f64 / keys.len().max(1) as f64 * std::f64::consts::LN_2) as u32;
+        let mut filter = BloomFilter::with_num_bits(bits).seed(&0).hashes(hashes.clamp(1, 7));
+        for key in keys {
+            filter.insert(key);
+        }
+        Self(filter)
+    }
+
+    fn finds<K: std::hash::Hash + ?Sized>(&self, key: &K) -> bool {
+        self.0.contains(key)
+    }
+
+    /// Part of all keys that were not put in which it finds.
+    pub fn false_rate(&self) -> f64 {
+        let set: u32 = self.0.as_slice().iter().map(|word| word.count_ones()).sum();
+        (f64::from(set) / self.0.num_bits().max(1) as f64).powi(self.0.num_hashes() as i32)
+    }
+
+    /// Whether it says yes to so much that it is of little use.
+    pub fn full(&self) -> bool {
+        self.false_rate() > FULL
+    }
+}
+
+/// Entries of one tenant and class.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Cell {
+    /// Whose, by [`name`].
+    pub tenant: u32,
+    /// Of which class, by [`name`].
+    pub class: u32,
+    /// How many.
+    pub entries: u64,
+    /// Their bytes.
+    pub bytes: u64,
+    /// How many are told as each of [`State::ALL`].
+    pub told: [u64; State::ALL.len()],
+}
+
+impl Cell {
+    fn add(&mut self, entry: &Entry) {
+        self.entries = self.entries.saturating_add(1);
+        self.bytes = self.bytes.saturating_add(weight(entry));
+        let told = entry.states.told().and_then(|told| State::ALL.iter().position(|state| *state == told));
+        if let Some(count) = told.and_then(|at| self.told.get_mut(at)) {
+            *count = count.saturating_add(1);
+        }
+    }
+
+    fn join(&mut self, other: &Self) {
+        self.entries = self.entries.saturating_add(other.entries);
+        self.bytes = self.bytes.saturating_add(other.bytes);
+        for (own, other) in self.told.iter_mut().zip(other.told) {
+            *own = own.saturating_add(other);
+        }
+    }
+
+    /// Part of its entries that is told as one of these; all of them if none is named.
+    fn share(&self, states: &[State]) -> f64 {
+        if states.is_empty() {
+            return 1.0;
+        }
+        let told = State::ALL.iter().zip(self.told).filter(|(state, _)| states.contains(state));
+        told.map(|(_, count)| count as f64).sum::<f64>() / self.entries.max(1) as f64
+    }
+}
+
+/// One shard in brief.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Summary {
+    /// In which log.
+    pub log: LogId,
+    /// Which span of it.
+    pub span: u32,
+    /// As of which position.
+    pub version: Version,
+    /// Entries by tenant and class, [`MOST_CELLS`] at most.
+    pub cells: Vec<Cell>,
+    /// Those of all others together.
+    pub rest: Option<Cell>,
+    /// Bytes of the longest entry.
+    pub longest: u64,
+    /// When the first and the last of its messages were taken on.
+    pub times: (Micros, Micros),
+    /// Its ids.
+    pub ids: Filter,
+    /// Its destinations, and how many there are.
+    pub destinations: (Filter, u32),
+}
+
+/// What a query may find in a shard.
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
+pub struct Part {
+    /// Entries that may be read: never more are.
+    pub most: u64,
+    /// Their bytes: never more are.
+    pub most_bytes: u64,
+    /// Rows at most, whatever their states.
+    pub most_rows: u64,
+    /// Entries that are likely read, if no limit ends it before.
+    pub entries: f64,
+    /// Their bytes.
+    pub bytes: f64,
+    /// Rows among them, and how many there are whatever their states.
+    pub rows: (f64, f64),
+    /// Surely something is read, if no limit ends it before.
+    pub surely: bool,
+}
+
+impl Summary {
+    /// Of all entries of one shard.
+    pub fn of<'a>(
+        log: LogId,
+        span: u32,
+        version: Version,
+        entries: impl IntoIterator<Item = &'a Entry>,
+    ) -> Self {
+        let mut cells: BTreeMap<(u32, u32), Cell> = BTreeMap::new();
+        let (mut ids, mut destinations) = (BTreeSet::new(), BTreeSet::new());
+        let (mut times, mut longest) = ((Micros::MAX, 0), 0);
+        for entry in entries {
+            let (tenant, class) = (name(&entry.tenant), name(&entry.class));
+            cells.entry((tenant, class)).or_insert(Cell { tenant, class, ..Cell::default() }).add(entry);
+            longest = longest.max(weight(entry));
+            ids.insert(entry.id.as_str());
+            destinations.insert(entry.destination);
+            times = (times.0.min(entry.taken_at), times.1.max(entry.taken_at));
+        }
+        let mut cells: Vec<Cell> = cells.into_values().collect();
+        cells.sort_by_key(|cell| std::cmp::Reverse(cell.entries));
+        let rest = cells.split_off(cells.len().min(MOST_CELLS)).into_iter().reduce(|mut all, cell| {
+            all.join(&cell);
+            all
+        });
+        let number = destinations.len() as u32;
+        let filters = (Filter::of(&ids, ID_BITS), Filter::of(&destinations, DESTINATION_BITS));
+        let destinations = (filters.1, number);
+        Self { log, span, version, cells, rest, longest, times, ids: filters.0, destinations }
+    }
+
+    /// Entries that may be a tenant's, and their bytes.
+    pub fn of_tenant(&self, tenant: u32) -> (u64, u64) {
+        let cells = self.cells.iter().filter(|cell| cell.tenant == tenant).chain(&self.rest);
+        cells.fold((0, 0), |sum: (u64, u64), cell| {
+            (sum.0.saturating_add(cell.entries), sum.1.saturating_add(cell.bytes))
+        })
+    }
+
+    /// What a query may find here; nothing if surely none of its entries is read, and so none is one that
+    /// [`Query::may_want`] admits. By ids the tenant's entries of these ids are read; otherwise all entries of the
+    /// query's range of time, whosever they are, since that is how a log is kept. States leave nothing out: they may
+    /// still change, in this log or another.
+    pub fn part(&self, query: &Query) -> Option<Part> {
+        let from = query.after.as_ref().map_or(query.from, |after| query.from.max(after.0));
+        if self.times.0 >= query.to || self.times.1 < from {
+            return None;
+        }
+        let all = (self.times.1 - self.times.0).saturating_add(1) as f64;
+        let within = self.times.1.min(query.to - 1) - self.times.0.max(from);
+        let share = within.saturating_add(1) as f64 / all;
+        let tenant = name(&query.tenant);
+        let classes: Vec<u32> = query.classes.iter().map(|class| name(class)).collect();
+        let class = |cell: &&Cell| classes.is_empty() || classes.contains(&cell.class);
+        let to = query.destinations.iter().filter(|to| self.destinations.0.finds(*to)).count();
+        let to = match query.destinations.len() {
+            0 => 1.0,
+            _ => (to as f64 / f64::from(self.destinations.1.max(1))).min(1.0),
+        };
+        let mut part = Part::default();
+        let mut count = |cell: &Cell, share: f64| {
+            part.most_rows = part.most_rows.saturating_add(if to > 0.0 { cell.entries } else { 0 });
+            part.rows.0 += cell.entries as f64 * share * to * cell.share(&query.states);
+            part.rows.1 += cell.entries as f64 * share * to;
+        };
+        self.cells
+            .iter()
+            .filter(|cell| cell.tenant == tenant)
+            .filter(class)
+            .for_each(|cell| count(cell, share));
+        // Any of those that are counted together may be the tenant's, and few are.
+        self.rest.iter().for_each(|cell| count(cell, share / MOST_CELLS as f64));
+        if query.ids.is_empty() {
+            (part.most, part.most_bytes) = self.all();
+            part.entries = part.most as f64 * share;
+            part.bytes = part.most_bytes as f64 * share;
+            part.surely = self.times.0 >= from && self.times.1 < query.to;
+            return Some(part);
+        }
+        self.by_id(query, share, part)
+    }
+
+    /// Each id that the filter finds is one entry at most.
+    fn by_id(&self, query: &Query, share: f64, mut part: Part) -> Option<Part> {
+        let asked = query.ids.len() as f64;
+        let found = query.ids.iter().filter(|id| self.ids.finds(id.as_str())).count();
+        let (mine, _) = self.of_tenant(name(&query.tenant));
+        if found == 0 || mine == 0 {
+            return None;
+        }
+        let rate = self.ids.false_rate().min(0.999);
+        // Of those asked for some are there, and the others are found at the filter's rate.
+        let there = ((found as f64 - asked * rate) / (1.0 - rate)).max(0.0);
+        let (all, bytes) = self.all();
+        let rows = part.rows.0 / (mine as f64 * share).max(1.0);
+        let wanted = part.rows.1 / (mine as f64 * share).max(1.0);
+        part.entries = (there * share * mine as f64 / all.max(1) as f64).min(mine as f64);
+        part.bytes = part.entries * bytes as f64 / all.max(1) as f64;
+        part.rows = (part.entries * rows.min(1.0), part.entries * wanted.min(1.0));
+        part.most = found as u64;
+        part.most_bytes = part.most.saturating_mul(self.longest);
+        part.most_rows = part.most_rows.min(part.most);
+        Some(part)
+    }
+
+    /// Entries of all tenants, and their bytes.
+    fn all(&self) -> (u64, u64) {
+        let cells = self.cells.iter().chain(&self.rest);
+        cells.fold((0, 0), |sum: (u64, u64), cell| {
+            (sum.0.saturating_add(cell.entries), sum.1.saturating_add(cell.bytes))
+        })
+    }
+}
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -397,3 +397,47 @@
     /// A line for the operators.
     Log(String),
 }
+
+/// What the module knows of one breaker's route, for estimates.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct RouteOutlook {
+    /// Calls a second that all senders together may make; 0 where nothing tells.
+    pub limit: f64,
+    /// Calls a second that this sender makes at most; without bound until a refusal.
+    pub pace: f64,
+    /// Calls a second that were served while all was well.
+    pub served: f64,
+    /// Nothing goes before then.
+    pub shut_until: Micros,
+    /// The share of its capacity to count on, where it may be cold.
+    pub cold: Option<f64>,
+    /// Mean time of an answer and its mean deviation, microseconds.
+    pub took: Option<(f64, f64)>,
+}
+
+impl RouteOutlook {
+    /// From limit, pace and what was served, calls a second; then as the fields have it.
+    pub fn new(
+        [limit, pace, served]: [f64; 3],
+        shut_until: Micros,
+        cold: Option<f64>,
+        took: Option<(f64, f64)>,
+    ) -> Self {
+        Self { limit, pace, served, shut_until, cold, took }
+    }
+}
+
+/// What the module knows of a destination and a tenant, for estimates.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Outlook {
+    /// Endpoints that are listed; whoever has the list says so, as with the next one.
+    pub endpoints: usize,
+    /// Messages that one call carries at most.
+    pub bundle: usize,
+    /// Messages held for it.
+    pub backlog: usize,
+    /// Messages a second that the tenant handed in here of late.
+    pub tenant_rate: f64,
+    /// Its routes: one, or one for each endpoint where they are apart.
+    pub routes: Vec<RouteOutlook>,
+}
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -606,6 +606,18 @@
         self.held.len()
     }
 
+    /// What is known of a destination and a tenant, for estimates; nothing is decided by it.
+    pub fn outlook(&self, to: DestinationId, tenant: usize) -> Outlook {
+        let (rules, now) = (&self.settings.rules, self.now);
+        let routes = self.routes.range((to, None)..=(to, Some(EndpointId([u8::MAX; 6])))).map(|(_, r)| {
+            let rates = [r.limit(), r.pace, r.usual_rate(rules)];
+            RouteOutlook::new(rates, r.wait_until.max(r.breaker.due()), r.cold_share(rules, now), r.usual)
+        });
+        let backlog = self.held.values().filter(|held| held.message.destination == to).count();
+        let rate = self.tenants.get(tenant).map_or(0.0, |r| faded(*r, now, self.shortest_aim(), 0.0).0);
+        Outlook { backlog, tenant_rate: rate, routes: routes.collect(), ..Outlook::default() }
+    }
+
     /// Listed endpoints that a breaker keeps messages from.
     pub fn avoided(&self) -> usize {
         let shut = |id: &RouteId| self.routes.get(id).is_some_and(|r| r.breaker.state != State::Closed);
--- /dev/null
+++ b/tests/estimate/main.rs
@@ -0,0 +1,508 @@
+//! What queries and runs will cost, told before: the estimator's rooms in virtual time.
+
+mod budgets;
+mod runs;
+mod tier;
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use myrtleyard::estimate::decide::{Cut, Limits, Running, decide};
+use myrtleyard::estimate::estimator::Estimator;
+use myrtleyard::estimate::known::{BUDGET, BURST, Catalogue, Known};
+use myrtleyard::estimate::learned::{FIGURES, Figure, Learned, Shape, Touched};
+use myrtleyard::estimate::lend::{Budgets, Cost, Short};
+use myrtleyard::estimate::predict::{Estimate, OLD, predict};
+use myrtleyard::estimate::summary::{Summary, Version, weight};
+use myrtleyard::estimate::{Decision, Doubt, Reason};
+use myrtleyard::membership::{Fact, Facts, Rank, State as Held};
+use myrtleyard::plans::Plan;
+use myrtleyard::status::{Entry, Life, LogId, Query, ShardId, State, States};
+use proptest::prelude::*;
+
+/// A span, and the time at which all tiers here are told of, microseconds.
+pub const SPAN: u64 = 60_000_000;
+const NOW: u64 = 20 * SPAN;
+
+pub fn entry(id: u64, tenant: &str, class: u8, destination: u16, taken_at: u64, state: State) -> Entry {
+    Entry {
+        id: format!("m-{id}"),
+        class: ["note", "order", "bill"][usize::from(class % 3)].into(),
+        tenant: tenant.into(),
+        destination,
+        key: None,
+        taken_at,
+        deadline: taken_at + SPAN,
+        changed_at: taken_at,
+        attempts: 0,
+        states: States::default().with(State::Taken).with(state),
+        owner: (0, 0),
+    }
+}
+
+pub fn query(tenant: &str) -> Query {
+    Query {
+        tenant: tenant.into(),
+        ids: vec![],
+        from: 0,
+        to: u64::MAX,
+        states: vec![],
+        classes: vec![],
+        destinations: vec![],
+        limit: 1_000,
+        after: None,
+    }
+}
+
+pub fn facts(size: usize) -> Facts {
+    let fact = Fact { state: Held::Alive, since: 0, incarnation: 1, near: true };
+    Facts { own: 0, members: vec![fact; size], isolated: false, minority: false }
+}
+
+/// Each owner's entries.
+type Index = BTreeMap<Rank, Vec<Entry>>;
+
+fn log(owner: Rank) -> LogId {
+    LogId { owner, life: Life(u64::from(owner) + 100) }
+}
+
+fn spans(entries: &[Entry]) -> BTreeMap<u32, Vec<&Entry>> {
+    let mut spans: BTreeMap<u32, Vec<&Entry>> = BTreeMap::new();
+    entries.iter().for_each(|e| spans.entry((e.taken_at / SPAN) as u32).or_default().push(e));
+    spans
+}
+
+fn catalogue(owner: Rank, entries: &[Entry], as_of: u64) -> (Catalogue, Vec<Summary>) {
+    let version = Version { upto: entries.len() as u64, made: 1 };
+    let spans = spans(entries);
+    let catalogue = Catalogue {
+        log: log(owner),
+        incarnation: 1,
+        version,
+        as_of,
+        slack: 0,
+        length: SPAN,
+        spans: spans.keys().map(|span| (*span, version)).collect(),
+        older: false,
+    };
+    let summary = |(span, list): (u32, Vec<&Entry>)| Summary::of(log(owner), span, version, list);
+    // Over the wire and back: what is held is what was sent.
+    let sent = |summary: Summary| postcard::from_bytes(&postcard::to_allocvec(&summary).unwrap()).unwrap();
+    (catalogue, spans.into_iter().map(summary).map(sent).collect())
+}
+
+fn settled(index: &Index) -> Known {
+    let mut known = Known::new(0, index.len(), 1, NOW);
+    for (owner, entries) in index {
+        let (catalogue, summaries) = catalogue(*owner, entries, NOW);
+        known.tell(NOW, catalogue, summaries);
+    }
+    known
+}
+
+/// What a query really touches, read as the index reads: by id, or through a log's range of time until a row too many.
+pub fn touch<'a>(logs: impl IntoIterator<Item = Vec<&'a Entry>>, query: &Query) -> Touched {
+    let stateless = Query { states: vec![], ..query.clone() };
+    let from = query.from.max(query.after.as_ref().map_or(0, |after| after.0));
+    let mut touched = Touched::default();
+    for mut log in logs {
+        log.sort_by(|a, b| (a.taken_at, &a.id).cmp(&(b.taken_at, &b.id)));
+        let (mut shards, mut matched) = (BTreeSet::new(), 0);
+        for e in log.into_iter().filter(|e| (from..query.to).contains(&e.taken_at)) {
+            if !query.ids.is_empty() && !(e.tenant == query.tenant && query.ids.contains(&e.id)) {
+                continue;
+            }
+            shards.insert(e.taken_at / SPAN);
+            touched.figures[Figure::Entries as usize] += 1;
+            touched.figures[Figure::Bytes as usize] += weight(e);
+            if e.tenant == query.tenant && stateless.wants(e) {
+                matched += 1;
+                if matched > query.limit && query.ids.is_empty() {
+                    break;
+                }
+                touched.figures[Figure::Rows as usize] += u64::from(query.wants(e));
+            }
+        }
+        touched.figures[Figure::Shards as usize] += shards.len() as u64;
+    }
+    touched
+}
+
+fn logs(index: &Index) -> Vec<Vec<&Entry>> {
+    index.values().map(|entries| entries.iter().collect()).collect()
+}
+
+fn asked(index: &Index, known: &Known, query: &Query) -> Estimate {
+    predict(query, known, Some(&facts(index.len())), &Learned::default(), 0, NOW)
+}
+
+fn any_entry() -> impl Strategy<Value = Entry> {
+    let tenant = prop_oneof![3 => 0..4u32, 2 => 0..90u32];
+    (0..400u64, tenant, 0..3u8, 0..40u16, 10 * SPAN..NOW, 0..6usize).prop_map(
+        |(id, tenant, class, destination, at, state)| {
+            entry(id, &format!("t{tenant}"), class, destination, at, State::ALL[state])
+        },
+    )
+}
+
+fn any_query() -> impl Strategy<Value = Query> {
+    let times = (8 * SPAN..NOW, 0..12 * SPAN);
+    let ids = prop::collection::vec(0..500u64, 0..5);
+    let lists = (prop::collection::vec(0..6usize, 0..3), prop::collection::vec(0..3usize, 0..2));
+    let to = prop::collection::vec(0..50u16, 0..3);
+    ((0..6u32, any::<bool>()), times, ids, lists, to).prop_map(
+        |((tenant, after), (from, long), ids, lists, to)| Query {
+            ids: ids.iter().map(|id| format!("m-{id}")).collect(),
+            from,
+            to: (from + long).min(NOW),
+            states: lists.0.into_iter().map(|at| State::ALL[at]).collect(),
+            classes: lists.1.into_iter().map(|at| ["note", "order", "bill"][at].to_owned()).collect(),
+            destinations: to,
+            limit: if tenant == 5 { 3 } else { 1_000 },
+            after: after.then(|| (from + long / 2, "m-200".to_owned())),
+            ..query(&format!("t{tenant}"))
+        },
+    )
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig::with_cases(400))]
+
+    #[test]
+    fn no_shard_with_a_row_is_left_out_and_nothing_is_beyond_the_bounds_of_a_settled_tier(
+        entries in prop::collection::vec((0..4u16, any_entry()), 0..600),
+        queries in prop::collection::vec(any_query(), 1..12),
+    ) {
+        let mut index: Index = (0..4).map(|owner| (owner, vec![])).collect();
+        entries.into_iter().for_each(|(owner, entry)| index.entry(owner).or_default().push(entry));
+        let known = settled(&index);
+        for query in queries {
+            for held in known.all() {
+                let owner = held.catalogue.log.owner;
+                for (span, list) in spans(&index[&owner]) {
+                    let row = list.iter().any(|e| query.may_want(e));
+                    let (summary, _) = held.summary(span, held.catalogue.version).unwrap();
+                    prop_assert!(!row || summary.part(&query).is_some(), "{query:?} {owner} {span}");
+                }
+            }
+            let said = asked(&index, &known, &query).prediction;
+            let touched = touch(logs(&index), &query).figures;
+            prop_assert!(said.bound && said.doubts.iter().all(|d| matches!(d, Doubt::Full { .. })), "{said:?}");
+            let told = [said.shards, said.entries, said.bytes];
+            for (told, found) in told.into_iter().zip(touched) {
+                prop_assert!(found <= told.most && told.least <= told.expected, "{query:?} {told:?} {found}");
+            }
+            prop_assert!(touched[Figure::Rows as usize] <= said.rows.most);
+            prop_assert!(touched[0] >= said.shards.least, "{query:?} {:?} {touched:?}", said.shards);
+        }
+    }
+}
+
+fn full_of(owners: Rank, each: u64, tenant: impl Fn(u64) -> String) -> Index {
+    let of = |owner: Rank| {
+        (0..each)
+            .map(|n| {
+                let at = 10 * SPAN + (NOW - 10 * SPAN) * n / each;
+                entry(
+                    n + 1_000_000 * u64::from(owner),
+                    &tenant(n),
+                    (n % 3) as u8,
+                    (n % 20) as u16,
+                    at,
+                    State::Delivered,
+                )
+            })
+            .collect()
+    };
+    (0..owners).map(|owner| (owner, of(owner))).collect()
+}
+
+#[test]
+fn an_empty_tier_and_a_lone_sender_cost_nothing_but_what_is_there() {
+    let empty: Index = (0..3).map(|owner| (owner, vec![])).collect();
+    let said = asked(&empty, &settled(&empty), &Query { to: NOW, ..query("a") }).prediction;
+    assert_eq!((said.shards.most, said.bytes.most, said.wire_bytes.most, said.bound), (0, 0, 0, true));
+    let one = full_of(1, 500, |_| "a".into());
+    let said = asked(&one, &settled(&one), &Query { to: NOW, ..query("a") }).prediction;
+    let touched = touch(logs(&one), &query("a")).figures;
+    assert_eq!((said.shards.least, said.shards.expected, said.shards.most), (10, 10, 10));
+    assert_eq!([said.entries.most, said.bytes.most], [touched[1], touched[2]]);
+    assert_eq!((said.wire_bytes.most, said.datagrams.most), (0, 0), "its own shards need no datagram");
+}
+
+#[test]
+fn a_shard_without_summary_counts_as_one_that_may_be_touched_and_is_named() {
+    let index = full_of(3, 600, |_| "a".into());
+    let mut known = Known::new(0, 3, 1, NOW);
+    for (owner, entries) in &index {
+        let (catalogue, mut summaries) = catalogue(*owner, entries, NOW);
+        summaries.retain(|summary| *owner != 2 || summary.span != 15);
+        known.tell(NOW, catalogue, summaries);
+    }
+    let asked_for = Query { from: 15 * SPAN, to: 16 * SPAN, ..query("a") };
+    let said = asked(&index, &known, &asked_for).prediction;
+    assert!(!said.bound && said.doubts.contains(&Doubt::Missing { owner: 2 }), "{:?}", said.doubts);
+    assert!(said.shards.holds(3) && said.shards.expected == 3, "{:?}", said.shards);
+    // A span that it does have is not in doubt.
+    let said = asked(&index, &known, &Query { from: 16 * SPAN, to: 17 * SPAN, ..query("a") }).prediction;
+    assert!(said.bound && said.doubts.is_empty(), "{:?}", said.doubts);
+}
+
+#[test]
+fn what_a_life_that_is_over_or_a_dead_sender_left_is_kept_with_doubt() {
+    let index = full_of(2, 300, |_| "a".into());
+    let mut known = settled(&index);
+    let before = asked(&index, &known, &Query { to: NOW, ..query("a") }).prediction;
+    let (mut later, _) = catalogue(1, &[], NOW);
+    later.log.life = Life(7);
+    later.incarnation = 2;
+    known.tell(NOW, later.clone(), vec![]);
+    let said = asked(&index, &known, &Query { to: NOW, ..query("a") }).prediction;
+    assert!(!said.bound && said.doubts == [Doubt::Gone { owner: 1 }], "{:?}", said.doubts);
+    assert!(said.entries.most >= before.entries.most, "{:?}", said.entries);
+    // What the former life's process says late does not make it the present one.
+    let (mut late, _) = catalogue(1, &index[&1], NOW);
+    late.version.made = 9;
+    known.tell(NOW, late, vec![]);
+    assert_eq!(known.present(1).map(|held| held.catalogue.log.life), Some(Life(7)));
+    let mut dead = facts(2);
+    dead.members[1].state = Held::Dead;
+    let known = settled(&index);
+    let said = predict(&Query { to: NOW, ..query("a") }, &known, Some(&dead), &Learned::default(), 0, NOW);
+    assert!(!said.prediction.bound && said.prediction.doubts == [Doubt::Gone { owner: 1 }]);
+    assert!(said.prediction.time.1 > before.time.1 + 200_000, "it is priced so: {:?}", said.prediction.time);
+}
+
+#[test]
+fn what_is_old_is_told_and_wider() {
+    let index = full_of(2, 300, |_| "a".into());
+    let known = settled(&index);
+    let now = NOW + OLD;
+    let ask = |at: u64| predict(&query("a"), &known, Some(&facts(2)), &Learned::default(), 0, at).prediction;
+    let (fresh, old) = (ask(NOW), ask(now));
+    assert!(fresh.doubts.is_empty() && old.doubts.contains(&Doubt::Old { owner: 1, age: OLD }));
+    assert!(old.entries.expected > fresh.entries.expected && old.entries.most > fresh.entries.most * 2);
+}
+
+#[test]
+fn a_skewed_tenant_is_told_from_the_others_though_its_name_is_not_kept() {
+    // A hundred tenants: 36 of them are counted together, "big" has nine in ten entries.
+    let index = full_of(2, 4_000, |n| if n % 10 > 0 { "big".into() } else { format!("s{}", n / 10 % 100) });
+    let known = settled(&index);
+    let ask = |tenant: &str| {
+        let query = Query { to: NOW, ..query(tenant) };
+        (asked(&index, &known, &query).prediction, touch(logs(&index), &query).figures)
+    };
+    let (said, found) = ask("big");
+    assert!(
+        said.rows.most >= found[5] && said.rows.expected.abs_diff(found[5]) < 300,
+        "{:?} {found:?}",
+        said.rows
+    );
+    assert!(said.entries.expected < 7_000 && said.entries.holds(found[1]), "its rows end it early: {said:?}");
+    for small in 0..100 {
+        let (said, found) = ask(&format!("s{small}"));
+        assert!(said.rows.most >= found[5] && said.rows.expected < 100, "{small} {:?} {found:?}", said.rows);
+        assert_eq!((said.entries.expected, found[1]), (8_000, 8_000), "it reads past the big one's");
+    }
+}
+
+#[test]
+fn a_full_filter_is_told_and_leaves_nothing_out() {
+    let mut index: Index = (0..1).map(|owner| (owner, vec![])).collect();
+    let many = (0..40_000).map(|n| entry(n, "a", 0, 1, 15 * SPAN + n, State::Delivered));
+    index.entry(0).or_default().extend(many);
+    let known = settled(&index);
+    let ids = (0..200).map(|n| format!("m-{n}")).collect();
+    let said = asked(&index, &known, &Query { ids, to: NOW, ..query("a") }).prediction;
+    assert_eq!(said.doubts, [Doubt::Full { owner: 0 }]);
+    assert!(said.entries.most >= 200 && said.bound, "{:?}", said.entries);
+    let ids = vec!["nobody's".to_owned()];
+    let few = full_of(1, 1_000, |_| "a".into());
+    let said = asked(&few, &settled(&few), &Query { ids, to: NOW, ..query("a") }).prediction;
+    assert!(said.doubts.is_empty() && said.shards.most <= 1, "ten shards of 100 ids: {:?}", said.shards);
+}
+
+#[test]
+fn counters_at_their_end_stay_there() {
+    let mut summary =
+        Summary::of(log(0), 5, Version::default(), &[entry(1, "a", 0, 1, 5 * SPAN, State::Taken)]);
+    summary.cells[0].entries = u64::MAX;
+    summary.cells[0].bytes = u64::MAX;
+    let (mut catalogue, _) = catalogue(0, &[entry(1, "a", 0, 1, 5 * SPAN, State::Taken)], u64::MAX);
+    catalogue.slack = u64::MAX;
+    let mut known = Known::new(0, 2, 1, u64::MAX);
+    known.tell(u64::MAX, catalogue.clone(), vec![summary.clone()]);
+    (catalogue.log, summary.log) = (log(1), log(1));
+    known.tell(u64::MAX, catalogue, vec![summary]);
+    let said = predict(&query("a"), &known, Some(&facts(2)), &Learned::default(), 0, u64::MAX);
+    assert_eq!((said.prediction.entries.most, said.prediction.bytes.most), (u64::MAX, u64::MAX));
+    let mut learned = Learned::default();
+    for _ in 0..200 {
+        learned.learn(&said.basis, &Touched { figures: [u64::MAX; FIGURES], took: u64::MAX });
+    }
+    let said = predict(&query("a"), &known, Some(&facts(2)), &learned, 0, u64::MAX).prediction;
+    assert!(said.bytes.most > u64::MAX / 2 && said.time.1 >= said.time.0, "{said:?}");
+}
+
+#[test]
+fn too_much_is_narrowed_to_the_newest_or_refused_and_says_why() {
+    let index = full_of(2, 1_000, |_| "a".into());
+    let known = settled(&index);
+    let decide_by = |plan: &Plan, query: &Query, left| {
+        let limits = Limits { plan, within: 800_000, unix: NOW };
+        decide(query, limits, left, &mut |query| asked(&index, &known, query))
+    };
+    let all = Query { to: NOW, ..query("a") };
+    assert_eq!(decide_by(&Plan::default(), &all, Ok(())).decision, Decision::Run);
+    let plan = Plan { shards: 6, ..Plan::default() };
+    let decided = decide_by(&plan, &all, Ok(()));
+    let Decision::Narrowed { from, reason: Reason::Shards } = decided.decision else {
+        panic!("{:?}", decided.decision)
+    };
+    let touched = touch(logs(&index), &Query { from, ..all.clone() });
+    assert!((4..=6).contains(&touched.figures[0]), "{touched:?}");
+    let plan = Plan { bytes_per_min: 20_000, ..Plan::default() };
+    let decided = decide_by(&plan, &all, Ok(())).decision;
+    assert!(matches!(decided, Decision::Narrowed { reason: Reason::Bytes, .. }), "{decided:?}");
+    let ids = Query { ids: vec!["m-1".into(), "m-1000002".into()], ..all.clone() };
+    let decided = decide_by(&Plan { shards: 1, ..Plan::default() }, &ids, Ok(())).decision;
+    assert_eq!(decided, Decision::Refused { reason: Reason::Shards });
+    let short = Short { after: 5, reason: Reason::Queries };
+    let decided = decide_by(&Plan::default(), &all, Err(short)).decision;
+    assert_eq!(decided, Decision::Later { after: 5, reason: Reason::Queries });
+    let limits = Limits { plan: &Plan::default(), within: 100, unix: NOW };
+    let decided = decide(&ids, limits, Ok(()), &mut |query| asked(&index, &known, query)).decision;
+    assert_eq!(decided, Decision::Refused { reason: Reason::Time });
+}
+
+#[test]
+fn a_query_past_its_bound_is_cut_and_what_it_did_not_use_goes_back() {
+    let index = full_of(1, 100, |_| "a".into());
+    let known = settled(&index);
+    let estimate = asked(&index, &known, &Query { from: 15 * SPAN, to: NOW, ..query("a") });
+    let mut budgets = Budgets::new(0, 1, 0);
+    let (plan, whole) = (Plan::default(), Cost { queries: 1, bytes: estimate.prediction.bytes.most });
+    let now = 200_000_000;
+    assert_eq!(budgets.want(now, &facts(1), "a", &plan, whole), Ok(()));
+    let before = budgets.left(now, "a");
+    let mut running = Running::begin(&mut budgets, now, "a", &estimate).unwrap();
+    assert_eq!(budgets.left(now, "a").bytes, before.bytes - whole.bytes);
+    assert_eq!((0..5).map(|_| running.shard()).collect::<Result<Vec<_>, _>>().map(|s| s.len()), Ok(5));
+    assert_eq!(running.shard(), Err(Cut::Shards(5)));
+    assert_eq!(running.read(500), Ok(()));
+    assert_eq!(running.read(u64::MAX), Err(Cut::Bytes(500)));
+    assert_eq!(running.read(whole.bytes), Err(Cut::Bytes(500)));
+    assert_eq!(running.end(&mut budgets, now), (5, 500));
+    assert_eq!(budgets.left(now, "a"), Cost { queries: before.queries - 1, bytes: before.bytes - 500 });
+}
+
+#[test]
+fn summaries_spread_to_all_within_their_budget_and_the_newest_wins() {
+    let size = 12;
+    let index = full_of(size, 2_000, |n| format!("t{}", n % 30));
+    let mut senders: Vec<Known> = (0..size).map(|r| Known::new(r, size.into(), u64::from(r), 0)).collect();
+    for (owner, entries) in &index {
+        let (catalogue, summaries) = catalogue(*owner, entries, NOW);
+        senders[usize::from(*owner)].tell(0, catalogue, summaries);
+    }
+    let lacking = |known: &Known| {
+        let held = known.all().map(|held| held.catalogue.spans.len() - held.summaries.len());
+        (usize::from(size) - known.all().count()) * 10 + held.sum::<usize>()
+    };
+    let mut last = 0;
+    for now in (0..120_000_000u64).step_by(50_000) {
+        for rank in 0..size {
+            let mut out = vec![];
+            senders[usize::from(rank)].tick(now, Some(&facts(size.into())), &mut |to, bytes| {
+                out.push((to, bytes.to_vec()));
+                true
+            });
+            for (n, (to, bytes)) in out.into_iter().enumerate() {
+                // One message in eight gets lost with its channel.
+                if (now / 50_000 + n as u64) % 8 > 0 {
+                    senders[usize::from(to)].receive(now, rank, &bytes);
+                }
+            }
+        }
+        if senders.iter().any(|known| lacking(known) > 0) {
+            last = now;
+        }
+    }
+    assert!(last < 100_000_000, "all had all after {last}");
+    for known in &senders {
+        assert!(known.counts.sent_bytes <= BUDGET * 120 + BURST, "{:?}", known.counts);
+    }
+    // One that changes is held in its newest version by all.
+    let (mut newer, _) = catalogue(3, &index[&3], NOW + 1);
+    newer.version.upto += 1;
+    senders[3].tell(120_000_000, newer.clone(), vec![]);
+    let mut ages = vec![];
+    for now in (120_000_000..160_000_000u64).step_by(50_000) {
+        for rank in 0..size {
+            let mut out = vec![];
+            senders[usize::from(rank)].tick(now, None, &mut |to, bytes| {
+                out.push((to, bytes.to_vec()));
+                true
+            });
+            out.into_iter().for_each(|(to, bytes)| senders[usize::from(to)].receive(now, rank, &bytes));
+        }
+    }
+    for known in &senders {
+        let held = known.present(3).unwrap();
+        assert_eq!(held.catalogue, newer);
+        ages.push(held.age(160_000_000));
+    }
+    assert!(ages.iter().all(|age| *age >= 39_000_000), "its age is handed on: {ages:?}");
+}
+
+#[test]
+fn when_intervals_do_not_hold_they_widen_say_so_and_hold_again() {
+    let index = full_of(2, 500, |_| "a".into());
+    let known = settled(&index);
+    let mut learned = Learned::default();
+    let asked_for = query("a");
+    let shape = Shape::of(&asked_for);
+    let mut rng = fastrand::Rng::with_seed(5);
+    let mut play = |learned: &mut Learned, queries: usize, off: f64| {
+        let mut told = 0;
+        for _ in 0..queries {
+            let said = predict(&asked_for, &known, Some(&facts(2)), learned, 0, NOW);
+            told += usize::from(said.prediction.doubts.iter().any(|d| matches!(d, Doubt::Missed { .. })));
+            let found = said.basis.raw.map(|raw| (raw * off * (0.5 + rng.f64())) as u64);
+            learned.learn(&said.basis, &Touched { figures: found, took: 3_000 });
+        }
+        told
+    };
+    play(&mut learned, 600, 1.0);
+    let calm = learned.held(shape, Figure::Bytes).unwrap();
+    assert!((83..=98).contains(&calm), "{calm}");
+    // All at once queries touch nearly three times as much, and then ten times: that is noticed.
+    let told = play(&mut learned, 60, 3.0) + play(&mut learned, 60, 10.0);
+    assert!(told > 20, "{told}");
+    play(&mut learned, 600, 10.0);
+    let again = learned.held(shape, Figure::Bytes).unwrap();
+    assert!((83..=98).contains(&again), "{again}");
+}
+
+#[test]
+fn a_clock_that_steps_back_takes_the_bound_from_what_it_may_have_stepped_over() {
+    let mut estimator = Estimator::new(0, 1, 1, SPAN, BTreeMap::new(), 1, 0);
+    estimator.look(facts(1));
+    let mut entries = vec![entry(1, "a", 0, 1, NOW - 1_000, State::Taken)];
+    let shard = |e: &Entry| ShardId { owner: 0, span: (e.taken_at / SPAN) as u32 };
+    let made = |estimator: &mut Estimator, now: u64, unix: u64, entries: &[Entry]| {
+        let log = (log(0), entries.len() as u64);
+        estimator.summarise(now, unix, log, || entries.iter().map(|e| (shard(e), e)));
+    };
+    made(&mut estimator, 0, NOW, &entries);
+    let upto = |to: u64| Query { to, ..query("a") };
+    assert!(estimator.predict(0, &upto(NOW)).prediction.bound);
+    // Ten seconds back: what is taken on from now on comes before what was told of as complete.
+    let back = NOW - 10_000_000;
+    entries.push(entry(2, "a", 0, 1, back + 5, State::Taken));
+    made(&mut estimator, 5_000_000, back + 10, &entries);
+    let said = estimator.predict(5_000_000, &upto(NOW)).prediction;
+    assert!(!said.bound && said.entries.most >= 2, "{said:?}");
+    assert!(!estimator.predict(5_000_000, &upto(back)).prediction.bound);
+    assert!(estimator.predict(5_000_000, &upto(back - 10_000_000)).prediction.bound);
+}
