Answer what a query or a run will cost at the management address, where the status index is on

Need: operators ask before they run something. The estimator has no way in yet.

Change: an optional part with a mesh of its own, there where the section `status` is: it takes the view, passes datagrams and time on, and reports. POST /control/estimate answers a query or a planned run with intervals, doubts and a decision, GET what that is made from; errors have a code, what happened and a remedy. Nothing is run or charged by either.

Measured: one real sender answers both kinds; without the section it answers 404 estimate.off and the part is not there.

--- a/src/net/control.rs
+++ b/src/net/control.rs
@@ -17,6 +17,10 @@
     Members,
     /// What is covered, held for others, and taken over.
     Takeover,
+    /// What estimates are made from.
+    Estimates,
+    /// What a query or a run will cost, as it came.
+    Estimate(Vec<u8>),
     /// Send clients elsewhere, and have all ended within this time if there is one.
     OutOfService(Option<Micros>),
     /// Take endpoints out of use.
--- a/src/net/driver.rs
+++ b/src/net/driver.rs
@@ -3,6 +3,7 @@
 
 mod covered;
 mod draining;
+mod estimating;
 
 use std::cell::RefCell;
 use std::collections::{BTreeMap, BTreeSet, HashMap};
--- a/src/net/driver/draining.rs
+++ b/src/net/driver/draining.rs
@@ -55,6 +55,8 @@
             Ask::Endpoints => Reply::yes(&self.endpoints_report()),
             Ask::Members => self.members(),
             Ask::Takeover => self.takeover_report(),
+            Ask::Estimates => self.estimate_report(),
+            Ask::Estimate(body) => self.estimate(&body),
             Ask::OutOfService(within) => match self.service(false, within, said) {
                 true => Reply::yes(&self.drain_report()),
                 // A process that is on its way out does not come back.
--- /dev/null
+++ b/src/net/driver/estimating.rs
@@ -0,0 +1,122 @@
+//! What something will cost, for operators: a query of the status index, or a planned run of messages.
+
+use hyper::StatusCode;
+use myrtleyard::estimate::estimator::{self, NoEstimate};
+use myrtleyard::estimate::sending::{self, NoRun, Run};
+use myrtleyard::interface::{DestinationId, Outlook};
+use myrtleyard::status::Query;
+use serde::Deserialize;
+use serde_json::json;
+
+use super::super::control::Reply;
+use super::super::parts::Part;
+use super::Driver;
+
+/// What is to be estimated.
+#[derive(Debug, Deserialize)]
+#[serde(rename_all = "snake_case", deny_unknown_fields)]
+enum Asked {
+    /// A query.
+    Query(Query),
+    /// A run.
+    Run(Run),
+}
+
+/// Why there is no estimate.
+#[derive(Debug, thiserror::Error)]
+enum Why {
+    #[error("nothing is estimated here: the configuration has no section \"status\"")]
+    Off,
+    #[error("the body can't be read: {0}")]
+    Body(#[from] serde_json::Error),
+    #[error("the query can't be estimated: {0}")]
+    Query(#[from] NoEstimate),
+    #[error("the run can't be estimated: {0}")]
+    Run(#[from] NoRun),
+    #[error("there is no tenant {0}")]
+    Tenant(String),
+}
+
+impl Why {
+    fn code(&self) -> &'static str {
+        match self {
+            Self::Off => "estimate.off",
+            Self::Body(_) => "estimate.body",
+            Self::Query(why) => why.code(),
+            Self::Run(why) => why.code(),
+            Self::Tenant(_) => "estimate.tenant",
+        }
+    }
+
+    fn remedy(&self) -> &'static str {
+        match self {
+            Self::Off => {
+                "put the sections \"membership\" and \"status\" into the configuration and start it anew"
+            }
+            Self::Body(_) => {
+                "send {\"query\": {...}} or {\"run\": {...}} with the fields of docs/estimate.md"
+            }
+            Self::Query(why) => why.remedy(),
+            Self::Run(why) => why.remedy(),
+            Self::Tenant(_) => "name one of settings.realms",
+        }
+    }
+
+    fn reply(&self) -> Reply {
+        let status = match self {
+            Self::Off | Self::Run(NoRun::Nowhere(_)) => StatusCode::NOT_FOUND,
+            _ => StatusCode::BAD_REQUEST,
+        };
+        Reply::new(status, &json!({"code": self.code(), "error": self.to_string(), "remedy": self.remedy()}))
+    }
+}
+
+impl Driver {
+    /// What something will cost; nothing is run or charged.
+    pub(super) fn estimate(&self, body: &[u8]) -> Reply {
+        match self.estimated(body) {
+            Ok(reply) => reply,
+            Err(why) => why.reply(),
+        }
+    }
+
+    /// What estimates are made from.
+    pub(super) fn estimate_report(&self) -> Reply {
+        match &self.parts.estimating {
+            Some(part) => Reply::yes(&part.report(self.clock.now())),
+            None => Why::Off.reply(),
+        }
+    }
+
+    fn estimated(&self, body: &[u8]) -> Result<Reply, Why> {
+        let part = self.parts.estimating.as_ref().ok_or(Why::Off)?;
+        let names = self.names.borrow();
+        let now = self.clock.now();
+        match serde_json::from_slice(body)? {
+            Asked::Query(query) => {
+                estimator::check(&query)?;
+                if !names.tenants.is_empty() && !names.tenants.contains(&query.tenant) {
+                    return Err(Why::Tenant(query.tenant));
+                }
+                Ok(Reply::yes(&part.told(now, &query)))
+            }
+            Asked::Run(run) => {
+                let tenant = names.tenants.iter().position(|tenant| *tenant == run.tenant);
+                let class = names.class(&run.class);
+                let outlook = |to| self.outlook(to, tenant);
+                let runs = &part.core.runs;
+                let planned = sending::plan(&run, (class, tenant), &self.settings, runs, now, outlook)?;
+                Ok(Reply::yes(&planned.0))
+            }
+        }
+    }
+
+    /// What the module knows of a destination, with what the list has of it.
+    fn outlook(&self, to: DestinationId, tenant: Option<usize>) -> Outlook {
+        let listed = self.endpoints.values().filter(|known| known.listed && known.group == to.0);
+        let active: Vec<usize> = listed.filter(|known| known.active()).map(|known| known.bundle).collect();
+        let bundle = active.iter().copied().max().unwrap_or(1);
+        let outlook = self.policy.outlook(to, tenant.unwrap_or(usize::MAX));
+        Outlook { endpoints: active.len(), bundle, ..outlook }
+    }
+}
--- a/src/net/mgmt.rs
+++ b/src/net/mgmt.rs
@@ -112,6 +112,10 @@
             "/control/endpoints" if get => self.ask(Ask::Endpoints).await,
             "/control/members" if get => self.ask(Ask::Members).await,
             "/control/takeover" if get => self.ask(Ask::Takeover).await,
+            "/control/estimate" if get => self.ask(Ask::Estimates).await,
+            "/control/estimate" if post => {
+                self.ask_with(request, |body| Ok(Ask::Estimate(body.to_vec()))).await
+            }
             "/control/endpoints/drain" if post => {
                 self.ask_with(request, |body| read(body).map(Ask::DrainEndpoints)).await
             }
@@ -126,6 +130,7 @@
             | "/control/endpoints/drain"
             | "/control/endpoints/restore"
             | "/control/config/check" => not_allowed("POST"),
+            "/control/estimate" => not_allowed("GET, POST"),
             _ => plain(StatusCode::NOT_FOUND, "not found\n"),
         }))
     }
--- a/src/net/parts/mod.rs
+++ b/src/net/parts/mod.rs
@@ -4,6 +4,7 @@
 
 pub mod covering;
 pub mod draining;
+pub mod estimating;
 pub mod view;
 
 use std::path::Path;
@@ -15,6 +16,7 @@
 use super::config::Config;
 use covering::Covering;
 use draining::Draining;
+use estimating::Estimating;
 use view::View;
 
 /// Datagrams to other senders, by their numbers.
@@ -50,6 +52,8 @@
     pub view: Option<View>,
     /// Covers for what is in hand.
     pub covering: Option<Covering>,
+    /// What queries and runs will cost.
+    pub estimating: Option<Estimating>,
 }
 
 impl Parts {
@@ -59,6 +63,7 @@
             draining: config.draining.map(|section| Draining::open(folder, section.max_marks)),
             view: View::open(config, now),
             covering: Covering::open(config, folder, now),
+            estimating: Estimating::open(config, now),
         }
     }
 
@@ -71,6 +76,7 @@
     /// The configuration has changed. Draining and covers stay as they were at the start, since their room was set
     /// aside then.
     pub fn adopt(&mut self, config: &Config, now: Micros, out: &mut Out) {
+        self.estimating.iter_mut().for_each(|estimating| estimating.adopt(config));
         match (&mut self.view, &config.membership) {
             (Some(view), Some(_)) => view.adopt(config, now),
             (Some(view), None) => {
@@ -85,7 +91,8 @@
         let draining = self.draining.as_mut().map(|part| part as &mut dyn Part);
         let view = self.view.as_mut().map(|part| part as &mut dyn Part);
         let covering = self.covering.as_mut().map(|part| part as &mut dyn Part);
-        draining.into_iter().chain(view).chain(covering)
+        let estimating = self.estimating.as_mut().map(|part| part as &mut dyn Part);
+        draining.into_iter().chain(view).chain(covering).chain(estimating)
     }
 
     /// When the first of them wants to be called.
@@ -93,7 +100,8 @@
         let draining = self.draining.as_ref().and_then(Part::due);
         let view = self.view.as_ref().and_then(Part::due);
         let covering = self.covering.as_ref().and_then(Part::due);
-        draining.into_iter().chain(view).chain(covering).min()
+        let estimating = self.estimating.as_ref().and_then(Part::due);
+        draining.into_iter().chain(view).chain(covering).chain(estimating).min()
     }
 
     /// Calls those whose time has come.
@@ -102,6 +110,11 @@
             let facts = self.view.as_ref().map(|view| view.facts(now));
             covering.look(facts.as_ref());
         }
+        if let Some(estimating) =
+            self.estimating.as_mut().filter(|part| part.due().is_some_and(|due| due <= now))
+        {
+            estimating.look(self.view.as_ref().map(|view| view.facts(now)));
+        }
         for part in self.each().filter(|part| part.due().is_some_and(|due| due <= now)) {
             part.tick(now, out);
         }
--- a/tests/estimate/budgets.rs
+++ b/tests/estimate/budgets.rs
@@ -88,10 +88,10 @@
             if let Some((_, views)) = self.news.pop_if(|(at, _)| *at <= self.now) {
                 self.views = views;
             }
-            let (due, later) =
+            let (due, later): (Vec<_>, Vec<_>) =
                 std::mem::take(&mut self.on_the_way).into_iter().partition(|n| n.0 <= self.now);
             self.on_the_way = later;
-            for (_, from, to, note) in Vec::<(u64, Rank, Rank, Note)>::from(due) {
+            for (_, from, to, note) in due {
                 let (at, plan) = (usize::from(to), self.plan.clone());
                 if self.alive[at] && self.side[at] == self.side[usize::from(from)] {
                     let now = self.clock(at);
--- a/tests/estimate/main.rs
+++ b/tests/estimate/main.rs
@@ -108,7 +108,8 @@
         log.sort_by(|a, b| (a.taken_at, &a.id).cmp(&(b.taken_at, &b.id)));
         let (mut shards, mut matched) = (BTreeSet::new(), 0);
         for e in log.into_iter().filter(|e| (from..query.to).contains(&e.taken_at)) {
-            if !query.ids.is_empty() && !(e.tenant == query.tenant && query.ids.contains(&e.id)) {
+            let named = e.tenant == query.tenant && query.ids.contains(&e.id);
+            if !named && !query.ids.is_empty() {
                 continue;
             }
             shards.insert(e.taken_at / SPAN);
@@ -419,7 +420,7 @@
             });
             for (n, (to, bytes)) in out.into_iter().enumerate() {
                 // One message in eight gets lost with its channel.
-                if (now / 50_000 + n as u64) % 8 > 0 {
+                if !(now / 50_000 + n as u64).is_multiple_of(8) {
                     senders[usize::from(to)].receive(now, rank, &bytes);
                 }
             }
--- a/tests/node/main.rs
+++ b/tests/node/main.rs
@@ -2,6 +2,7 @@
 
 mod configuration;
 mod draining;
+mod estimating;
 mod world;
 
 use std::collections::BTreeSet;
