--- a/src/estimate/estimator.rs
+++ b/src/estimate/estimator.rs
@@ -9,7 +9,7 @@
 use super::known::{self, Catalogue, Known};
 use super::learned::{Figure, Learned, Touched};
 use super::lend::{self, Budgets, Cost, Note, Short};
-use super::predict::{Estimate, predict};
+use super::predict::{Estimate, TRIP, predict, priced};
 use super::sending::Runs;
 use super::summary::{Summary, Version};
 use super::{Decision, Prediction, Reason};
@@ -328,6 +328,13 @@
         }
     }
 
+    /// What reading a log at a sender costs, microseconds: what its part of an answer took of late, and what is added for
+    /// one that is suspected, cut off or starting. Reads by plan go to the least.
+    pub fn price(&self, now: Micros, server: Rank) -> Micros {
+        let trip = if server == self.own { 0.0 } else { self.learned.trip(server, TRIP) };
+        (trip as Micros).saturating_add(priced(server, self.facts.as_ref(), now))
+    }
+
     /// Whether a datagram is for this.
     pub fn claims(&self, bytes: &[u8]) -> bool {
         self.mesh.claims(bytes)
--- a/src/estimate/known.rs
+++ b/src/estimate/known.rs
@@ -30,7 +30,7 @@
 pub const MOST_SPANS: usize = 512;
 /// Bytes of summaries that are held at most. The oldest spans go first; their catalogue stays.
 pub const MOST_HELD: usize = 4 << 20;
-/// How long what a life that is over left is held.
+/// How long what a life that is over, or a sender that is gone, left is held.
 pub const OVER: Micros = 600_000_000;
 /// Summaries that are asked for in one message at most.
 const MOST_WANTED: usize = 16;
@@ -363,7 +363,14 @@
     pub fn tick(&mut self, now: Micros, facts: Option<&Facts>, send: &mut dyn FnMut(Rank, &[u8]) -> bool) {
         if now >= self.next_round {
             self.next_round = now + ROUND;
-            let done = |held: &Held| held.over.is_some_and(|over| now >= over.saturating_add(OVER));
+            let gone = |owner: Rank| {
+                let fact = facts.and_then(|facts| facts.members.get(usize::from(owner)));
+                fact.is_some_and(|fact| matches!(fact.state, State::Dead | State::Left))
+            };
+            let done = |held: &Held| {
+                let over = held.over.is_some_and(|over| now >= over.saturating_add(OVER));
+                over || (held.age(now) >= OVER && gone(held.catalogue.log.owner))
+            };
             let done: Vec<LogId> =
                 self.held.iter().filter(|(_, held)| done(held)).map(|(log, _)| *log).collect();
             done.into_iter().for_each(|log| self.forget(log));
--- a/src/estimate/predict.rs
+++ b/src/estimate/predict.rs
@@ -29,7 +29,7 @@
 /// Datagram bytes beside a segment's.
 const AROUND: u64 = 256 - SEGMENT as u64;
 /// Until a link is known, microseconds.
-const TRIP: f64 = 2_000.0;
+pub const TRIP: f64 = 2_000.0;
 /// Reading one entry, microseconds, until more is learned.
 const READ: f64 = 0.5;
 /// How much further intervals go for each owner in doubt, as part of all owners.
@@ -304,7 +304,7 @@
 }
 
 /// What hitting a sender adds to the tail.
-fn priced(rank: Rank, facts: Option<&Facts>, now: Micros) -> Micros {
+pub(super) fn priced(rank: Rank, facts: Option<&Facts>, now: Micros) -> Micros {
     let Some(facts) = facts else { return 0 };
     let Some(fact) = facts.members.get(usize::from(rank)) else { return SUSPECT_TAIL };
     match fact.state {
--- a/tests/node/estimating.rs
+++ b/tests/node/estimating.rs
@@ -110,3 +110,57 @@
     let report = nodes[0].call("GET", "/control/estimate").json();
     assert_eq!(report["owners"].as_array().map(Vec::len), Some(3), "{report}");
 }
+
+/// Answers each call after a while until so many messages have come; how many calls that were.
+fn deliver(endpoint: &Served, messages: usize) -> u64 {
+    let (mut came, mut calls) = (0, 0);
+    while came < messages {
+        let call = endpoint.next();
+        calls += 1;
+        std::thread::sleep(std::time::Duration::from_millis(20));
+        if call.http.first.contains(":batch") {
+            let parts = call.http.json();
+            let parts = parts.as_array().unwrap();
+            came += parts.len();
+            let ends: Vec<_> = parts.iter().map(|part| json!({"id": part["id"], "state": "ok"})).collect();
+            call.reply(Reply::Answer(200, vec![], json!(ends).to_string()));
+        } else {
+            came += 1;
+            call.reply(status(200));
+        }
+    }
+    calls
+}
+
+#[test]
+fn a_run_that_is_played_takes_as_many_calls_and_as_long_as_was_said() {
+    let (platform, endpoint) = (Platform::new(), Served::new());
+    let peers = addresses(1);
+    let endpoints = [listing("e1", 7, "bulk", endpoint.address)];
+    let node = Node::start(&platform, &endpoints, |config| on(config, &peers, 0));
+    let hand_in = |from: usize, to: usize| {
+        for number in from..to {
+            let text = String::from_utf8(handing_in(&format!("m{number}"), "note", 7, 20_000)).unwrap();
+            let text = text.replace("Req-Kind", "Req-Owner: water\r\nReq-Kind");
+            assert_eq!(node.ask(text.as_bytes()).status(), 202);
+        }
+    };
+    // From then on it is known how long answers take.
+    hand_in(0, 10);
+    deliver(&endpoint, 10);
+    let run =
+        json!({"class": "note", "tenant": "water", "destinations": [7], "messages": 60, "body_bytes": 4});
+    let (code, said) = estimate(&node, &json!({"run": run}));
+    assert_eq!((code, &said["in_time"]), (200, &json!(true)), "{said}");
+    let begun = std::time::Instant::now();
+    let calls = std::thread::scope(|scope| {
+        scope.spawn(|| hand_in(10, 70));
+        deliver(&endpoint, 60)
+    });
+    let ends = |figure: &str| ["least", "most"].map(|end| said[figure][end].as_u64().unwrap());
+    let ([least, most], took) = (ends("calls"), begun.elapsed().as_micros() as u64);
+    assert!((least..=most).contains(&calls), "{calls} calls: {said}");
+    let [least, most] = ends("time");
+    assert!((least..=most).contains(&took), "{took} microseconds: {said}");
+    println!("{calls} calls in {took} microseconds: {said}");
+}
