--- a/src/net/driver.rs
+++ b/src/net/driver.rs
@@ -3,6 +3,7 @@
 
 mod covered;
 mod draining;
+mod estimating;
 mod indexed;
 
 use std::cell::RefCell;
--- a/src/net/driver/draining.rs
+++ b/src/net/driver/draining.rs
@@ -55,6 +55,8 @@
             Ask::Endpoints => Reply::yes(&self.endpoints_report()),
             Ask::Members => self.members(),
             Ask::Takeover => self.takeover_report(),
+            Ask::Estimates => self.estimate_report(),
+            Ask::Estimate(body) => self.estimate(&body),
             Ask::Status => self.status_report(),
             Ask::OutOfService(within) => match self.service(false, within, said) {
                 true => Reply::yes(&self.drain_report()),
--- a/src/net/driver/indexed.rs
+++ b/src/net/driver/indexed.rs
@@ -60,7 +60,14 @@
     pub(super) fn ask_status(&mut self, query: Query, within: Micros, reply: oneshot::Sender<Reply>) {
         let now = self.clock.now();
         match &mut self.parts.indexing {
-            Some(indexing) => indexing.ask(query, within, now, reply),
+            Some(indexing) => {
+                let estimating = self.parts.estimating.as_mut();
+                let basis = estimating.as_ref().map(|part| part.core.predict(now, &query).basis);
+                let number = indexing.ask(query, within, now, reply);
+                if let (Some(part), Some(number), Some(basis)) = (estimating, number, basis) {
+                    part.asked(number, basis);
+                }
+            }
             // Who does not wait any more has gone.
             None => drop(reply.send(not_on())),
         }
--- a/src/net/mgmt.rs
+++ b/src/net/mgmt.rs
@@ -126,6 +126,10 @@
             "/control/endpoints" if get => self.ask(Ask::Endpoints).await,
             "/control/members" if get => self.ask(Ask::Members).await,
             "/control/takeover" if get => self.ask(Ask::Takeover).await,
+            "/control/estimate" if get => self.ask(Ask::Estimates).await,
+            "/control/estimate" if post => {
+                self.ask_with(request, |body| Ok(Ask::Estimate(body.to_vec()))).await
+            }
             "/control/status" if get => self.ask(Ask::Status).await,
             "/control/status/query" if post => match whole(request, QUERY_BODY).await {
                 Ok(body) => match serde_json::from_slice(&body) {
@@ -154,6 +158,7 @@
             | "/control/endpoints/restore"
             | "/control/status/query"
             | "/control/config/check" => not_allowed("POST"),
+            "/control/estimate" => not_allowed("GET, POST"),
             _ => plain(StatusCode::NOT_FOUND, "not found\n"),
         }))
     }
--- a/src/net/parts/indexing.rs
+++ b/src/net/parts/indexing.rs
@@ -13,7 +13,7 @@
 use myrtleyard::status::folder::{LEAST_ROOM, Step};
 use myrtleyard::status::index::{Index, Place};
 use myrtleyard::status::log::{Restored, restore};
-use myrtleyard::status::query::{LONGEST, Refused};
+use myrtleyard::status::query::{Answer, LONGEST, Refused};
 use myrtleyard::status::{Config as Section, Entry, Query, Rank, State};
 use serde_json::{Value, json};
 use tokio::sync::oneshot;
@@ -40,6 +40,8 @@
     failed: Option<Micros>,
     /// Those who wait for answers.
     waiting: BTreeMap<u64, oneshot::Sender<Reply>>,
+    /// Answers of this turn, for estimates to be held against.
+    pub answered: Vec<(u64, Answer)>,
 }
 
 fn segment(folder: &Path, at: u64) -> PathBuf {
@@ -100,7 +102,15 @@
         let room = Self::room(section, config.disk);
         let core = Index::new(section, place, restored, old, (room, boot), chance(), now);
         let folder = folder.to_owned();
-        Some(Self { core, own, folder, open: None, failed: None, waiting: BTreeMap::new() })
+        Some(Self {
+            core,
+            own,
+            folder,
+            open: None,
+            failed: None,
+            waiting: BTreeMap::new(),
+            answered: Vec::new(),
+        })
     }
 
     /// Bytes that it may take of the folder, of which `disk` bytes are for everything: a quarter of it at most.
@@ -213,15 +223,28 @@
                 // Who does not wait any more has gone.
                 let _ = waiting.send(Reply::yes(&answer));
             }
+            self.answered.push((number, answer));
         }
     }
 
-    /// Asks the tier; the answer comes within that time.
-    pub fn ask(&mut self, query: Query, within: Micros, now: Micros, reply: oneshot::Sender<Reply>) {
+    /// Asks the tier; the answer comes within that time, under the number that this gives.
+    pub fn ask(
+        &mut self,
+        query: Query,
+        within: Micros,
+        now: Micros,
+        reply: oneshot::Sender<Reply>,
+    ) -> Option<u64> {
         let routes = self.core.routes();
         match self.core.ask(now, query, routes, within.min(LONGEST)) {
-            Ok(number) => drop(self.waiting.insert(number, reply)),
-            Err(why) => drop(reply.send(refused(&why))),
+            Ok(number) => {
+                self.waiting.insert(number, reply);
+                Some(number)
+            }
+            Err(why) => {
+                drop(reply.send(refused(&why)));
+                None
+            }
         }
     }
 }
--- a/src/net/parts/mod.rs
+++ b/src/net/parts/mod.rs
@@ -4,6 +4,7 @@
 
 pub mod covering;
 pub mod draining;
+pub mod estimating;
 pub mod indexing;
 pub mod view;
 
@@ -16,6 +17,7 @@
 use super::config::Config;
 use covering::Covering;
 use draining::Draining;
+use estimating::Estimating;
 use indexing::Indexing;
 use view::View;
 
@@ -52,6 +54,8 @@
     pub view: Option<View>,
     /// Covers for what is in hand.
     pub covering: Option<Covering>,
+    /// What queries and runs will cost.
+    pub estimating: Option<Estimating>,
     /// The status index.
     pub indexing: Option<Indexing>,
 }
@@ -63,6 +67,7 @@
             draining: config.draining.map(|section| Draining::open(folder, section.max_marks)),
             view: View::open(config, now),
             covering: Covering::open(config, folder, now),
+            estimating: Estimating::open(config, now),
             indexing: Indexing::open(config, folder, now),
         }
     }
@@ -77,6 +82,7 @@
     /// The configuration has changed. Draining, covers and the index stay as they were at the start, since their room was set
     /// aside then.
     pub fn adopt(&mut self, config: &Config, now: Micros, out: &mut Out) {
+        self.estimating.iter_mut().for_each(|estimating| estimating.adopt(config));
         match (&mut self.view, &config.membership) {
             (Some(view), Some(_)) => view.adopt(config, now),
             (Some(view), None) => {
@@ -91,8 +97,9 @@
         let draining = self.draining.as_mut().map(|part| part as &mut dyn Part);
         let view = self.view.as_mut().map(|part| part as &mut dyn Part);
         let covering = self.covering.as_mut().map(|part| part as &mut dyn Part);
+        let estimating = self.estimating.as_mut().map(|part| part as &mut dyn Part);
         let indexing = self.indexing.as_mut().map(|part| part as &mut dyn Part);
-        draining.into_iter().chain(view).chain(covering).chain(indexing)
+        draining.into_iter().chain(view).chain(covering).chain(indexing).chain(estimating)
     }
 
     /// When the first of them wants to be called.
@@ -100,8 +107,9 @@
         let draining = self.draining.as_ref().and_then(Part::due);
         let view = self.view.as_ref().and_then(Part::due);
         let covering = self.covering.as_ref().and_then(Part::due);
+        let estimating = self.estimating.as_ref().and_then(Part::due);
         let indexing = self.indexing.as_ref().and_then(Part::due);
-        draining.into_iter().chain(view).chain(covering).chain(indexing).min()
+        draining.into_iter().chain(view).chain(covering).chain(indexing).chain(estimating).min()
     }
 
     /// Calls those whose time has come.
@@ -113,6 +121,9 @@
         if let Some(indexing) = self.indexing.as_mut().filter(|indexing| indexing.core.looks(now)) {
             indexing.look(self.view.as_ref().map(|view| view.facts(now)));
         }
+        if let Some(estimating) = &mut self.estimating {
+            estimating.look(now, self.view.as_ref(), self.indexing.as_mut());
+        }
         for part in self.each().filter(|part| part.due().is_some_and(|due| due <= now)) {
             part.tick(now, out);
         }
