Decide where a read goes, and hold what comes back against its session's token

Need: read-your-writes is to be a feature of a tenant's plan, on top of the status index.

Design: reads go to logs, not to senders. A token says up to which change each log was seen; a log's route is chosen by hints (announced positions, the view, a cost that is passed in), and an answer counts by the position that the answering sender states with its rows. What a read shows, also beyond that position and also by leaving something out, is in the token that it gives back. A token is bounded at 128 logs: those with the least names stay, so that merging is a join at the bound, too, and a log that it does not name is then read at its owner. Lost is told apart from late: it needs the owner's word that it is in another life, and after that the word of all who may hold the log.

Not taken: all reads at the owner (a lost owner would take its tenants' reads with it), tokens by time (clocks step), and tokens that are signed (who makes one up only asks for more than there is).

Change: rooms `token`, `route`, `session`, `limits`, `adopted` in src/plans, sans I/O. `Reached` and `Otherwise` can be hashed. Nothing is joined to a sender yet.

--- a/src/plans/mod.rs
+++ b/src/plans/mod.rs
@@ -1,6 +1,12 @@
 //! Reads by a tenant's plan: how fresh an answer has to be, what it may cost, and which sender gives it. Read-your-writes
 //! is a feature of the plan. Here are the words; the rooms below hold tokens and routing. No I/O.
 
+pub mod adopted;
+pub mod limits;
+pub mod route;
+pub mod session;
+pub mod token;
+
 use serde::{Deserialize, Serialize};
 
 /// How fresh a tenant's reads are.
@@ -16,8 +22,19 @@
     Session,
 }
 
+impl Level {
+    /// As in the configuration.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Any => "any",
+            Self::Bounded => "bounded",
+            Self::Session => "session",
+        }
+    }
+}
+
 /// What becomes of a read that can't have its level within `wait_ms`.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum Otherwise {
     /// It is refused, and says what is missing.
--- /dev/null
+++ b/src/plans/token.rs
@@ -0,0 +1,232 @@
+//! Session tokens: what a session's next read must not be older than, as a position in each log that the session has
+//! written to or read from (version vectors as session guarantees use them: Terry and others, 1994). A token is the
+//! client's to carry. It says nothing of who holds what, so that it stays good over owners, restarts and takeovers.
+//!
+//! It is bounded: [`MOST_LOGS`] logs are named, those with the least names. What does not fit is not forgotten: the
+//! token then says that it overflowed, and a log that it does not name is read at its owner only.
+
+use std::collections::BTreeMap;
+
+use base64::Engine;
+use base64::engine::general_purpose::URL_SAFE_NO_PAD;
+use serde::Serialize;
+
+use crate::status::{Life, LogId, Rank};
+
+/// Logs that a token names at most.
+pub const MOST_LOGS: usize = 128;
+/// Characters of a token's text at most, so that it fits into one header.
+pub const LONGEST: usize = (HEAD + MOST_LOGS * ENTRY).div_ceil(3) * 4;
+/// The version that is written, and the only one that is read.
+pub const VERSION: u8 = 1;
+
+/// Version, flags, tier, length of the rest, checksum.
+const HEAD: usize = 1 + 1 + 4 + 2 + 4;
+/// Bytes of a log at most: a rank and a position in postcard's form, and a life as it is.
+const ENTRY: usize = 3 + 8 + 10;
+const OVERFLOWED: u8 = 1;
+
+/// A log as it is written: owner, life, position.
+type Written = (Rank, [u8; 8], u64);
+
+/// Why a text is no token. Nothing is lost by it: the client still has what it sent.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, thiserror::Error)]
+pub enum Unreadable {
+    /// It is longer than any token.
+    #[error("a token of {0} characters, where {LONGEST} are the most")]
+    Long(usize),
+    /// It is not base64url without padding.
+    #[error("a token that is not base64url")]
+    Text,
+    /// Its end is missing.
+    #[error("a token that was cut off: {there} of {said} bytes")]
+    Cut {
+        /// Bytes that are there,
+        there: usize,
+        /// and as many as it says.
+        said: usize,
+    },
+    /// Another version wrote it.
+    #[error("a token of version {0}, where {VERSION} is read")]
+    Version(u8),
+    /// Another tier's.
+    #[error("a token of another tier")]
+    Foreign,
+    /// Its checksum or its form is wrong.
+    #[error("a token that was changed on its way")]
+    Spoilt,
+}
+
+impl Unreadable {
+    /// A stable name.
+    pub fn code(self) -> &'static str {
+        match self {
+            Self::Long(_) => "token_long",
+            Self::Text => "token_text",
+            Self::Cut { .. } => "token_cut",
+            Self::Version(_) => "token_version",
+            Self::Foreign => "token_foreign",
+            Self::Spoilt => "token_spoilt",
+        }
+    }
+
+    /// What an operator can do.
+    pub fn remedy(self) -> &'static str {
+        match self {
+            Self::Long(_) | Self::Cut { .. } => {
+                "see whether something between the client and the sender shortens or joins headers"
+            }
+            Self::Text | Self::Spoilt => "have the client send the token as it got it",
+            Self::Version(_) => "finish the roll-out, so that all senders read it",
+            Self::Foreign => "send the client to its own tier, or have it begin a new session here",
+        }
+    }
+}
+
+/// What a session must not be shown less than.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Hash, Serialize)]
+pub struct Token {
+    seen: BTreeMap<LogId, u64>,
+    overflowed: bool,
+}
+
+impl Token {
+    /// That all changes of a log up to a number were seen. 0 is none.
+    pub fn see(&mut self, log: LogId, upto: u64) {
+        if upto == 0 {
+            return;
+        }
+        let known = self.seen.entry(log).or_default();
+        *known = upto.max(*known);
+        self.bound();
+    }
+
+    /// Both together: the greater position of each log. Commutative, associative, idempotent, at the bound too.
+    pub fn merge(&mut self, other: &Self) {
+        for (log, upto) in &other.seen {
+            let known = self.seen.entry(*log).or_default();
+            *known = (*upto).max(*known);
+        }
+        self.overflowed |= other.overflowed;
+        self.bound();
+    }
+
+    /// Keeps those with the least names. What was left out once would be left out of all that it is merged into, so
+    /// that the position of a log that is named is always the greatest that was seen.
+    fn bound(&mut self) {
+        while self.seen.len() > MOST_LOGS {
+            self.seen.pop_last();
+            self.overflowed = true;
+        }
+    }
+
+    /// Up to where a log was seen, as far as it is named.
+    pub fn upto(&self, log: LogId) -> Option<u64> {
+        self.seen.get(&log).copied()
+    }
+
+    /// More was seen than is named: a log that is not is read at its owner only.
+    pub fn overflowed(&self) -> bool {
+        self.overflowed
+    }
+
+    /// The logs that are named, with their positions.
+    pub fn logs(&self) -> impl Iterator<Item = (LogId, u64)> {
+        self.seen.iter().map(|(log, upto)| (*log, *upto))
+    }
+
+    /// Whether it asks for nothing.
+    pub fn is_empty(&self) -> bool {
+        self.seen.is_empty() && !self.overflowed
+    }
+
+    /// Whether whoever is shown no less than this is shown no less than the other.
+    pub fn covers(&self, other: &Self) -> bool {
+        let upto = |log: LogId| self.upto(log).or(self.overflowed.then_some(u64::MAX)).unwrap_or(0);
+        (self.overflowed || !other.overflowed) && other.logs().all(|(log, seen)| upto(log) >= seen)
+    }
+
+    /// Without some logs: what a client goes on with that was told of a loss and takes it. None if it overflowed: with
+    /// room again, a log that was left out before could come back with a lesser position.
+    pub fn without(&self, logs: &[LogId]) -> Option<Self> {
+        let mut token = self.clone();
+        token.seen.retain(|log, _| !logs.contains(log));
+        (!self.overflowed).then_some(token)
+    }
+
+    /// As a header's value, of [`LONGEST`] characters at most.
+    pub fn text(&self, tier: u32) -> String {
+        let written = |(log, upto): (&LogId, &u64)| (log.owner, log.life.0.to_le_bytes(), *upto);
+        let mut body = Vec::with_capacity(self.seen.len() * ENTRY);
+        for entry in self.seen.iter().map(written) {
+            let entry: Written = entry;
+            match postcard::to_stdvec(&entry) {
+                Ok(bytes) => body.extend(bytes),
+                // Nothing can keep it from being written; were there something, no reader would take it for less.
+                Err(_) => body.push(0xff),
+            }
+        }
+        let mut bytes = vec![VERSION, u8::from(self.overflowed) * OVERFLOWED];
+        bytes.extend(tier.to_le_bytes());
+        // No more than `MOST_LOGS * ENTRY`.
+        bytes.extend((body.len() as u16).to_le_bytes());
+        bytes.extend(checksum(&bytes, &body).to_le_bytes());
+        bytes.extend(body);
+        URL_SAFE_NO_PAD.encode(bytes)
+    }
+
+    /// Reads a header's value, as [`Token::text`] writes it for the same tier.
+    ///
+    /// # Errors
+    /// Tells what is wrong with it; it is taken whole or not at all.
+    pub fn read(text: &str, tier: u32) -> Result<Self, Unreadable> {
+        if text.len() > LONGEST {
+            return Err(Unreadable::Long(text.len()));
+        }
+        let bytes = URL_SAFE_NO_PAD.decode(text).map_err(|_| Unreadable::Text)?;
+        let version = *bytes.first().ok_or(Unreadable::Cut { there: 0, said: HEAD })?;
+        if version != VERSION {
+            return Err(Unreadable::Version(version));
+        }
+        let Some((head, body)) = bytes.split_at_checked(HEAD) else {
+            return Err(Unreadable::Cut { there: bytes.len(), said: HEAD });
+        };
+        let (head, sum) = head.split_at(HEAD - 4);
+        let said = usize::from(u16::from_le_bytes([head[6], head[7]]));
+        if body.len() < said {
+            return Err(Unreadable::Cut { there: bytes.len(), said: HEAD + said });
+        }
+        if checksum(head, body).to_le_bytes() != sum || head[1] & !OVERFLOWED != 0 {
+            return Err(Unreadable::Spoilt);
+        }
+        if head[2..6] != tier.to_le_bytes() {
+            return Err(Unreadable::Foreign);
+        }
+        let mut seen = BTreeMap::new();
+        let mut rest = body;
+        while !rest.is_empty() {
+            let ((owner, life, upto), next): (Written, _) =
+                postcard::take_from_bytes(rest).map_err(|_| Unreadable::Spoilt)?;
+            rest = next;
+            let log = LogId { owner, life: Life(u64::from_le_bytes(life)) };
+            let next = seen.last_key_value().is_none_or(|(last, _)| *last < log);
+            if !next || upto == 0 || seen.len() == MOST_LOGS {
+                return Err(Unreadable::Spoilt);
+            }
+            seen.insert(log, upto);
+        }
+        // What overflowed is full: else a log that was left out could come back with a lesser position.
+        let overflowed = head[1] == OVERFLOWED;
+        if overflowed && seen.len() < MOST_LOGS {
+            return Err(Unreadable::Spoilt);
+        }
+        Ok(Self { seen, overflowed })
+    }
+}
+
+fn checksum(head: &[u8], body: &[u8]) -> u32 {
+    let mut hasher = crc32fast::Hasher::new();
+    hasher.update(head);
+    hasher.update(body);
+    hasher.finalize()
+}
--- a/src/status/mod.rs
+++ b/src/status/mod.rs
@@ -89,7 +89,7 @@
 }
 
 /// How far somebody has a log. It never goes back, and is never said before it holds.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct Reached {
     /// All changes up to this number are there; 0 is none.
     pub upto: u64,
