Check reads of sessions by model, and hold back answers from before the owner's word

Need: that no read is older than its token, that none goes back and that what is told as lost is, over every order of deliveries, losses, lapses, crashes with and without the folder, stops, splits and adoptions.

Seen: the model told of a log as lost that a replica had. It had answered that it had nothing, then got the change, then the owner said that it was in another life, and only then the replica's answer came. The core asked anew after the owner's word, but could not tell the old answer from the new one. Now questions have numbers, and what was less before that word does not count; what is enough does, whenever it comes.

Change: tests/plans_model.rs drives the core that ships over small logs and replicas that show what they have beyond their position. Hints are left out, true, or all wrong. `shown` is kept over all answers, since rows of several logs may come together.

--- a/src/plans/session.rs
+++ b/src/plans/session.rs
@@ -28,6 +28,8 @@
 /// Something to be done for a read.
 #[derive(Debug, Clone, PartialEq, Eq, Hash)]
 pub struct Ask {
+    /// Its number in this read, which its answer comes with.
+    pub number: u32,
     /// Whom to ask; this sender too.
     pub to: Rank,
     /// For these logs, and what each must be worth.
@@ -65,14 +67,19 @@
     need: Need,
     /// What those asked have said, since the last rest.
     said: BTreeMap<Rank, Stated>,
-    asked: Option<(Rank, Micros)>,
+    /// Who is asked, until when, and by which question.
+    asked: Option<(Rank, Micros, u32)>,
+    /// The last question from before the owner said that its life is over.
+    over: Option<u32>,
     /// When it is looked at again.
     rests: Option<Micros>,
     rested: bool,
     asks: usize,
     hops: Vec<Hop>,
     /// The furthest answer, with its rows.
-    best: Option<(Rank, Reached, u64, R)>,
+    best: Option<(Rank, Reached, R)>,
+    /// The greatest number that any answer may have shown: rows of several logs may have come together.
+    shown: u64,
     verdict: Option<Verdict>,
 }
 
@@ -84,6 +91,8 @@
     token: Token,
     until: Micros,
     end: Micros,
+    /// Questions so far.
+    asks: u32,
     legs: BTreeMap<LogId, Leg<R>>,
 }
 
@@ -160,11 +169,13 @@
             need: need(log),
             said: BTreeMap::new(),
             asked: None,
+            over: None,
             rests: None,
             rested: false,
             asks: 0,
             hops: Vec::new(),
             best: None,
+            shown: 0,
             verdict: None,
         };
         let named = token.logs().map(|(log, _)| log);
@@ -175,7 +186,7 @@
         }
         let end = now.saturating_add(ANSWER_WITHIN);
         let until = now.saturating_add(Micros::from(plan.wait_ms) * 1000).min(end);
-        Ok(Self { level: plan.level, otherwise: plan.otherwise, token, until, end, legs })
+        Ok(Self { level: plan.level, otherwise: plan.otherwise, token, until, end, asks: 0, legs })
     }
 
     /// When it wants to go on without an answer; nothing if it has ended.
@@ -193,8 +204,9 @@
     /// sender.
     pub fn step(&mut self, now: Micros, world: &World<'_>) -> Vec<Ask> {
         let mut asks: BTreeMap<Rank, Ask> = BTreeMap::new();
+        let number = &mut self.asks;
         for (log, leg) in self.legs.iter_mut().filter(|leg| leg.1.verdict.is_none()) {
-            if let Some((rank, _)) = leg.asked.take_if(|asked| asked.1 <= now) {
+            if let Some((rank, ..)) = leg.asked.take_if(|asked| asked.1 <= now) {
                 leg.said.insert(rank, Stated::Silent);
             }
             if now >= self.end {
@@ -228,10 +240,13 @@
                         continue;
                     }
                     let by = now.saturating_add(ASK_WITHIN).min(self.end);
+                    let ask = asks.entry(to).or_insert_with(|| {
+                        *number += 1;
+                        Ask { number: *number, to, logs: Vec::new(), by }
+                    });
                     leg.asks += 1;
-                    leg.asked = Some((to, by));
+                    leg.asked = Some((to, by, ask.number));
                     leg.hops(hop);
-                    let ask = asks.entry(to).or_insert_with(|| Ask { to, logs: Vec::new(), by });
                     ask.logs.push((*log, leg.need));
                 }
             }
@@ -239,24 +254,41 @@
         asks.into_values().collect()
     }
 
-    /// A sender has answered for a log, however late: what it states, and its rows. `shown` is the greatest number of a
-    /// change that may be in them, or be the reason that something is not, which may be beyond the position that it
-    /// states; 0 if it looked at nothing of the tenant's.
-    pub fn answered(&mut self, from: Rank, log: LogId, stated: Stated, shown: u64, rows: R) {
+    /// A sender has answered a question for one of its logs, however late: what it states, and its rows. `shown` is the
+    /// greatest number of a change that may be in them, or be the reason that something is not, which may be beyond the
+    /// position that it states; 0 if it looked at nothing of the tenant's.
+    pub fn answered(
+        &mut self,
+        (from, number): (Rank, u32),
+        log: LogId,
+        stated: Stated,
+        (shown, rows): (u64, R),
+    ) {
+        let asks = self.asks;
         let Some(leg) = self.legs.get_mut(&log).filter(|leg| leg.verdict.is_none()) else { return };
-        leg.asked.take_if(|asked| asked.0 == from);
-        if stated == Stated::Over && from == log.owner && leg.said.get(&from) != Some(&Stated::Over) {
+        leg.asked.take_if(|asked| asked.2 == number);
+        if stated == Stated::Over && from == log.owner && leg.over.is_none() {
             // Others may have got more of it since they answered, but get nothing more from now on: they are asked
             // again, so that what is told as lost is.
             leg.said.clear();
+            leg.over = Some(asks);
+        }
+        let reached = match stated {
+            Stated::Has(reached) => Some(reached).filter(|reached| leg.need.met(log, from, *reached)),
+            _ => None,
+        };
+        // What was less before the owner's word may be more since.
+        let old = from != log.owner && leg.over.is_some_and(|over| number <= over);
+        if reached.is_none() && old {
+            return;
         }
         leg.said.insert(from, stated);
-        let Stated::Has(reached) = stated else { return };
-        if leg.best.as_ref().is_none_or(|best| best.1.upto < reached.upto) || leg.need.met(log, from, reached)
-        {
-            leg.best = Some((from, reached, shown, rows));
+        leg.shown = leg.shown.max(shown);
+        let Stated::Has(told) = stated else { return };
+        if reached.is_some() || leg.best.as_ref().is_none_or(|best| best.1.upto < told.upto) {
+            leg.best = Some((from, told, rows));
         }
-        if leg.need.met(log, from, reached) {
+        if reached.is_some() {
             leg.verdict = Some(Verdict::Kept);
         }
     }
@@ -277,15 +309,14 @@
         let mut parts = Vec::with_capacity(self.legs.len());
         for (log, leg) in self.legs {
             let answer = leg.best.filter(|_| outcome != Outcome::Refused);
-            if let Some((_, reached, shown, _)) = answer
-                && shown > 0
+            if let Some((_, reached, _)) = answer
+                && leg.shown > 0
                 && self.level == Level::Session
             {
                 // All that it was shown, beyond what it asked for and beyond what the sender has without gaps. What was
                 // filtered out counts, since its absence was shown.
-                token.see(log, shown.max(reached.upto));
+                token.see(log, leg.shown.max(reached.upto));
             }
-            let answer = answer.map(|(rank, reached, _, rows)| (rank, reached, rows));
             let verdict = leg.verdict.unwrap_or(Verdict::Late);
             parts.push(Part { log, need: leg.need, verdict, hops: leg.hops, answer });
         }
--- a/tests/plans.rs
+++ b/tests/plans.rs
@@ -210,7 +210,7 @@
                         Some(upto) => Stated::Has(self.reached(*upto)),
                         None => Stated::Nothing,
                     };
-                    read.answered(ask.to, *log, stated, 1, u64::from(ask.to));
+                    read.answered((ask.to, ask.number), *log, stated, (1, u64::from(ask.to)));
                 }
             }
             self.asks.extend(asks);
--- /dev/null
+++ b/tests/plans_model.rs
@@ -0,0 +1,800 @@
+//! Reads of sessions, checked exhaustively within bounds by a model checker: the very core that ships routes them,
+//! checks their answers and merges their tokens, over small logs and replicas, with every order of deliveries, losses,
+//! lapses, crashes with and without the folder, stops, splits and adoptions that the bounds allow.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::fmt;
+
+use myrtleyard::interface::Micros;
+use myrtleyard::membership::{Fact, Facts, State};
+use myrtleyard::plans::adopted::{Adopted, Known};
+use myrtleyard::plans::route::{Holder, Log, Need, Role, Stated, World};
+use myrtleyard::plans::session::{Outcome, Read, Verdict};
+use myrtleyard::plans::token::Token;
+use myrtleyard::plans::{Level, Otherwise, Plan};
+use myrtleyard::status::{Life, LogId, Positions, Rank, Reached};
+use stateright::{Checker, Model, Property};
+
+/// All reads begin then, by a clock of their own: when they do makes no difference.
+const BEGIN: Micros = 60_000_000;
+const SESSIONS: usize = 2;
+
+/// Changes by their numbers, bit by bit.
+type Mask = u16;
+
+fn bit(number: u64) -> Mask {
+    1 << number
+}
+
+/// The changes from 1 to a number.
+fn upto(number: u64) -> Mask {
+    (1..=number).map(bit).sum()
+}
+
+fn prefix(mask: Mask) -> u64 {
+    (1..16).take_while(|number| mask & bit(*number) != 0).last().unwrap_or(0)
+}
+
+fn greatest(mask: Mask) -> u64 {
+    u64::from(Mask::BITS - 1 - (mask | 1).leading_zeros())
+}
+
+#[derive(Debug, Clone, Default, PartialEq, Eq, Hash)]
+struct Held {
+    mask: Mask,
+    /// The highest number that it was told of.
+    told: u64,
+}
+
+#[derive(Debug, Clone, Default, PartialEq, Eq, Hash)]
+struct Sender {
+    down: bool,
+    stopped: bool,
+    life: u64,
+    /// What its folder has of its own log, and the last number that it has given.
+    kept: Mask,
+    last: u64,
+    /// What it has of others' logs, in memory.
+    copies: BTreeMap<LogId, Held>,
+    adopts: BTreeMap<LogId, Adopted>,
+}
+
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash)]
+enum Passed {
+    Change(Rank, Rank, LogId, u64),
+    Facts(Rank, Rank, LogId, Mask, u64),
+    Asked { read: (usize, usize), number: u32, from: Rank, to: Rank, logs: Vec<(LogId, Need)> },
+    Answered { read: (usize, usize), number: u32, from: Rank, to: Rank, logs: Vec<(LogId, Stated, Mask)> },
+}
+
+impl Passed {
+    fn link(&self) -> (Rank, Rank) {
+        match self {
+            Self::Change(from, to, ..) | Self::Facts(from, to, ..) => (*from, *to),
+            Self::Asked { from, to, .. } | Self::Answered { from, to, .. } => (*from, *to),
+        }
+    }
+
+    fn read(&self) -> Option<(usize, usize)> {
+        match self {
+            Self::Asked { read, .. } | Self::Answered { read, .. } => Some(*read),
+            _ => None,
+        }
+    }
+}
+
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+struct Reading {
+    at: Rank,
+    now: Micros,
+    core: Read<Mask>,
+    /// What it must not be older than, and must not go back behind: what the session knew when it began.
+    wrote: BTreeMap<LogId, Mask>,
+    saw: BTreeMap<LogId, Mask>,
+}
+
+#[derive(Debug, Clone, Default, PartialEq, Eq, Hash)]
+struct Session {
+    token: Token,
+    wrote: BTreeMap<LogId, Mask>,
+    saw: BTreeMap<LogId, Mask>,
+    writes: usize,
+    reads: usize,
+    reading: Option<Reading>,
+}
+
+#[derive(Clone, PartialEq, Eq, Hash)]
+struct Tier {
+    senders: Vec<Sender>,
+    sessions: Vec<Session>,
+    passed: BTreeSet<Passed>,
+    /// One side of a split.
+    side: u8,
+    lives: u64,
+    left: Bounds,
+    /// What was found, by name.
+    found: BTreeSet<&'static str>,
+    ended: BTreeSet<(usize, Outcome, Vec<(LogId, Verdict)>)>,
+}
+
+impl fmt::Debug for Tier {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:?}\n{:?}\n{:?} {:?}", self.senders, self.sessions, self.passed, self.found)
+    }
+}
+
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+enum Act {
+    Write(usize),
+    Begin(usize, Rank),
+    /// A read's clock goes to when it wants to go on.
+    Lapse(usize),
+    Deliver(Passed),
+    Lose(Passed),
+    /// With its folder, or without.
+    Crash(Rank, bool),
+    Start(Rank),
+    Stop(Rank),
+    Go(Rank),
+    Split(u8),
+    Heal,
+    /// A cover takes over from a sender.
+    Adopt(Rank),
+}
+
+/// How often each may happen.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Hash)]
+struct Bounds {
+    writes: usize,
+    reads: usize,
+    losses: usize,
+    /// Lapses while an answer is under way.
+    lapses: usize,
+    crashes: usize,
+    stops: usize,
+    splits: usize,
+    adoptions: usize,
+}
+
+/// What hints say.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Hints {
+    None,
+    /// As it is at the moment.
+    True,
+    /// That everybody has everything, and whoever is there is dead.
+    Wrong,
+}
+
+/// What is planted, to see whether it is found.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Fault {
+    None,
+    /// A replica claims the highest number that it has got, with gaps below.
+    EarlyClaim,
+    /// A sender that has lost its folder goes on in its life, at its number.
+    OutlivesFolder,
+    /// Clients merge tokens by the lesser position.
+    LesserMerge,
+    /// An adopter claims what one cover was told of, before the other one's facts are there.
+    EarlyAdopter,
+    /// A replica shows what it has beyond the position that it claims, and does not say so.
+    HidesBeyond,
+}
+
+struct Checked {
+    size: usize,
+    bounds: Bounds,
+    hints: Hints,
+    fault: Fault,
+    /// Sessions that write.
+    writers: usize,
+}
+
+impl Checked {
+    fn covers(&self, owner: Rank) -> (Rank, Rank) {
+        let rank = |n: usize| ((usize::from(owner) + n) % self.size) as Rank;
+        (rank(1), rank(2))
+    }
+
+    fn log(tier: &Tier, owner: Rank) -> LogId {
+        LogId { owner, life: Life(tier.senders[usize::from(owner)].life) }
+    }
+
+    /// What a sender states of a log, and shows.
+    fn states(&self, tier: &Tier, rank: Rank, log: LogId, need: Need) -> (Stated, Mask) {
+        let sender = &tier.senders[usize::from(rank)];
+        let has = |number: u64, mask: Mask| (Stated::Has(Reached { upto: number, as_of: 1 }), mask);
+        if rank == log.owner {
+            return if log.life.0 == sender.life { has(sender.last, sender.kept) } else { (Stated::Over, 0) };
+        }
+        let Some(copy) = sender.copies.get(&log) else { return (Stated::Nothing, 0) };
+        let claimed = match self.fault {
+            Fault::EarlyClaim => greatest(copy.mask),
+            _ => prefix(copy.mask),
+        };
+        let Some(adopted) = sender.adopts.get(&log) else { return has(claimed, copy.mask) };
+        if self.fault == Fault::EarlyAdopter {
+            return has(copy.told, copy.mask);
+        }
+        match adopted.upto() {
+            Some(number) => has(number.max(claimed), copy.mask),
+            // What it has for sure it may tell; that it has no more, it may not.
+            None if need.met(log, rank, Reached { upto: claimed, as_of: 1 }) => has(claimed, copy.mask),
+            None => (Stated::NotYet, 0),
+        }
+    }
+
+    /// Up to which number what it shows goes.
+    fn shows(&self, stated: Stated, shown: Mask) -> u64 {
+        match stated {
+            Stated::Has(reached) if self.fault == Fault::HidesBeyond => greatest(shown).min(reached.upto),
+            _ => greatest(shown),
+        }
+    }
+
+    /// All logs that there ever were and somebody knows of, with those who may hold them.
+    fn logs(&self, tier: &Tier) -> Vec<Log> {
+        let mut ids: BTreeSet<LogId> = (0..self.size as Rank).map(|rank| Self::log(tier, rank)).collect();
+        ids.extend(tier.senders.iter().flat_map(|sender| sender.copies.keys().copied()));
+        ids.extend(tier.sessions.iter().flat_map(|session| session.token.logs().map(|log| log.0)));
+        let holder = |id: LogId, rank: Rank| {
+            let adopts = tier.senders[usize::from(rank)].adopts.contains_key(&id);
+            let role = if adopts { Role::Adopter } else { Role::Replica };
+            let reached = match (self.hints, self.states(tier, rank, id, Need::Any).0) {
+                (Hints::True, Stated::Has(reached)) => reached,
+                (Hints::Wrong, _) => Reached { upto: u64::MAX, as_of: u64::MAX },
+                _ => Reached { upto: 0, as_of: 0 },
+            };
+            Holder { rank, role, reached }
+        };
+        let known = |id: LogId| {
+            let covers = self.covers(id.owner);
+            let holders = [id.owner, covers.0, covers.1].map(|rank| holder(id, rank)).to_vec();
+            Log { id, holders, empty: None }
+        };
+        ids.into_iter().map(known).collect()
+    }
+
+    fn facts(&self, tier: &Tier, own: Rank) -> Option<Facts> {
+        let member = |sender: &Sender| {
+            let dead = match self.hints {
+                Hints::Wrong => !sender.down,
+                _ => sender.down,
+            };
+            Fact {
+                state: if dead { State::Dead } else { State::Alive },
+                since: 0,
+                incarnation: 1,
+                near: true,
+            }
+        };
+        let members = tier.senders.iter().map(member).collect();
+        let facts = Facts { own, members, isolated: false, minority: false };
+        (self.hints != Hints::None).then_some(facts)
+    }
+
+    /// Lets a read go on, and takes it down if it is over.
+    fn step(&self, tier: &mut Tier, session: usize) {
+        let Some(mut reading) = tier.sessions[session].reading.take() else { return };
+        let own = reading.at;
+        let logs = self.logs(tier);
+        let facts = self.facts(tier, own);
+        let here: Positions = logs
+            .iter()
+            .filter_map(|log| match self.states(tier, own, log.id, Need::Any).0 {
+                Stated::Has(reached) => Some((log.id, reached)),
+                _ => None,
+            })
+            .collect();
+        let world = World {
+            own,
+            here: &here,
+            facts: facts.as_ref(),
+            logs: &logs,
+            cost: &|rank, _| u64::from(rank != own),
+            busy: &|_| false,
+        };
+        // What is asked of this sender is answered at once.
+        loop {
+            let asks = reading.core.step(reading.now, &world);
+            let (own_asks, others): (Vec<_>, Vec<_>) = asks.into_iter().partition(|ask| ask.to == own);
+            for ask in others {
+                let read = (session, tier.sessions[session].reads);
+                let (number, to, logs) = (ask.number, ask.to, ask.logs);
+                tier.passed.insert(Passed::Asked { read, number, from: own, to, logs });
+            }
+            if own_asks.is_empty() {
+                break;
+            }
+            let own_asks =
+                own_asks.into_iter().flat_map(|ask| ask.logs.into_iter().map(move |log| (ask.number, log)));
+            for (number, (log, need)) in own_asks {
+                let (stated, shown) = self.states(tier, own, log, need);
+                reading.core.answered((own, number), log, stated, (self.shows(stated, shown), shown));
+            }
+        }
+        if reading.core.is_over() {
+            // What still comes of it is nobody's.
+            let read = Some((session, tier.sessions[session].reads));
+            tier.passed.retain(|passed| passed.read() != read);
+            self.over(tier, session, reading);
+        } else {
+            tier.sessions[session].reading = Some(reading);
+        }
+    }
+
+    /// Holds a read that has ended against what its session knew, without looking at its token.
+    fn over(&self, tier: &mut Tier, session: usize, reading: Reading) {
+        let Reading { core, wrote, saw, .. } = reading;
+        let ended = core.ended();
+        let mut shown: BTreeMap<LogId, Mask> = BTreeMap::new();
+        for part in &ended.parts {
+            let rows = part.answer.as_ref().map_or(0, |answer| answer.2);
+            shown.insert(part.log, rows);
+            let needed = if let Need::Upto(number) = part.need { upto(number) } else { 0 };
+            let has = |rank: Rank| {
+                let sender = &tier.senders[usize::from(rank)];
+                let own = rank == part.log.owner && sender.life == part.log.life.0;
+                let copy = sender.copies.get(&part.log).map(|copy| copy.mask);
+                own.then_some(sender.kept).or(copy).is_some_and(|mask| mask & needed == needed)
+            };
+            if part.verdict == Verdict::Lost && (0..self.size as Rank).any(has) {
+                tier.found.insert("lost");
+            }
+        }
+        let lacks = |known: &BTreeMap<LogId, Mask>| {
+            known.iter().any(|(log, mask)| mask & !shown.get(log).copied().unwrap_or(0) != 0)
+        };
+        if ended.outcome == Outcome::Kept && lacks(&wrote) {
+            tier.found.insert("older");
+        }
+        if ended.outcome == Outcome::Kept && lacks(&saw) {
+            tier.found.insert("back");
+        }
+        if !ended.token.covers(&tier.sessions[session].token) && tier.sessions[session].wrote == wrote {
+            tier.found.insert("token");
+        }
+        let known = &mut tier.sessions[session];
+        for (log, mask) in shown {
+            *known.saw.entry(log).or_default() |= mask;
+        }
+        known.saw.retain(|_, mask| *mask != 0);
+        self.merge(known, &ended.token);
+        let verdicts = ended.parts.iter().map(|part| (part.log, part.verdict)).collect();
+        tier.ended.insert((session, ended.outcome, verdicts));
+    }
+
+    fn merge(&self, session: &mut Session, token: &Token) {
+        let before = session.token.clone();
+        session.token.merge(token);
+        if self.fault == Fault::LesserMerge {
+            let mut lesser = Token::default();
+            for (log, upto) in session.token.logs() {
+                lesser.see(log, before.upto(log).unwrap_or(upto).min(token.upto(log).unwrap_or(upto)));
+            }
+            session.token = lesser;
+        }
+    }
+
+    fn begin(&self, tier: &mut Tier, session: usize, at: Rank) {
+        let plan =
+            Plan { level: Level::Session, wait_ms: 30, otherwise: Otherwise::Refuse, ..Plan::default() };
+        let logs: Vec<LogId> = self.logs(tier).into_iter().map(|log| log.id).collect();
+        let known = &mut tier.sessions[session];
+        known.reads += 1;
+        let Ok(core) = Read::begin(&plan, known.token.clone(), logs, BEGIN) else { return };
+        let (wrote, saw) = (known.wrote.clone(), known.saw.clone());
+        known.reading = Some(Reading { at, now: BEGIN, core, wrote, saw });
+        self.step(tier, session);
+    }
+
+    fn reachable(tier: &Tier, passed: &Passed) -> bool {
+        let (from, to) = passed.link();
+        let side = |rank: Rank| tier.side >> rank & 1;
+        let to_there = &tier.senders[usize::from(to)];
+        side(from) == side(to) && !to_there.down && !to_there.stopped
+    }
+
+    fn deliver(&self, tier: &mut Tier, passed: Passed) {
+        tier.passed.remove(&passed);
+        match passed {
+            Passed::Change(_, to, log, number) => {
+                let copy = tier.senders[usize::from(to)].copies.entry(log).or_default();
+                copy.mask |= bit(number);
+                copy.told = copy.told.max(number);
+            }
+            Passed::Facts(from, to, log, mask, told) => {
+                let sender = &mut tier.senders[usize::from(to)];
+                let Some(adopted) = sender.adopts.get_mut(&log) else { return };
+                adopted.told(from, known(mask));
+                let copy = sender.copies.entry(log).or_default();
+                copy.mask |= mask;
+                copy.told = copy.told.max(told);
+            }
+            Passed::Asked { read, number, from, to, logs } => {
+                let answer = |(log, need): (LogId, Need)| {
+                    let (stated, shown) = self.states(tier, to, log, need);
+                    (log, stated, shown)
+                };
+                let logs = logs.into_iter().map(answer).collect();
+                tier.passed.insert(Passed::Answered { read, number, from: to, to: from, logs });
+            }
+            Passed::Answered { read: (session, serial), number, from, logs, .. } => {
+                if tier.sessions[session].reads != serial {
+                    return;
+                }
+                let Some(reading) = &mut tier.sessions[session].reading else { return };
+                for (log, stated, shown) in logs {
+                    reading.core.answered((from, number), log, stated, (self.shows(stated, shown), shown));
+                }
+                self.step(tier, session);
+            }
+        }
+    }
+
+    fn lapse(&self, tier: &mut Tier, session: usize) {
+        if let Some(reading) = &mut tier.sessions[session].reading {
+            reading.now = reading.core.due().unwrap_or(reading.now).max(reading.now);
+            self.step(tier, session);
+        }
+    }
+
+    /// Nothing of this read can arrive: only its own clock moves it on.
+    fn silent(tier: &Tier, session: usize) -> bool {
+        let read = Some((session, tier.sessions[session].reads));
+        !tier.passed.iter().any(|passed| passed.read() == read && Self::reachable(tier, passed))
+    }
+
+    fn start(&self, tier: &mut Tier, rank: Rank) {
+        let sender = &mut tier.senders[usize::from(rank)];
+        sender.down = false;
+        // A new process's first datagram ends the channels of the one before.
+        let old = |passed: &Passed| match passed {
+            Passed::Change(from, ..) | Passed::Facts(from, ..) => *from == rank,
+            _ => false,
+        };
+        tier.passed.retain(|passed| !old(passed));
+    }
+
+    /// Everybody is there and reachable, what is lost is sent again, and all reads come to their end.
+    fn calm(&self, tier: &mut Tier) -> bool {
+        tier.side = 0;
+        for rank in 0..self.size as Rank {
+            tier.senders[usize::from(rank)].stopped = false;
+            if tier.senders[usize::from(rank)].down {
+                self.start(tier, rank);
+            }
+        }
+        for rank in 0..self.size as Rank {
+            let (log, covers) = (Self::log(tier, rank), self.covers(rank));
+            let sender = &tier.senders[usize::from(rank)];
+            for number in 1..=sender.last {
+                if sender.kept & bit(number) != 0 {
+                    for cover in [covers.0, covers.1] {
+                        tier.passed.insert(Passed::Change(rank, cover, log, number));
+                    }
+                }
+            }
+            let adopted: Vec<LogId> = sender.adopts.keys().copied().collect();
+            for log in adopted {
+                self.ask_facts(tier, rank, log);
+            }
+        }
+        for _ in 0..400 {
+            let next = tier.passed.iter().find(|passed| Self::reachable(tier, passed)).cloned();
+            if let Some(passed) = next {
+                self.deliver(tier, passed);
+            } else if let Some(session) =
+                (0..SESSIONS).find(|session| tier.sessions[*session].reading.is_some())
+            {
+                self.lapse(tier, session);
+            } else {
+                return true;
+            }
+        }
+        false
+    }
+
+    /// After a calm, each session reads at another sender: what is there is shown, and what is not is told as lost.
+    fn calm_reads(&self, before: &Tier) -> bool {
+        let mut tier = before.clone();
+        if !self.calm(&mut tier) {
+            return false;
+        }
+        (0..SESSIONS).all(|session| {
+            let mut tier = tier.clone();
+            tier.ended.clear();
+            self.begin(&mut tier, session, ((session + 2) % self.size) as Rank);
+            let over = self.calm(&mut tier);
+            let clean = tier.found == before.found;
+            over && clean && tier.ended.iter().all(|(_, _, parts)| self.as_it_is(&tier, session, parts))
+        })
+    }
+
+    fn as_it_is(&self, tier: &Tier, session: usize, parts: &[(LogId, Verdict)]) -> bool {
+        let has = |log: LogId, rank: Rank| {
+            let needed = upto(tier.sessions[session].token.upto(log).unwrap_or(0));
+            let (stated, shown) = self.states(tier, rank, log, Need::Any);
+            matches!(stated, Stated::Has(_)) && shown & needed == needed
+        };
+        parts.iter().all(|(log, verdict)| match verdict {
+            Verdict::Kept => true,
+            Verdict::Lost => !(0..self.size as Rank).any(|rank| has(*log, rank)),
+            Verdict::Late | Verdict::NotTouched => false,
+        })
+    }
+
+    fn ask_facts(&self, tier: &mut Tier, rank: Rank, log: LogId) {
+        let covers = self.covers(log.owner);
+        let other = if rank == covers.0 { covers.1 } else { covers.0 };
+        let copy = tier.senders[usize::from(other)].copies.get(&log).cloned().unwrap_or_default();
+        // Who is asked answers with what it has when it does; the question itself is left out here.
+        if !tier.senders[usize::from(other)].down {
+            tier.passed.insert(Passed::Facts(other, rank, log, copy.mask, copy.told));
+        }
+    }
+}
+
+fn known(mask: Mask) -> Known {
+    Known { upto: prefix(mask), beyond: (1..16).filter(|number| mask & bit(*number) != 0).collect() }
+}
+
+impl Model for Checked {
+    type State = Tier;
+    type Action = Act;
+
+    fn init_states(&self) -> Vec<Tier> {
+        let sender = |rank: usize| Sender { life: rank as u64 + 1, ..Sender::default() };
+        vec![Tier {
+            senders: (0..self.size).map(sender).collect(),
+            sessions: vec![Session::default(); SESSIONS],
+            passed: BTreeSet::new(),
+            side: 0,
+            lives: self.size as u64 + 1,
+            left: self.bounds,
+            found: BTreeSet::new(),
+            ended: BTreeSet::new(),
+        }]
+    }
+
+    fn actions(&self, tier: &Tier, acts: &mut Vec<Act>) {
+        let left = tier.left;
+        for (session, known) in tier.sessions.iter().enumerate() {
+            let there = |rank: usize| !tier.senders[rank].down && !tier.senders[rank].stopped;
+            if session < self.writers && left.writes > 0 && there(session) {
+                acts.push(Act::Write(session));
+            }
+            match &known.reading {
+                None if left.reads > 0 => {
+                    let at = (0..self.size).filter(|rank| there(*rank));
+                    acts.extend(at.map(|rank| Act::Begin(session, rank as Rank)));
+                }
+                Some(reading) if there(usize::from(reading.at)) => {
+                    if left.lapses > 0 || Self::silent(tier, session) {
+                        acts.push(Act::Lapse(session));
+                    }
+                }
+                _ => {}
+            }
+        }
+        for passed in &tier.passed {
+            if Self::reachable(tier, passed) {
+                acts.push(Act::Deliver(passed.clone()));
+            }
+            // A question or an answer that is lost is one that never comes, which lapses allow for.
+            if left.losses > 0 && passed.read().is_none() {
+                acts.push(Act::Lose(passed.clone()));
+            }
+        }
+        if tier.side != 0 {
+            acts.push(Act::Heal);
+        } else if left.splits > 0 {
+            acts.extend((1..1u8 << (self.size - 1)).map(Act::Split));
+        }
+        for (rank, sender) in tier.senders.iter().enumerate() {
+            let rank = rank as Rank;
+            match sender {
+                Sender { down: true, .. } => acts.push(Act::Start(rank)),
+                Sender { stopped: true, .. } => acts.push(Act::Go(rank)),
+                _ => {
+                    if left.crashes > 0 {
+                        acts.extend([Act::Crash(rank, true), Act::Crash(rank, false)]);
+                    }
+                    if left.stops > 0 {
+                        acts.push(Act::Stop(rank));
+                    }
+                }
+            }
+            if left.adoptions > 0 && usize::from(rank) < self.writers {
+                acts.push(Act::Adopt(rank));
+            }
+        }
+    }
+
+    fn next_state(&self, before: &Tier, act: Act) -> Option<Tier> {
+        let mut tier = before.clone();
+        tier.ended.clear();
+        match act {
+            Act::Write(session) => {
+                tier.left.writes -= 1;
+                let owner = session as Rank;
+                let (log, covers) = (Self::log(&tier, owner), self.covers(owner));
+                let sender = &mut tier.senders[session];
+                sender.last += 1;
+                let number = sender.last;
+                sender.kept |= bit(number);
+                for cover in [covers.0, covers.1] {
+                    tier.passed.insert(Passed::Change(owner, cover, log, number));
+                }
+                let mut token = Token::default();
+                token.see(log, number);
+                *tier.sessions[session].wrote.entry(log).or_default() |= bit(number);
+                self.merge(&mut tier.sessions[session], &token);
+            }
+            Act::Begin(session, at) => {
+                tier.left.reads -= 1;
+                self.begin(&mut tier, session, at);
+            }
+            Act::Lapse(session) => {
+                if !Self::silent(&tier, session) {
+                    tier.left.lapses -= 1;
+                }
+                self.lapse(&mut tier, session);
+            }
+            Act::Deliver(passed) => self.deliver(&mut tier, passed),
+            Act::Lose(passed) => {
+                tier.left.losses -= 1;
+                tier.passed.remove(&passed);
+            }
+            Act::Crash(rank, kept) => {
+                tier.left.crashes -= 1;
+                let sender = &mut tier.senders[usize::from(rank)];
+                sender.down = true;
+                sender.copies.clear();
+                sender.adopts.clear();
+                if !kept {
+                    sender.kept = 0;
+                    if self.fault != Fault::OutlivesFolder {
+                        sender.last = 0;
+                        sender.life = tier.lives;
+                        tier.lives += 1;
+                    }
+                }
+                for (number, session) in tier.sessions.iter_mut().enumerate() {
+                    if session.reading.take_if(|reading| reading.at == rank).is_some() {
+                        let read = Some((number, session.reads));
+                        tier.passed.retain(|passed| passed.read() != read);
+                    }
+                }
+            }
+            Act::Start(rank) => self.start(&mut tier, rank),
+            Act::Stop(rank) => {
+                tier.left.stops -= 1;
+                tier.senders[usize::from(rank)].stopped = true;
+            }
+            Act::Go(rank) => tier.senders[usize::from(rank)].stopped = false,
+            Act::Split(side) => {
+                tier.left.splits -= 1;
+                tier.side = side;
+            }
+            Act::Heal => tier.side = 0,
+            Act::Adopt(owner) => {
+                tier.left.adoptions -= 1;
+                let (log, covers) = (Self::log(&tier, owner), self.covers(owner));
+                let sender = &mut tier.senders[usize::from(covers.0)];
+                if sender.down || sender.stopped {
+                    return None;
+                }
+                let copy = sender.copies.entry(log).or_default();
+                let mut adopted = Adopted::new(covers);
+                adopted.told(covers.0, known(copy.mask));
+                sender.adopts.insert(log, adopted);
+                self.ask_facts(&mut tier, covers.0, log);
+            }
+        }
+        (tier != *before).then_some(tier)
+    }
+
+    fn properties(&self) -> Vec<Property<Self>> {
+        vec![
+            Property::always("no read is older than its token", |_, tier: &Tier| {
+                !tier.found.contains("older") && !tier.found.contains("token")
+            }),
+            Property::always("no session goes back", |_, tier: &Tier| !tier.found.contains("back")),
+            Property::always("what is told as lost is", |_, tier: &Tier| !tier.found.contains("lost")),
+            Property::always("in a calm every read ends, as it is", |model: &Checked, tier: &Tier| {
+                model.calm_reads(tier)
+            }),
+        ]
+    }
+}
+
+fn explore(model: Checked) -> (usize, Vec<&'static str>) {
+    let expected = model.fault != Fault::None;
+    let checker = model.checker().threads(4).spawn_bfs().join();
+    let mut found: Vec<_> = checker.discoveries().into_keys().collect();
+    found.sort_unstable();
+    for (name, path) in checker.discoveries().iter().filter(|_| !expected) {
+        println!("{name}: {:#?}", path.clone().into_actions());
+        println!("{:?}", path.last_state());
+    }
+    (checker.unique_state_count(), found)
+}
+
+fn sound(size: usize, writers: usize, each: &[Bounds]) {
+    for bounds in each.iter().copied() {
+        for hints in [Hints::None, Hints::True, Hints::Wrong] {
+            let began = std::time::Instant::now();
+            let (states, found) = explore(Checked { size, bounds, hints, fault: Fault::None, writers });
+            println!("{size} senders, {hints:?}: {states} states in {:?}, {bounds:?}", began.elapsed());
+            assert!(found.is_empty() && states > 100, "{found:?} in {states} states");
+        }
+    }
+}
+
+/// What each run may spend: writes, reads, and some of what goes wrong.
+fn narrow() -> [Bounds; 5] {
+    let some = Bounds { writes: 1, reads: 1, ..Bounds::default() };
+    [
+        Bounds { writes: 2, losses: 1, ..some },
+        Bounds { crashes: 1, ..some },
+        Bounds { stops: 1, lapses: 1, ..some },
+        Bounds { splits: 1, ..some },
+        Bounds { adoptions: 1, losses: 1, ..some },
+    ]
+}
+
+#[test]
+fn sessions_read_their_writes_and_do_not_go_back_at_three_senders() {
+    sound(3, 1, &narrow());
+}
+
+#[test]
+fn nor_at_four_senders_with_two_that_are_written_at() {
+    sound(4, 2, &[Bounds { writes: 2, reads: 1, ..Bounds::default() }]);
+}
+
+/// The same within wider bounds: `cargo test --release --test plans_model -- --ignored --nocapture --test-threads 1`.
+#[test]
+#[ignore = "takes many minutes"]
+fn nor_within_wider_bounds() {
+    let some = Bounds { writes: 1, reads: 2, ..Bounds::default() };
+    let wide = [
+        Bounds { writes: 2, lapses: 1, ..some },
+        Bounds { crashes: 1, ..some },
+        Bounds { crashes: 1, adoptions: 1, reads: 1, ..some },
+        Bounds { splits: 1, losses: 1, reads: 1, ..some },
+        Bounds { crashes: 2, reads: 1, ..some },
+    ];
+    sound(3, 1, &wide);
+    sound(4, 2, &[Bounds { crashes: 1, reads: 1, ..some }, Bounds { splits: 1, reads: 1, ..some }]);
+}
+
+/// The checker is no good if it finds nothing: each of these planted faults is.
+#[test]
+fn planted_faults_are_found() {
+    let some = Bounds { writes: 2, reads: 1, ..Bounds::default() };
+    for (fault, bounds, name) in [
+        (Fault::EarlyClaim, some, "no read is older than its token"),
+        (Fault::OutlivesFolder, Bounds { crashes: 1, writes: 1, ..some }, "no read is older than its token"),
+        (Fault::LesserMerge, Bounds { ..some }, "no read is older than its token"),
+        (Fault::EarlyAdopter, Bounds { adoptions: 1, ..some }, "no read is older than its token"),
+    ] {
+        found(fault, bounds, name);
+    }
+}
+
+/// It takes two reads to show: about 150,000 states.
+#[test]
+#[ignore = "takes minutes in a debug build"]
+fn what_is_shown_beyond_a_position_and_not_told_is_found() {
+    let bounds = Bounds { writes: 2, reads: 2, ..Bounds::default() };
+    found(Fault::HidesBeyond, bounds, "no session goes back");
+}
+
+fn found(fault: Fault, bounds: Bounds, name: &str) {
+    let (states, found) = explore(Checked { size: 3, bounds, hints: Hints::True, fault, writers: 1 });
+    println!("{fault:?}: {found:?} in {states} states");
+    assert!(found.contains(&name), "{fault:?}: {found:?} in {states} states");
+}
