Have senders that start together take turns at the list service, off without its section

Need: 150 senders that start at once call a list service that bears 20 calls a second 168 times in one second, and most are turned away to come again 50 ms later.

Design: src/start, sans I/O. A list from others can only take endpoints away, once two agree, since addresses differ from sender to sender. Destinations that are cold since their own start are shared by how much each sender holds. Phases at GET /control/start.

Not taken: a few senders that ask while the rest take over their list whole. A peer's addresses are of no use here, and one false list would direct messages.

--- a/src/check.rs
+++ b/src/check.rs
@@ -267,6 +267,7 @@
     ("draining", Object, Null),
     ("membership", Object, Null),
     ("takeover", Object, Null),
+    ("start", Object, Null),
     ("status", Object, Null),
     ("plans", Object, Null),
 ];
@@ -356,10 +357,20 @@
     ("shards", Whole(1, u32::MAX as u64), May),
     ("bytes_per_min", Whole(1, u64::MAX), May),
 ];
+const START: &[(&str, Is, Need)] = &[
+    ("tier", Text, May),
+    ("source", OneOf(&["agent", "service"]), May),
+    ("bears_per_s", Whole(crate::start::BEARS.0 as u64, crate::start::BEARS.1 as u64), Null),
+];
 type Keys = &'static [(&'static str, Is, Need)];
 /// Sections of optional parts, and their keys.
-const SECTIONS: &[(&str, Keys)] =
-    &[("draining", DRAINING), ("membership", MEMBERSHIP), ("takeover", TAKEOVER), ("status", STATUS)];
+const SECTIONS: &[(&str, Keys)] = &[
+    ("draining", DRAINING),
+    ("membership", MEMBERSHIP),
+    ("takeover", TAKEOVER),
+    ("start", START),
+    ("status", STATUS),
+];
 
 fn object(faults: &mut Vec<Fault>, path: &str, value: Option<&Value>, keys: &[(&str, Is, Need)]) {
     // What is no object is told where its own key is looked at.
@@ -491,7 +502,7 @@
 }
 
 /// Sections of optional parts: leaving one out turns the part off.
-const OPTIONAL: &[&str] = &["draining", "membership", "takeover", "status", "plans"];
+const OPTIONAL: &[&str] = &["draining", "membership", "takeover", "start", "status", "plans"];
 
 /// What a document changes against another, key by key; a class is named, and goes as a whole.
 pub fn changes(before: &Value, after: &Value) -> Vec<Change> {
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -333,6 +333,16 @@
         /// The load report, if one came.
         report: Vec<f32>,
     },
+    /// A destination that came back so long ago, whoever saw that, and this sender's part, by a hint, of the calls that
+    /// it bears from all senders meanwhile.
+    Cold {
+        /// The destination.
+        destination: DestinationId,
+        /// Since it came back.
+        ago: Micros,
+        /// From 0 to 1; the parts of all senders come to about 1.
+        part: f64,
+    },
     /// A note from another sender.
     Note {
         /// Its rank.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -57,6 +57,7 @@
 pub mod mesh;
 pub mod plans;
 pub mod policy;
+pub mod start;
 pub mod status;
 pub mod takeover;
 pub mod wire;
--- a/src/net/config.rs
+++ b/src/net/config.rs
@@ -13,6 +13,7 @@
 use myrtleyard::interface::Settings;
 use myrtleyard::membership;
 use myrtleyard::plans;
+use myrtleyard::start;
 use myrtleyard::status;
 use myrtleyard::takeover;
 use myrtleyard::takeover::lots::Memory;
@@ -55,6 +56,8 @@
     pub membership: Option<membership::Config>,
     /// Covers for what is in hand, where they are on.
     pub takeover: Option<takeover::Config>,
+    /// Starts with others at once, where that is on.
+    pub start: Option<start::Config>,
     /// The status index, where it is on.
     pub status: Option<status::Config>,
     /// Plans by tenant, where they are on.
@@ -126,6 +129,8 @@
     #[serde(default)]
     takeover: Option<takeover::Config>,
     #[serde(default)]
+    start: Option<start::Config>,
+    #[serde(default)]
     status: Option<status::Config>,
     #[serde(default)]
     plans: Option<plans::Config>,
@@ -258,6 +263,14 @@
             return Err(("takeover", "is on, and takes over a quarter of disk_mb".to_owned()));
         }
     }
+    if raw.start.is_some() {
+        if raw.membership.is_none() {
+            return Err(("start", "is on without the section membership, which it needs,".to_owned()));
+        }
+        if start::kept::ROOM > disk / 4 {
+            return Err(("start", "is on, and takes over a quarter of disk_mb".to_owned()));
+        }
+    }
     if raw.status.is_some() && raw.membership.is_none() {
         return Err(("status", "is on without the section membership, which it needs,".to_owned()));
     }
@@ -286,6 +299,7 @@
         draining: raw.draining,
         membership: raw.membership,
         takeover: raw.takeover,
+        start: raw.start,
         status: raw.status,
         plans: raw.plans,
         settings,
--- a/src/net/control.rs
+++ b/src/net/control.rs
@@ -17,6 +17,8 @@
     Members,
     /// What is covered, held for others, and taken over.
     Takeover,
+    /// How far this process has started.
+    Start,
     /// Send clients elsewhere, and have all ended within this time if there is one.
     OutOfService(Option<Micros>),
     /// Take endpoints out of use.
--- a/src/net/driver.rs
+++ b/src/net/driver.rs
@@ -3,6 +3,7 @@
 
 mod covered;
 mod draining;
+mod starting;
 
 use std::cell::RefCell;
 use std::collections::{BTreeMap, BTreeSet, HashMap};
@@ -12,6 +13,7 @@
 
 use myrtleyard::interface::*;
 use myrtleyard::policy::Policy;
+use myrtleyard::start::pace::Backlog;
 use myrtleyard::takeover::lots::Fact;
 use tokio::net::{TcpListener, UnixStream};
 use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel};
@@ -193,12 +195,13 @@
         settings: config.settings,
     };
     driver.resume_covered();
+    let from = driver.parts.starting.as_mut().and_then(|part| part.from.take());
     let (first, followed) = match predecessor {
         Some(predecessor) => {
             let (first, followed) = driver.take_over(predecessor, inbound.clone(), config.seed);
             (first, Some(followed))
         }
-        None => (driver.start(config.known), None),
+        None => (driver.start(from.unwrap_or(config.known)), None),
     };
     driver.turn(first);
 
@@ -210,10 +213,12 @@
     let address = listener.local_addr().map_err(|e| format!("listen: {e}"))?;
     driver.standing.send_replace(Standing::InService);
     let following = platform::Following::new(&driver.settings, driver.index, config.seed);
+    let pace =
+        driver.parts.starting.as_ref().filter(|_| !driver.settings.must_ask).map(|part| part.pace(clock));
     let mut tasks = vec![
         tokio::task::spawn_local(intake.clone().listen(listener, sides.max(1))),
         tokio::task::spawn_local(platform::notices(discovery.clone(), owed, inbound.clone())),
-        tokio::task::spawn_local(platform::follow(discovery, following, wanted, inbound.clone())),
+        tokio::task::spawn_local(platform::follow(discovery, following, pace, wanted, inbound.clone())),
     ];
     if claim.is_some() {
         let inbound = inbound.clone();
@@ -253,6 +258,7 @@
         let now = clock.now();
         driver.with_parts(|parts, out| parts.tick(now, out));
         driver.covered(&mut said);
+        driver.starting(&mut said);
         while let Some(timer) = driver.timers.pop_first() {
             if timer.0 > now {
                 driver.timers.insert(timer);
@@ -273,6 +279,10 @@
             && let Some(claim) = claim.take()
         {
             driver.give_waiting_up();
+            let old = driver.resume_all();
+            if !old.is_empty() {
+                driver.turn(old);
+            }
             for task in std::mem::take(&mut tasks) {
                 task.abort();
                 let _ = task.await;
@@ -309,10 +319,15 @@
         // It may be old: what is not in it may be in discovery's, so that it ends no mark.
         let mut said = vec![self.listed(ListBody { snapshot: true, ..known })];
         let live: Vec<(u32, Live)> = self.journal.live().iter().map(|(n, l)| (*n, l.clone())).collect();
+        let mut old = Vec::new();
         for (number, live) in live {
             self.held.insert(live.taken.id.clone(), number);
             let class = self.names.borrow().class(&live.taken.class);
             let given_up = match (live.given_up, class) {
+                (None, Some(_)) if self.parts.starting.is_some() => {
+                    old.push((number, live.taken.deadline));
+                    continue;
+                }
                 (None, Some(class)) => {
                     let (id, destination) = (&live.taken.id, live.taken.destination);
                     tracing::debug!(id, destination, attempts = live.attempts.len(), "taken up again");
@@ -328,6 +343,9 @@
             self.unwritten.push(Record::GivenUp(number, given_up));
             self.unsaid.push((number, given_up, live.taken.id));
         }
+        if let Some(starting) = &self.parts.starting {
+            starting.core.borrow_mut().backlog = Backlog::new(old, now);
+        }
         said
     }
 
@@ -351,6 +369,7 @@
         self.given = knowledge.given;
         self.index = knowledge.index;
         self.timers = knowledge.timers;
+        self.start_from_known();
         self.next_message = knowledge.next_message;
         self.held = knowledge.held;
         self.attempts = knowledge.attempts;
@@ -447,6 +466,7 @@
             }
             Inbound::Listed(list) => {
                 said.push(self.listed(list));
+                self.start_listed();
                 self.forget_marks();
             }
             Inbound::NoticesKept(messages) => {
@@ -641,8 +661,9 @@
             let bundle = self.settings.kinds.get(kind).map_or(1, |kind| kind.bundle);
             let (address, group) = (listing.address.parse().ok(), listing.group);
             let (listed, active) = (state != Listing::Gone, state == Listing::Ready);
+            let since_ms = listing.since_ms;
             let (name, shape) = (listing.name, Some(Shape { zone, kind, weight, active }));
-            self.endpoints.insert(endpoint, Known { name, group, address, listed, shape, bundle });
+            self.endpoints.insert(endpoint, Known { name, group, address, listed, shape, bundle, since_ms });
         }
         if list.snapshot { Event::List(entries) } else { Event::Changes(entries) }
     }
--- a/src/net/driver/draining.rs
+++ b/src/net/driver/draining.rs
@@ -55,6 +55,7 @@
             Ask::Endpoints => Reply::yes(&self.endpoints_report()),
             Ask::Members => self.members(),
             Ask::Takeover => self.takeover_report(),
+            Ask::Start => self.start_report(),
             Ask::OutOfService(within) => match self.service(false, within, said) {
                 true => Reply::yes(&self.drain_report()),
                 // A process that is on its way out does not come back.
@@ -135,6 +136,9 @@
             let Shape { zone, kind, weight, active } = known.shape?;
             let listing = if active { Listing::Ready } else { Listing::Draining };
             let listing = self.marks().map_or(listing, |marks| marks.over(&known.name, listing));
+            let hidden =
+                self.parts.starting.as_ref().is_some_and(|part| part.core.borrow().hides(&known.name));
+            let listing = if hidden { Listing::Draining } else { listing };
             let destination = DestinationId(known.group);
             Some(Entry { endpoint: *endpoint, destination, zone, kind, weight, listing })
         };
--- /dev/null
+++ b/src/net/driver/starting.rs
@@ -0,0 +1,142 @@
+//! A start with others at once, as the driver sees it: old messages go into the module at a pace, and endpoints that
+//! others tell to be gone are let be until the list service tells itself.
+
+use std::collections::BTreeMap;
+
+use hyper::StatusCode;
+use myrtleyard::interface::*;
+
+use super::super::control::Reply;
+use super::super::listing::{Listing, Shape};
+use super::super::parts::Part;
+use super::super::parts::starting::named;
+use super::Driver;
+
+impl Driver {
+    /// The list as the list service told it, in its form.
+    fn told_list(&self) -> Vec<Listing> {
+        let names = self.names.borrow();
+        let name = |names: &[String], at: usize| names.get(at).cloned().unwrap_or_default();
+        let listed = self.endpoints.values().filter(|known| known.listed).filter_map(|known| {
+            let Shape { zone, kind, weight, active } = known.shape?;
+            Some(Listing {
+                name: known.name.clone(),
+                address: known.address.map(|address| address.to_string()).unwrap_or_default(),
+                zone: name(&names.zones, zone.into()),
+                kind: name(&names.kinds, kind),
+                group: known.group,
+                status: if active { "active" } else { "leaving" }.to_owned(),
+                weight,
+                since_ms: known.since_ms,
+            })
+        });
+        listed.collect()
+    }
+
+    /// The list service told something, which the driver has taken up.
+    pub(super) fn start_listed(&mut self) {
+        let now = self.clock.now();
+        if self.parts.starting.is_none() {
+            return;
+        }
+        let list = self.told_list();
+        if let Some(starting) = &mut self.parts.starting {
+            starting.listed(now, self.index, &list);
+        }
+    }
+
+    /// The list is the one that the process before had.
+    pub(super) fn start_from_known(&mut self) {
+        let list = self.told_list();
+        if let Some(starting) = &mut self.parts.starting {
+            starting.core.borrow_mut().begins_from(self.index, named(&list));
+        }
+    }
+
+    /// What has to be done for a start in this turn.
+    pub(super) fn starting(&mut self, said: &mut Vec<Event>) {
+        let now = self.clock.now();
+        let Some(starting) = &mut self.parts.starting else { return };
+        let (changed, old) = {
+            let mut core = starting.core.borrow_mut();
+            (core.changed(), core.backlog.take(now))
+        };
+        if starting.to_keep(now) {
+            let list = self.told_list();
+            if let Some(starting) = &mut self.parts.starting {
+                starting.keep(now, &list);
+            }
+        }
+        if !changed.is_empty() {
+            said.push(self.relisted(|name| changed.contains(name)));
+        }
+        self.resume_old(old, said);
+        self.share_cold(now, said);
+    }
+
+    /// Destinations all of whose endpoints started of late, and when the first of them did. The clock of the list is
+    /// all machines'.
+    fn cold(&self, now: Micros) -> BTreeMap<u16, Micros> {
+        let mut cold: BTreeMap<u16, Micros> = BTreeMap::new();
+        for known in self.endpoints.values().filter(|known| known.listed && known.active()) {
+            let since = known.since_ms.saturating_mul(1000).min(now);
+            cold.entry(known.group).and_modify(|first| *first = since.min(*first)).or_insert(since);
+        }
+        cold.retain(|_, since| now < since.saturating_add(self.settings.rules.warm_within));
+        cold
+    }
+
+    /// Tells the module of destinations that are cold since their own start, and of this sender's part in what they
+    /// bear, while it starts itself.
+    fn share_cold(&mut self, now: Micros, said: &mut Vec<Event>) {
+        let Some(starting) = &self.parts.starting else { return };
+        let mut core = starting.core.borrow_mut();
+        if !core.shares(now) {
+            return;
+        }
+        let mut held: BTreeMap<u16, usize> = BTreeMap::new();
+        for live in self.journal.live().values().filter(|live| live.given_up.is_none()) {
+            *held.entry(live.taken.destination).or_default() += 1;
+        }
+        core.holds(held);
+        let cold = self.cold(now);
+        for (destination, part) in core.parts(cold.keys().copied()) {
+            let ago = now - cold.get(&destination).copied().unwrap_or(now);
+            said.push(Event::Cold { destination: DestinationId(destination), ago, part });
+        }
+    }
+
+    /// Old messages have their turn, as far as they are still this sender's to end.
+    fn resume_old(&mut self, old: Vec<u32>, said: &mut Vec<Event>) {
+        let now = self.clock.now();
+        for number in old {
+            let Some(live) = self.journal.live().get(&number).filter(|live| live.given_up.is_none()).cloned()
+            else {
+                continue;
+            };
+            let class = self.names.borrow().class(&live.taken.class);
+            if let Some(class) = class {
+                let (id, destination) = (&live.taken.id, live.taken.destination);
+                tracing::debug!(id, destination, attempts = live.attempts.len(), "taken up again");
+                said.push(self.resumed(number, class, &live, now));
+            }
+        }
+    }
+
+    /// All old messages go in now: what comes after this knows of none that the module does not.
+    pub(super) fn resume_all(&mut self) -> Vec<Event> {
+        let mut said = Vec::new();
+        let old = self.parts.starting.as_ref().map(|part| part.core.borrow_mut().backlog.take(Micros::MAX));
+        self.resume_old(old.unwrap_or_default(), &mut said);
+        said
+    }
+
+    /// How far this process has started, for operators.
+    pub(super) fn start_report(&self) -> Reply {
+        let Some(starting) = &self.parts.starting else {
+            let why = "starts are not told of: the configuration has no section \"start\"";
+            return Reply::no(StatusCode::NOT_FOUND, why);
+        };
+        Reply::yes(&starting.report(self.clock.now()))
+    }
+}
--- a/src/net/listing.rs
+++ b/src/net/listing.rs
@@ -19,7 +19,7 @@
 }
 
 /// One entry.
-#[derive(Debug, Clone, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Listing {
     /// The same at every sender.
     pub name: String,
@@ -39,6 +39,9 @@
     /// Its weight.
     #[serde(default)]
     pub weight: f64,
+    /// When it last started, Unix time in milliseconds; 0 for long ago.
+    #[serde(default)]
+    pub since_ms: u64,
 }
 
 /// An endpoint as the list has it.
@@ -57,6 +60,9 @@
     pub shape: Option<Shape>,
     /// Messages in one call at most.
     pub bundle: usize,
+    /// When it last started, Unix time in milliseconds; 0 for long ago.
+    #[serde(default)]
+    pub since_ms: u64,
 }
 
 /// What the list tells of an endpoint beyond where it is.
--- a/src/net/mgmt.rs
+++ b/src/net/mgmt.rs
@@ -112,6 +112,7 @@
             "/control/endpoints" if get => self.ask(Ask::Endpoints).await,
             "/control/members" if get => self.ask(Ask::Members).await,
             "/control/takeover" if get => self.ask(Ask::Takeover).await,
+            "/control/start" if get => self.ask(Ask::Start).await,
             "/control/endpoints/drain" if post => {
                 self.ask_with(request, |body| read(body).map(Ask::DrainEndpoints)).await
             }
@@ -120,7 +121,7 @@
             }
             "/control/config/check" if post => answered(self.check(request).await),
             "/control/ready" | "/control/counters" | "/control/drain" | "/control/endpoints"
-            | "/control/members" | "/control/takeover" => not_allowed("GET"),
+            | "/control/members" | "/control/takeover" | "/control/start" => not_allowed("GET"),
             "/control/out-of-service"
             | "/control/in-service"
             | "/control/endpoints/drain"
--- a/src/net/parts/mod.rs
+++ b/src/net/parts/mod.rs
@@ -4,17 +4,20 @@
 
 pub mod covering;
 pub mod draining;
+pub mod starting;
 pub mod view;
 
 use std::path::Path;
 
 use myrtleyard::interface::Micros;
+use myrtleyard::start::kept::ROOM;
 use myrtleyard::takeover::lots::Memory;
 use serde_json::Value;
 
 use super::config::Config;
 use covering::Covering;
 use draining::Draining;
+use starting::Starting;
 use view::View;
 
 /// Datagrams to other senders, by their numbers.
@@ -50,6 +53,8 @@
     pub view: Option<View>,
     /// Covers for what is in hand.
     pub covering: Option<Covering>,
+    /// A start with others at once.
+    pub starting: Option<Starting>,
 }
 
 impl Parts {
@@ -59,13 +64,15 @@
             draining: config.draining.map(|section| Draining::open(folder, section.max_marks)),
             view: View::open(config, now),
             covering: Covering::open(config, folder, now),
+            starting: Starting::open(config, folder, now),
         }
     }
 
     /// Bytes that parts may take of the folder that lasts.
     pub fn room(config: &Config) -> u64 {
         let marks = config.draining.map_or(0, |section| Draining::room(section.max_marks));
-        marks + config.takeover.as_ref().map_or(0, |_| Memory::ROOM)
+        let list = config.start.as_ref().map_or(0, |_| ROOM);
+        marks + list + config.takeover.as_ref().map_or(0, |_| Memory::ROOM)
     }
 
     /// The configuration has changed. Draining and covers stay as they were at the start, since their room was set
@@ -85,7 +92,8 @@
         let draining = self.draining.as_mut().map(|part| part as &mut dyn Part);
         let view = self.view.as_mut().map(|part| part as &mut dyn Part);
         let covering = self.covering.as_mut().map(|part| part as &mut dyn Part);
-        draining.into_iter().chain(view).chain(covering)
+        let starting = self.starting.as_mut().map(|part| part as &mut dyn Part);
+        draining.into_iter().chain(view).chain(covering).chain(starting)
     }
 
     /// When the first of them wants to be called.
@@ -93,7 +101,8 @@
         let draining = self.draining.as_ref().and_then(Part::due);
         let view = self.view.as_ref().and_then(Part::due);
         let covering = self.covering.as_ref().and_then(Part::due);
-        draining.into_iter().chain(view).chain(covering).min()
+        let starting = self.starting.as_ref().and_then(Part::due);
+        draining.into_iter().chain(view).chain(covering).chain(starting).min()
     }
 
     /// Calls those whose time has come.
@@ -102,6 +111,10 @@
             let facts = self.view.as_ref().map(|view| view.facts(now));
             covering.look(facts.as_ref());
         }
+        if let Some(starting) = self.starting.as_mut().filter(|part| part.due().is_some_and(|due| due <= now))
+        {
+            starting.look(self.view.as_ref().map(|view| view.facts(now)).as_ref());
+        }
         for part in self.each().filter(|part| part.due().is_some_and(|due| due <= now)) {
             part.tick(now, out);
         }
--- /dev/null
+++ b/src/net/parts/starting.rs
@@ -0,0 +1,229 @@
+//! A start with others at once, at the running sender: what outlasts the process, when the list service is called, and
+//! what operators are told. `myrtleyard::start` is the rest.
+
+use std::cell::RefCell;
+use std::path::{Path, PathBuf};
+use std::rc::Rc;
+use std::time::Duration;
+
+use myrtleyard::interface::Micros;
+use myrtleyard::membership::{Facts, State};
+use myrtleyard::start::kept::{EVERY, Kept, MOST_BYTES};
+use myrtleyard::start::{Begin, Failed, Named, Phase, Start};
+use serde_json::{Value, json};
+use tokio::sync::Notify;
+
+use super::super::Clock;
+use super::super::config::Config;
+use super::super::lasting;
+use super::super::listing::{ListBody, Listing};
+use super::{Out, Part};
+
+/// The slot of a call that waits for its turn is looked at again so often: it moves with what is heard.
+const LOOK: Duration = Duration::from_millis(100);
+
+/// The part.
+pub struct Starting {
+    /// The start itself, shared with whoever follows the list.
+    pub core: Rc<RefCell<Start>>,
+    list_at: PathBuf,
+    lives_at: PathBuf,
+    /// The list that this process begins from, and where it is from.
+    pub from: Option<ListBody>,
+    source: &'static str,
+    kept_at: Option<Micros>,
+    /// When the list was last written down, and whether it has changed since.
+    written: (Micros, bool),
+    /// This process has come through its start.
+    through: bool,
+}
+
+/// The entries of a list as others are told them.
+pub fn named(list: &[Listing]) -> impl Iterator<Item = Named> {
+    list.iter().map(|listing| (listing.name.clone(), listing.group, listing.status == "active"))
+}
+
+impl Starting {
+    /// As the configuration has it, with what earlier processes left; nothing without its section. What can't be read
+    /// is told and left out.
+    pub fn open(config: &Config, folder: &Path, now: Micros) -> Option<Self> {
+        let section = config.start.as_ref()?;
+        let own = config.rank()?;
+        let (list_at, lives_at) = (folder.join("list"), folder.join("lives"));
+        let lives = lasting::read(&lives_at).ok().flatten().and_then(|bytes| bytes.first().copied());
+        let lives = lives.unwrap_or(0);
+        // One more, until this process has come through.
+        if let Err(e) = lasting::write(&lives_at, &[lives.saturating_add(1)]) {
+            tracing::warn!("the count of starts can't be written down: {e}");
+        }
+        let tier = myrtleyard::membership::tier_of(&section.tier);
+        let read = lasting::read(&list_at).map_err(|e| e.to_string());
+        let read = read.and_then(|bytes| {
+            let kept = bytes.map(|bytes| postcard::from_bytes::<Kept<Listing>>(&bytes));
+            kept.transpose().map_err(|e| e.to_string())
+        });
+        let kept = match read {
+            Ok(kept) => kept,
+            Err(e) => {
+                tracing::warn!("the list of endpoints that was kept can't be read, and is left out: {e}");
+                None
+            }
+        };
+        let bears = kept.as_ref().filter(|kept| kept.tier == tier).map(|kept| kept.bears);
+        let fit = kept.filter(|kept| match kept.fit(tier, config.known.index, now) {
+            Ok(()) => true,
+            Err(why) => {
+                tracing::warn!("the list of endpoints that was kept is not begun from: {why}");
+                false
+            }
+        });
+        let kept_at = fit.as_ref().map(|kept| kept.at);
+        let from = fit.map(|kept| ListBody { index: kept.version, snapshot: true, endpoints: kept.entries });
+        let source = match &from {
+            Some(_) => "folder",
+            None if config.known.endpoints.is_empty() => "none",
+            None => "configuration",
+        };
+        let begun = from.as_ref().unwrap_or(&config.known);
+        let begin = Begin {
+            own,
+            size: config.peers.len(),
+            version: begun.index,
+            bears,
+            lives: lives.into(),
+            watched: !config.settings.must_ask,
+            grace: config.settings.rules.drain_grace,
+            seed: config.seed,
+        };
+        let mut core = Start::new(section, begin, now);
+        core.begins_from(begun.index, named(&begun.endpoints));
+        let core = Rc::new(RefCell::new(core));
+        let written = (now.saturating_sub(EVERY), false);
+        Some(Self { core, list_at, lives_at, from, source, kept_at, written, through: false })
+    }
+
+    /// How many the view holds for there.
+    pub fn look(&mut self, facts: Option<&Facts>) {
+        let Some(facts) = facts else { return };
+        let gone = |state: State| matches!(state, State::Dead | State::Left);
+        let there = facts.members.iter().filter(|member| !gone(member.state)).count();
+        self.core.borrow_mut().look(there);
+    }
+
+    /// The list service told a list, and this is all of it.
+    pub fn listed(&mut self, now: Micros, version: u64, list: &[Listing]) {
+        self.core.borrow_mut().listed(now, version, named(list).collect());
+        self.source = "list service";
+        self.written.1 = true;
+        if now >= self.written.0 + EVERY {
+            self.keep(now, list);
+        }
+    }
+
+    /// The list is to be written down, if it has changed and was not for a while.
+    pub fn to_keep(&self, now: Micros) -> bool {
+        self.written.1 && now >= self.written.0 + EVERY
+    }
+
+    /// Writes the list down.
+    pub fn keep(&mut self, now: Micros, list: &[Listing]) {
+        let core = self.core.borrow();
+        let (version, at) = core.list();
+        let bears = if core.phase().0 == Phase::Steady { core.learned() } else { core.bears() };
+        let entries = list.to_vec();
+        let kept = Kept { tier: core.tier(), at: at.unwrap_or(now), version, bears, entries };
+        drop(core);
+        self.written = (now, false);
+        let bytes = postcard::to_allocvec(&kept).unwrap_or_default();
+        if bytes.len() > MOST_BYTES {
+            tracing::warn!(bytes = bytes.len(), "the list of endpoints is too long to be kept");
+        } else if let Err(e) = lasting::write(&self.list_at, &bytes) {
+            tracing::warn!("the list of endpoints can't be written down: {e}");
+        }
+    }
+
+    /// For whoever follows the list.
+    pub fn pace(&self, clock: Clock) -> Rc<Pace> {
+        Rc::new(Pace { core: self.core.clone(), clock, moved: Notify::new() })
+    }
+}
+
+impl Part for Starting {
+    fn due(&self) -> Option<Micros> {
+        Some(self.core.borrow().due())
+    }
+
+    fn tick(&mut self, now: Micros, out: &mut Out) {
+        self.core.borrow_mut().tick(now, out);
+        let through = self.core.borrow().phase().0 == Phase::Steady;
+        if through && !self.through {
+            self.through = true;
+            // What was learned goes with the list, at the next turn that writes it.
+            self.written.1 = true;
+            if let Err(e) = lasting::write(&self.lives_at, &[0]) {
+                tracing::warn!("the count of starts can't be written down: {e}");
+            }
+        }
+    }
+
+    fn datagram(&mut self, now: Micros, from: u16, bytes: &[u8], out: &mut Out) -> bool {
+        self.core.borrow_mut().receive(now, from, bytes, out)
+    }
+
+    fn report(&self, now: Micros) -> Value {
+        let core = self.core.borrow();
+        let (phase, since) = core.phase();
+        let (version, told) = core.list();
+        let ago = |at: Micros| now.saturating_sub(at) / 1000;
+        json!({"phase": phase, "for_ms": ago(since), "waits_for": core.waits_for(now),
+               "list": {"source": self.source, "version": version, "age_ms": told.or(self.kept_at).map(ago),
+                        "told_by_others_to_be_gone": core.hidden()},
+               "calls": core.counts, "old_messages_waiting": core.backlog.left(),
+               "starting": core.starters() as u64, "spread_ms": core.spread(now) / 1000,
+               "bears_per_s": core.bears(), "others_bear_per_s": core.others_bear(),
+               "wider": core.trouble(now).exp2(), "starts_in_a_row": core.lives() + 1})
+    }
+}
+
+/// When the list service is called, for whoever follows the list.
+pub struct Pace {
+    core: Rc<RefCell<Start>>,
+    clock: Clock,
+    moved: Notify,
+}
+
+impl Pace {
+    /// Waits for this sender's turn, and takes it. Whether the whole list is to be asked for.
+    pub async fn turn(&self) -> bool {
+        loop {
+            let now = self.clock.now();
+            let at = self.core.borrow().ask_at(now).unwrap_or(now);
+            if at <= now {
+                let mut core = self.core.borrow_mut();
+                let whole = core.whole();
+                core.asked(now);
+                return whole;
+            }
+            let rest = LOOK.min(Duration::from_micros(at - now));
+            tokio::select! {
+                () = tokio::time::sleep(rest) => {}
+                () = self.moved.notified() => {}
+            }
+        }
+    }
+
+    /// The call that had its turn ended so: with news or without, or not at all.
+    pub fn ended(&self, how: Result<bool, Failed>) {
+        let now = self.clock.now();
+        match how {
+            Ok(news) => self.core.borrow_mut().answered(now, news),
+            Err(how) => self.core.borrow_mut().failed(now, how),
+        }
+    }
+
+    /// The list service has moved.
+    pub fn moved(&self) {
+        self.core.borrow_mut().moved(self.clock.now());
+        self.moved.notify_one();
+    }
+}
--- a/src/net/platform.rs
+++ b/src/net/platform.rs
@@ -9,6 +9,7 @@
 use http_body_util::Full;
 use hyper::{Request, StatusCode};
 use myrtleyard::interface::{Event, MessageId, Settings};
+use myrtleyard::start::Failed;
 use serde::Serialize;
 use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender};
 use tokio::sync::{Notify, watch};
@@ -17,6 +18,7 @@
 use super::calls::Conn;
 use super::journal::GivenUp;
 use super::listing::ListBody;
+use super::parts::starting::Pace;
 use super::{BODY_LIMIT, Inbound};
 
 /// How long a watch may be held open.
@@ -76,10 +78,12 @@
     }
 }
 
-/// Follows the list for as long as the process runs. Moves when discovery does.
+/// Follows the list for as long as the process runs. Moves when discovery does. Where there is a pace, each call but
+/// one for the whole list waits for its turn.
 pub async fn follow(
     mut discovery: watch::Receiver<SocketAddr>,
     mut following: Following,
+    pace: Option<Rc<Pace>>,
     wanted: Rc<Wanted>,
     inbound: UnboundedSender<Inbound>,
 ) {
@@ -89,6 +93,9 @@
         wanted.watch.notified().await;
     }
     loop {
+        if let Some(pace) = &pace {
+            whole |= pace.turn().await;
+        }
         let address = *discovery.borrow_and_update();
         let path = match following {
             Following::Watch(from) if !whole => {
@@ -108,13 +115,19 @@
             }
             Ok(()) = discovery.changed() => {
                 conn = None;
+                pace.iter().for_each(|pace| pace.moved());
                 continue;
             }
         };
+        let silent = !matches!(answer, Ok(Ok(_)));
         let list = match answer {
             Ok(Ok((StatusCode::OK, body))) => serde_json::from_slice::<ListBody>(&body).ok(),
             _ => None,
         };
+        if let (Some(pace), Following::Watch(from)) = (&pace, &following) {
+            let failed = if silent { Failed::Silence } else { Failed::Answer };
+            pace.ended(list.as_ref().map(|list| list.index != *from).ok_or(failed));
+        }
         let rest = match (&list, &mut following) {
             (Some(list), Following::Watch(from)) => {
                 *from = list.index;
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -124,6 +124,8 @@
     fulls: u32,
     full_at: Micros,
     bad_run: u32,
+    /// This sender's part of what a cold destination bears, where it was told one; else all have the same.
+    part: Option<f64>,
     /// When a destination back from an outage first answered.
     cold_since: Option<Micros>,
     /// When the outage was first seen.
@@ -246,11 +248,12 @@
         }
         let since = std::mem::replace(&mut self.turn_at, now);
         let Some(share) = self.cold_share(rules, now) else {
-            self.turn = 0.0;
+            (self.turn, self.part) = (0.0, None);
             return true;
         };
         let part = backlog * 1e6 / (now.saturating_sub(self.bad_since)).max(1) as f64;
-        let own = self.usual_rate(rules).max(self.told / settings.senders as f64).max(part);
+        let even = 1.0 / settings.senders as f64;
+        let own = self.usual_rate(rules).max(self.told * self.part.unwrap_or(even)).max(part);
         let seconds = rules.overload_for as f64 / 1e6;
         let least = FEW_SENDERS as f64 / (settings.senders as f64 * seconds);
         self.ramp = (rules.fall_multiple * share * own * RAMP_MARGIN).max(least);
@@ -564,6 +567,7 @@
                 // to another sender later. It ends by the drain's time, if that has one.
                 Event::Service { wanted, until } => self.drain_by = until.filter(|_| !wanted),
                 Event::Note { content, .. } => self.note(content),
+                Event::Cold { destination, ago, part } => self.cold(*destination, *ago, *part),
                 Event::Streaming { .. } | Event::ListFailed | Event::Reminder(_) => {}
             }
         }
@@ -729,6 +733,15 @@
         }
     }
 
+    /// It is cold as of then, unless it is known to have come back later.
+    fn cold(&mut self, destination: DestinationId, ago: Micros, part: f64) {
+        let since = Some(self.now.saturating_sub(ago));
+        let routes = self.routes.range_mut((destination, None)..).take_while(|(id, _)| id.0 == destination);
+        for (_, route) in routes {
+            (route.cold_since, route.part) = (route.cold_since.max(since), Some(part));
+        }
+    }
+
     fn ended(&mut self, id: MessageId, attempt: u16, outcome: Outcome, terminal: bool) {
         let Some(flight) = self.flights.remove(&(id, attempt)) else { return };
         let now = self.now;
--- /dev/null
+++ b/src/start/kept.rs
@@ -0,0 +1,81 @@
+//! What of a start outlasts the process: the list of endpoints as the list service last told it, and how many processes
+//! in a row ended while they started.
+
+use serde::{Deserialize, Serialize};
+
+use crate::interface::Micros;
+
+/// A longer list is not kept, bytes.
+pub const MOST_BYTES: usize = 96 * 1024;
+/// Bytes of the folder that lasts: the list, its next one while it is written, and the count of lives.
+pub const ROOM: u64 = 2 * MOST_BYTES as u64 + 4096;
+/// The list is written no more often than this.
+pub const EVERY: Micros = 10_000_000;
+/// An older one is not begun from: meanwhile an address may have come to be another endpoint's.
+pub const GOOD_FOR: Micros = 600_000_000;
+/// Lives that slow the asking down at most, each by twice.
+pub const MOST_LIVES: u32 = 3;
+
+/// A list as this sender was told it.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Kept<T> {
+    /// The tier's checksum.
+    pub tier: u32,
+    /// When it was told, Unix time.
+    pub at: Micros,
+    /// Its version.
+    pub version: u64,
+    /// Calls a second that the list service is believed to bear.
+    pub bears: f64,
+    /// Its entries.
+    pub entries: Vec<T>,
+}
+
+/// Why a kept list is not begun from.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
+pub enum Unfit {
+    /// The folder was another tier's.
+    #[error("it is another tier's; look whether this sender has the folder of another")]
+    Foreign,
+    /// It is over [`GOOD_FOR`], or is from after now.
+    #[error("it is over ten minutes old, or from after now; look at the machine's clock")]
+    Old,
+    /// The configuration has a later one.
+    #[error("the configuration has a later one, which is taken")]
+    Behind,
+}
+
+impl<T> Kept<T> {
+    /// Whether a process that starts now, with that version in its configuration, may begin from it.
+    ///
+    /// # Errors
+    /// Says why not; the sender then begins from its configuration.
+    pub fn fit(&self, tier: u32, known: u64, now: Micros) -> Result<(), Unfit> {
+        if self.tier != tier {
+            Err(Unfit::Foreign)
+        } else if self.at.abs_diff(now) > GOOD_FOR {
+            Err(Unfit::Old)
+        } else if self.version < known {
+            Err(Unfit::Behind)
+        } else {
+            Ok(())
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn a_list_of_another_tier_or_day_or_behind_the_configuration_is_not_begun_from() {
+        let now = 2 * GOOD_FOR;
+        let kept = |tier, at, version| Kept::<u8> { tier, at, version, bears: 20.0, entries: vec![] };
+        assert_eq!(kept(7, now, 41).fit(7, 41, now), Ok(()));
+        assert_eq!(kept(7, now + 1_000, 41).fit(7, 40, now), Ok(()), "the clock has stepped back a little");
+        assert_eq!(kept(8, now, 41).fit(7, 41, now), Err(Unfit::Foreign));
+        assert_eq!(kept(7, now - GOOD_FOR - 1, 41).fit(7, 41, now), Err(Unfit::Old));
+        assert_eq!(kept(7, now + GOOD_FOR + 1, 41).fit(7, 41, now), Err(Unfit::Old));
+        assert_eq!(kept(7, now, 40).fit(7, 41, now), Err(Unfit::Behind));
+    }
+}
--- /dev/null
+++ b/src/start/spread.rs
@@ -0,0 +1,78 @@
+//! When each of many senders asks one service, so that together they ask at a rate that it bears.
+
+use crate::interface::Micros;
+use crate::membership::Rank;
+
+/// Part of what the service bears that a start plans to use: answers to others, and hints that are lost, need the rest.
+pub const MARGIN: f64 = 0.75;
+/// The widest spread over a whole tier.
+pub const WIDEST: Micros = 60_000_000;
+/// A narrower one is none.
+const NARROWEST: Micros = 50_000;
+/// Failures that widen, each by twice, at most.
+pub const MOST_TROUBLE: f64 = 4.0;
+/// In this time without a failure a widening is halved.
+pub const TROUBLE_FADES: Micros = 10_000_000;
+/// Rest after a failed call, at least and at most, before it is drawn about that.
+pub const REST: (Micros, Micros) = (200_000, 60_000_000);
+/// The same where the list's source is the own machine's agent, which bears any number of calls: what it has counts
+/// as told, so that the call must not wait for long.
+pub const REST_AT_AGENT: (Micros, Micros) = (25_000, 400_000);
+
+/// A sender's place in a spread, from 0 to 1: neighbours in the list and any run of them are even in it (the Kronecker
+/// sequence of the golden ratio, Weyl 1916), so that the worst second is hardly worse than the mean.
+pub fn place(rank: Rank, tier: u32) -> f64 {
+    (f64::from(rank) * 0.618_033_988_749_894_9 + f64::from(tier) / f64::from(u32::MAX)).fract()
+}
+
+/// How wide the calls of so many senders are spread at a service that bears so many a second, widened by `trouble`
+/// (a power of two), within a bound.
+pub fn width(senders: f64, bears: f64, trouble: f64, most: Micros) -> Micros {
+    let seconds = senders / (bears.max(0.1) * MARGIN) * trouble.clamp(0.0, 3.0 * MOST_TROUBLE).exp2();
+    let width = (seconds * 1e6) as Micros;
+    if width < NARROWEST { 0 } else { width.min(most) }
+}
+
+/// What is left of a widening.
+pub fn faded(trouble: f64, since: Micros) -> f64 {
+    (trouble - since as f64 / TROUBLE_FADES as f64).max(0.0)
+}
+
+/// Rest after so many calls in a row failed, drawn from half to one and a half of the mean (the jitter keeps those that
+/// failed together from coming again together), within bounds.
+pub fn rest(first: Micros, failed: u32, luck: f64, bounds: (Micros, Micros)) -> Micros {
+    let mean = (first.clamp(bounds.0, bounds.1) << failed.saturating_sub(1).min(5)).min(bounds.1);
+    (mean as f64 * (0.5 + luck)) as Micros
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn places_are_even_for_a_whole_tier_and_for_a_run_of_it() {
+        for (first, count) in [(0, 300), (37, 150), (500, 500)] {
+            let mut slots = [0; 10];
+            (first..first + count).for_each(|rank| slots[(place(rank, 77) * 10.0) as usize] += 1);
+            let (least, most) = (slots.iter().min(), slots.iter().max());
+            assert!(most.zip(least).is_some_and(|(most, least)| most - least <= 3), "{slots:?}");
+        }
+    }
+
+    #[test]
+    fn a_spread_keeps_its_bounds_whatever_it_is_told() {
+        for senders in [0.0, 1.0, 1e3, f64::INFINITY, f64::NAN] {
+            for bears in [0.0, -4.0, 20.0, f64::INFINITY, f64::NAN] {
+                for trouble in [-1.0, 0.0, 1e9, f64::NAN] {
+                    assert!(width(senders, bears, trouble, WIDEST) <= WIDEST);
+                }
+            }
+        }
+        assert_eq!(width(150.0, 20.0, 0.0, WIDEST), 10_000_000);
+        assert_eq!(width(150.0, 20.0, 1.0, WIDEST), 20_000_000);
+        for failed in 0..100 {
+            assert!(rest(7, failed, 1.0, REST) <= REST.1 * 3 / 2);
+            assert!(rest(Micros::MAX >> 8, failed, 0.0, REST_AT_AGENT) >= REST_AT_AGENT.0 / 2);
+        }
+    }
+}
