--- a/src/start/mod.rs
+++ b/src/start/mod.rs
@@ -376,7 +376,10 @@
             // What others tell is in it twice else: each that fails rests longer by itself.
             Source::Service => (spread::width(self.there as f64, self.bears, 0.0, self.most), spread::REST),
         };
-        self.next = Next::At(now + spread::rest(first, self.failed, self.rng.f64(), bounds));
+        // Who has had no answer yet comes again as soon as all others could have.
+        let times =
+            if self.list.is_none() && self.config.source == Source::Service { 1 } else { self.failed };
+        self.next = Next::At(now + spread::rest(first, times, self.rng.f64(), bounds));
         let before = spread::faded(self.trouble.0, now.saturating_sub(self.trouble.1));
         self.trouble = ((before + 1.0).min(spread::MOST_TROUBLE), now);
         self.troubled = true;
--- a/src/start/spread.rs
+++ b/src/start/spread.rs
@@ -41,7 +41,7 @@
 /// Rest after so many calls in a row failed, drawn from half to one and a half of the mean (the jitter keeps those that
 /// failed together from coming again together), within bounds.
 pub fn rest(first: Micros, failed: u32, luck: f64, bounds: (Micros, Micros)) -> Micros {
-    let mean = (first.clamp(bounds.0, bounds.1) << failed.saturating_sub(1).min(5)).min(bounds.1);
+    let mean = (first.clamp(bounds.0, bounds.1) << failed.saturating_sub(1).min(2)).min(bounds.1);
     (mean as f64 * (0.5 + luck)) as Micros
 }
 
