--- a/src/net/control.rs
+++ b/src/net/control.rs
@@ -23,6 +23,8 @@
     Estimates,
     /// What a query or a run will cost, as it came.
     Estimate(Vec<u8>),
+    /// How far this process has started.
+    Start,
     /// Send clients elsewhere, and have all ended within this time if there is one.
     OutOfService(Option<Micros>),
     /// Take endpoints out of use.
--- a/src/net/mgmt.rs
+++ b/src/net/mgmt.rs
@@ -142,6 +142,7 @@
                 Some(query) => self.status(query, begun).await,
                 None => answered(no_message()),
             },
+            "/control/start" if get => self.ask(Ask::Start).await,
             "/control/endpoints/drain" if post => {
                 self.ask_with(request, |body| read(body).map(Ask::DrainEndpoints)).await
             }
@@ -150,7 +151,9 @@
             }
             "/control/config/check" if post => answered(self.check(request).await),
             "/control/ready" | "/control/counters" | "/control/drain" | "/control/endpoints"
-            | "/control/members" | "/control/takeover" | "/control/status" => not_allowed("GET"),
+            | "/control/members" | "/control/takeover" | "/control/start" | "/control/status" => {
+                not_allowed("GET")
+            }
             path if path.starts_with(MESSAGE) => not_allowed("GET"),
             "/control/out-of-service"
             | "/control/in-service"
--- a/src/net/parts/mod.rs
+++ b/src/net/parts/mod.rs
@@ -6,11 +6,13 @@
 pub mod draining;
 pub mod estimating;
 pub mod indexing;
+pub mod starting;
 pub mod view;
 
 use std::path::Path;
 
 use myrtleyard::interface::Micros;
+use myrtleyard::start::kept::ROOM;
 use myrtleyard::takeover::lots::Memory;
 use serde_json::Value;
 
@@ -19,6 +21,7 @@
 use draining::Draining;
 use estimating::Estimating;
 use indexing::Indexing;
+use starting::Starting;
 use view::View;
 
 /// Datagrams to other senders, by their numbers.
@@ -58,6 +61,8 @@
     pub estimating: Option<Estimating>,
     /// The status index.
     pub indexing: Option<Indexing>,
+    /// A start with others at once.
+    pub starting: Option<Starting>,
 }
 
 impl Parts {
@@ -69,6 +74,7 @@
             covering: Covering::open(config, folder, now),
             estimating: Estimating::open(config, now),
             indexing: Indexing::open(config, folder, now),
+            starting: Starting::open(config, folder, now),
         }
     }
 
@@ -76,7 +82,8 @@
     pub fn room(config: &Config) -> u64 {
         let marks = config.draining.map_or(0, |section| Draining::room(section.max_marks));
         let index = config.status.as_ref().map_or(0, |section| Indexing::room(section, config.disk));
-        marks + index + config.takeover.as_ref().map_or(0, |_| Memory::ROOM)
+        let list = config.start.as_ref().map_or(0, |_| ROOM);
+        marks + index + list + config.takeover.as_ref().map_or(0, |_| Memory::ROOM)
     }
 
     /// The configuration has changed. Draining, covers and the index stay as they were at the start, since their room was set
@@ -99,7 +106,9 @@
         let covering = self.covering.as_mut().map(|part| part as &mut dyn Part);
         let estimating = self.estimating.as_mut().map(|part| part as &mut dyn Part);
         let indexing = self.indexing.as_mut().map(|part| part as &mut dyn Part);
-        draining.into_iter().chain(view).chain(covering).chain(indexing).chain(estimating)
+        let starting = self.starting.as_mut().map(|part| part as &mut dyn Part);
+        let early = draining.into_iter().chain(view).chain(covering);
+        early.chain(indexing).chain(estimating).chain(starting)
     }
 
     /// When the first of them wants to be called.
@@ -109,7 +118,9 @@
         let covering = self.covering.as_ref().and_then(Part::due);
         let estimating = self.estimating.as_ref().and_then(Part::due);
         let indexing = self.indexing.as_ref().and_then(Part::due);
-        draining.into_iter().chain(view).chain(covering).chain(indexing).chain(estimating).min()
+        let starting = self.starting.as_ref().and_then(Part::due);
+        let early = draining.into_iter().chain(view).chain(covering);
+        early.chain(indexing).chain(estimating).chain(starting).min()
     }
 
     /// Calls those whose time has come.
@@ -124,6 +135,10 @@
         if let Some(estimating) = &mut self.estimating {
             estimating.look(now, self.view.as_ref(), self.indexing.as_mut());
         }
+        if let Some(starting) = self.starting.as_mut().filter(|part| part.due().is_some_and(|due| due <= now))
+        {
+            starting.look(self.view.as_ref().map(|view| view.facts(now)).as_ref());
+        }
         for part in self.each().filter(|part| part.due().is_some_and(|due| due <= now)) {
             part.tick(now, out);
         }
--- a/src/net/platform.rs
+++ b/src/net/platform.rs
@@ -9,6 +9,7 @@
 use http_body_util::Full;
 use hyper::{Request, StatusCode};
 use myrtleyard::interface::{Event, MessageId, Settings};
+use myrtleyard::start::Failed;
 use serde::Serialize;
 use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender};
 use tokio::sync::{Notify, watch};
@@ -17,6 +18,7 @@
 use super::calls::Conn;
 use super::journal::GivenUp;
 use super::listing::ListBody;
+use super::parts::starting::Pace;
 use super::{BODY_LIMIT, Inbound};
 
 /// How long an answer may take where all senders ask the one discovery: that turns away what has waited for 2 s.
@@ -28,6 +30,11 @@
 /// Bounds on how long a watch is held, whatever the settings say.
 const SHORTEST_HOLD: Duration = Duration::from_millis(500);
 const LONGEST_HOLD: Duration = Duration::from_secs(3);
+/// How long a watch is held that is asked of one service for all senders, where a call a second of each would be too
+/// much; what it tells counts as told once it is written.
+const SHARED_HOLD: Duration = Duration::from_secs(20);
+/// How much later a watch's answer may come at most: what it misses counts as told 2 s after its wait is over.
+const WATCH_SLACK: Duration = Duration::from_millis(1500);
 /// Rest before a failed request is made again, unless the module says when: a watch goes on if it comes back
 /// within 200 ms.
 const AGAIN: Duration = Duration::from_millis(50);
@@ -74,10 +81,11 @@
 }
 
 impl Following {
-    /// As the settings have it.
-    pub fn new(settings: &Settings, known: u64, seed: u64) -> Self {
+    /// As the settings have it; `shared` where one service answers all senders' watches, not an agent on this machine.
+    pub fn new(settings: &Settings, shared: bool, known: u64, seed: u64) -> Self {
         match settings.must_ask {
             true => Self::Ask(Duration::from_micros(settings.ask_round()), fastrand::Rng::with_seed(seed)),
+            false if shared => Self::Watch(known, SHARED_HOLD),
             false => {
                 let hold = Duration::from_micros(settings.rules.drain_grace / 2);
                 Self::Watch(known, hold.clamp(SHORTEST_HOLD, LONGEST_HOLD))
@@ -88,16 +96,18 @@
     /// After how long an answer is taken not to come.
     fn patience(&self) -> Duration {
         match self {
-            Self::Watch(_, hold) => *hold * 7 / 5,
+            Self::Watch(_, hold) => *hold + (*hold * 2 / 5).min(WATCH_SLACK),
             Self::Ask(..) => POLL_WITHIN,
         }
     }
 }
 
-/// Follows the list for as long as the process runs. Moves when discovery does.
+/// Follows the list for as long as the process runs. Moves when discovery does. Where there is a pace, each call but
+/// one for the whole list waits for its turn.
 pub async fn follow(
     mut discovery: watch::Receiver<SocketAddr>,
     mut following: Following,
+    pace: Option<Rc<Pace>>,
     wanted: Rc<Wanted>,
     inbound: UnboundedSender<Inbound>,
 ) {
@@ -109,6 +119,9 @@
         wanted.watch.notified().await;
     }
     loop {
+        if let Some(pace) = &pace {
+            whole |= pace.turn().await;
+        }
         let address = *discovery.borrow_and_update();
         let path = match following {
             Following::Watch(from, hold) if !whole => {
@@ -127,14 +140,20 @@
             }
             Ok(()) = discovery.changed() => {
                 conn = None;
+                pace.iter().for_each(|pace| pace.moved());
                 continue;
             }
         };
         let silent_before = std::mem::replace(&mut silent, answer.is_err());
+        let broken = !matches!(answer, Ok(Ok(_)));
         let list = match answer {
             Ok(Ok((StatusCode::OK, body))) => serde_json::from_slice::<ListBody>(&body).ok(),
             _ => None,
         };
+        if let (Some(pace), Following::Watch(from, _)) = (&pace, &following) {
+            let failed = if broken { Failed::Silence } else { Failed::Answer };
+            pace.ended(list.as_ref().map(|list| list.index != *from).ok_or(failed));
+        }
         let rest = match (&list, &mut following) {
             (Some(list), Following::Watch(from, _)) => {
                 *from = list.index;
