Play the start of 300 senders at a list service that bears little, and sessions that read

A run tells what it took: time on processors, descriptors, log.

List service: `calls_per_s` in any second over all agents, 503 beyond; `behind` changes; modes shut, slow, half, back and indent as faults. Each call is in the history.

Sessions write at one sender and read at others by the management calls; rules `session`, `monotonic`, `staleness`, `partial` and `entitlement`, each found in a history spoilt by hand, and silent where an answer says that it has less. No sender answers these calls yet: they were not played against one.

--- a/fleet/src/ledger/checker.rs
+++ b/fleet/src/ledger/checker.rs
@@ -273,6 +273,7 @@
     }
     standing(history, &reading, &mut all);
     all.extend(super::views::read(history).1);
+    all.extend(super::reads::check(history));
     all.sort_by_key(|breach: &Breach| breach.t);
     all
 }
--- a/fleet/src/ledger/figures.rs
+++ b/fleet/src/ledger/figures.rs
@@ -92,6 +92,10 @@
     pub second_notices: u64,
     /// Datagrams sent, their bytes, those that arrived, and those given up by the bench.
     pub datagrams: [u64; 4],
+    /// What the start of the tier took.
+    pub start: super::starts::Starts,
+    /// Reads, by plan.
+    pub reads: Vec<super::reads::Reads>,
     /// What the senders said of each other, where they keep a view.
     pub views: super::views::Views,
     /// The run's length, seconds.
@@ -147,12 +151,14 @@
         for seen in reading.tries.values() {
             roots.entry(&seen.root).or_default().push(seen);
         }
+        let mut messages = Vec::with_capacity(roots.len());
         let mut latencies: BTreeMap<Option<&str>, Histogram<u64>> = BTreeMap::new();
         for tries in roots.values() {
             let class = tries.first().and_then(|seen| history.head.classes.get(seen.class));
             let Some(class) = class else { continue };
             let (fate, took) = fate(class.aim, tries);
             figures.all.add(fate);
+            messages.push((tries.first().map_or(0, |seen| seen.meant), fate == Fate::InTime));
             figures.classes.entry(class.name.clone()).or_default().add(fate);
             if let Some(took) = took {
                 for part in [None, Some(class.name.as_str())] {
@@ -174,6 +180,9 @@
                 Some(name) => figures.classes.entry((*name).to_owned()).or_default().latency_ms = latency,
             }
         }
+        messages.sort_unstable();
+        figures.reads = super::reads::figures(history);
+        figures.start = super::starts::read(history, &reading, &messages);
         figures.tries = reading.tries.len() as f64 / roots.len().max(1) as f64;
         figures.calls = reading.calls.len() as u64;
         for seen in reading.tries.values() {
--- a/fleet/src/ledger/mod.rs
+++ b/fleet/src/ledger/mod.rs
@@ -2,7 +2,9 @@
 
 pub mod checker;
 pub mod figures;
+pub mod reads;
 pub mod rules;
+pub mod starts;
 pub mod views;
 
 use std::fs::File;
@@ -142,6 +144,22 @@
         /// `active`, `leaving` or `left`.
         status: String,
     },
+    /// A sender asked for the list.
+    ListCall {
+        /// Which.
+        sender: usize,
+        /// It is a watch, which may be held.
+        held: bool,
+        /// 200 if it was borne, 503 if it was turned away, 0 if the service is silent.
+        status: u16,
+    },
+    /// A sender opened a connection to an endpoint.
+    Connected {
+        /// Which.
+        sender: usize,
+        /// The endpoint's name.
+        endpoint: String,
+    },
     /// A destination came back from an outage, cold.
     Cold {
         /// The destination.
@@ -240,10 +258,72 @@
         /// Given up because too many were under way.
         overflow: u64,
     },
+    /// A session's message was taken on.
+    Wrote {
+        /// The session.
+        session: usize,
+        /// Its plan, a position in the run's plans.
+        plan: usize,
+        /// The `Req-Id`.
+        id: String,
+        /// The answer carried a token.
+        token: bool,
+    },
+    /// A session asked what became of some of its messages; the time is when the answer had come.
+    Read {
+        /// The session.
+        session: usize,
+        /// Its plan.
+        plan: usize,
+        /// Who was asked.
+        sender: usize,
+        /// When.
+        sent: Micros,
+        /// HTTP status; 0 where no answer came.
+        status: u16,
+        /// The session's token went with it.
+        carried: bool,
+        /// A token came back.
+        given: bool,
+        /// The messages that were asked for.
+        asked: Vec<String>,
+        /// What was told of them.
+        rows: Vec<Row>,
+        /// It says that parts are missing.
+        partial: bool,
+        /// It says that it is less than the plan has.
+        less: bool,
+        /// Senders whose parts it says are missing.
+        missing: Vec<usize>,
+        /// The logs that it says it was made from.
+        logs: Vec<Log>,
+    },
     /// The run's end; nothing is overdue that has its time after it.
     Over,
 }
 
+/// A message, as a sender told what it knows of it.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Row {
+    /// The `Req-Id`.
+    pub id: String,
+    /// What has happened to it, as a set: taken 1, calling 2, deferred 4, undeliverable 8, unknown 16, delivered 32.
+    pub states: u8,
+    /// Calls begun.
+    pub attempts: u16,
+}
+
+/// A sender's log, as an answer says that it was read.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Log {
+    /// Whose.
+    pub owner: usize,
+    /// All is in it that had happened there by then.
+    pub as_of: Micros,
+    /// What was taken on before may have been left out.
+    pub known_since: Micros,
+}
+
 /// What an answer says of one message.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
@@ -284,6 +364,9 @@
     /// The period of the senders' view of the fleet, where they keep one.
     #[serde(default)]
     pub view_period: Option<Micros>,
+    /// The plans of those who read, where there are any.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub plans: Vec<reads::PlanRules>,
 }
 
 /// Takes down what outsiders see, from any task, without waiting.
--- a/fleet/src/ledger/rules.rs
+++ b/fleet/src/ledger/rules.rs
@@ -36,6 +36,16 @@
     Fallback,
     /// Where senders keep a view: nobody that is there is held for dead, and in the end all views are the same.
     View,
+    /// A read with a session's token shows what the session has written.
+    Session,
+    /// A read with a session's token never shows less of a message than an earlier one did.
+    Monotonic,
+    /// A read that may be so old is not older, or says so.
+    Staleness,
+    /// An answer that lacks something says what.
+    Partial,
+    /// A token is given to those whose plan has sessions, and to nobody else.
+    Entitlement,
 }
 
 impl fmt::Display for Rule {
--- a/fleet/src/lib.rs
+++ b/fleet/src/lib.rs
@@ -7,6 +7,7 @@
 #![deny(unsafe_code)]
 #![warn(missing_docs)]
 
+pub mod cost;
 pub mod experiment;
 pub mod explain;
 pub mod ledger;
--- a/fleet/src/main.rs
+++ b/fleet/src/main.rs
@@ -62,6 +62,9 @@
         scenario: PathBuf,
         #[arg(long, default_value = "1..20")]
         seeds: String,
+        /// A section that the first one is played without; may be said more than once.
+        #[arg(long)]
+        without: Vec<String>,
         #[arg(long, default_value = "target/fleet")]
         out: PathBuf,
     },
@@ -194,12 +197,20 @@
             println!("{}", sweep::rows(&groups));
             Ok(outcomes.iter().map(Outcome::code).max().unwrap_or(0))
         }
-        Some(Act::Compare { a, b, scenario, seeds, out }) => {
+        Some(Act::Compare { a, b, scenario, seeds, without, out }) => {
             let (scenario, seeds) = (read(&scenario)?, sweep::seeds(&seeds)?);
             let binaries = [program(&Some(a))?, program(&Some(b))?];
+            let mut less = scenario.clone();
+            for section in &without {
+                if less.sections.remove(section).is_none() {
+                    return Err(Bad(format!("--without {section}: the scenario has no such section")));
+                }
+            }
             let mut plays = Vec::new();
             for seed in seeds {
-                for (name, binary) in ["a", "b"].iter().zip(&binaries) {
+                for (name, (scenario, binary)) in
+                    ["a", "b"].iter().zip([&less, &scenario].into_iter().zip(&binaries))
+                {
                     let out = out.join(format!("{}-{seed}-{name}", scenario.name));
                     let (scenario, binary) = (scenario.clone(), binary.clone());
                     plays.push(Play { scenario, seed, binary, out, progress: false });
@@ -283,10 +294,13 @@
         };
         let in_time = outcome.figures.all.share(outcome.figures.all.in_time);
         eprintln!("{name} {seed}: {in_time:.1}% in time, {how}");
+        // Written at once: whoever stops a long sweep keeps what was played.
+        let written = History::read(&plays[n].out.join("history.jsonl"))
+            .and_then(|history| report::write(&plays[n], outcome, &history));
+        if let Err(e) = written {
+            eprintln!("{name} {seed}: its report can't be written: {e}");
+        }
     })?;
-    for (what, outcome) in plays.iter().zip(&outcomes) {
-        report::write(what, outcome, &History::read(&what.out.join("history.jsonl"))?)?;
-    }
     Ok(outcomes)
 }
 
--- a/fleet/src/nemesis.rs
+++ b/fleet/src/nemesis.rs
@@ -18,6 +18,9 @@
 use crate::world::senders::{BACK_AFTER, Tier};
 use crate::{Micros, micros};
 
+/// A list comes so much later where discovery is slow and no time is given.
+const SLOW: Micros = 3_000_000;
+
 /// What the faults that are on make of everything but processes.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Conditions {
@@ -33,7 +36,7 @@
     pub draining: Vec<u16>,
 }
 
-/// The senders that are named, or all.
+/// The senders that are sent to, or all.
 fn named(named: &[usize], senders: usize) -> Vec<usize> {
     if named.is_empty() { (0..senders).collect() } else { named.to_vec() }
 }
@@ -60,7 +63,7 @@
     }
 
     fn add(&mut self, fault: &Fault, senders: usize, partners: u16) {
-        let from = named(&fault.senders, senders);
+        let from = fault.struck(senders);
         let dests = destinations(&fault.partners, partners);
         let delay = fault.delay_ms.map_or(0, |ms| micros(ms / 1000.0));
         let share = fault.share.unwrap_or(1.0);
@@ -76,9 +79,9 @@
                 }
             }
             Kind::Partition => {
-                let group = |n: usize| fault.groups.iter().position(|group| group.contains(&n));
+                let sides: Vec<Option<usize>> = (0..senders).map(|n| fault.side(n)).collect();
                 for a in 0..senders {
-                    for b in (0..senders).filter(|b| group(a) != group(*b)) {
+                    for b in (0..senders).filter(|b| sides[a] != sides[*b]) {
                         self.datagrams[a][b].drop = 1.0;
                         self.datagrams[a][b].flap = 0;
                     }
@@ -86,9 +89,15 @@
             }
             Kind::Discovery => {
                 for a in from {
+                    let agent = &mut self.discovery[a];
                     match fault.mode {
-                        Some(Mode::Silent) => self.discovery[a].silent = true,
-                        _ => self.discovery[a].delay += delay,
+                        Some(Mode::Silent) => agent.silent = true,
+                        Some(Mode::Shut) => agent.shut = true,
+                        Some(Mode::Slow) => agent.slow += if delay == 0 { SLOW } else { delay },
+                        Some(Mode::Half) => agent.half = true,
+                        Some(Mode::Back) => agent.back = true,
+                        Some(Mode::Indent) => agent.indent = true,
+                        _ => agent.delay += delay,
                     }
                 }
             }
@@ -219,7 +228,7 @@
         Discovery | Wire => {
             fault.senders = some(rng);
             fault.mode = fault.kind.any_mode(rng);
-            if fault.mode == Some(Mode::Delay) {
+            if matches!(fault.mode, Some(Mode::Delay | Mode::Slow)) {
                 fault.delay_ms = Some(rng.random_range(100..2000).into());
             }
             if fault.kind == Wire {
@@ -296,7 +305,7 @@
             match fault.kind {
                 Kind::Kill | Kind::Restart | Kind::Stop | Kind::Handover => {
                     let mut each = tokio::task::JoinSet::new();
-                    for (n, sender) in named(&fault.senders, struck.size.0).into_iter().enumerate() {
+                    for (n, sender) in fault.struck(struck.size.0).into_iter().enumerate() {
                         let (struck, fault, turns) = (struck.clone(), fault.clone(), turns.clone());
                         let at = begin + micros(fault.at_s + fault.every_s.unwrap_or(0.0) * n as f64);
                         each.spawn(async move {
--- a/fleet/src/report/mod.rs
+++ b/fleet/src/report/mod.rs
@@ -93,6 +93,56 @@
          (median), {most:.1} ms (99th percentile)\n",
         figures.calls, figures.repeats, figures.datagrams[0], figures.datagrams[1]
     );
+    let cost = &outcome.cost;
+    text += &format!(
+        "the bench took {:.1} s of processors and held {} descriptors at most; the senders took {:.1} s and logged \
+         {:.1} MB\n",
+        cost.bench_cpu_s,
+        cost.descriptors,
+        cost.senders_cpu_s,
+        cost.log_bytes as f64 / 1e6
+    );
+    let start = &figures.start;
+    text += &format!(
+        "start of {} at {:.1} s: ready after {:.0} ms (median), {:.0} ms (99th percentile), all after {:.2} s; list calls \
+         {}, {} in the worst second, {} turned away, {} silent, of a sender in its first 10 s {:.2} (mean), {} (most); \
+         connections {}, {} at an endpoint in a second; falls {}; calls refused {}, wasted {}; in time in the first 30 s \
+         {:.1}%, as usual after {} s\n",
+        start.senders,
+        start.at_s,
+        start.ready_ms[0],
+        start.ready_ms[1],
+        start.all_ready_s,
+        start.list_calls,
+        start.list_worst_second,
+        start.list_turned_away,
+        start.list_silent,
+        start.list_first.0,
+        start.list_first.1,
+        start.connections,
+        start.connections_worst,
+        start.falls.len(),
+        start.refused,
+        start.wasted,
+        start.in_time(),
+        start.as_usual_s.map_or("-".to_owned(), |s| format!("{s:.0}"))
+    );
+    for (sessions, reads) in play.scenario.sessions.iter().zip(&figures.reads) {
+        text += &format!(
+            "reads of {} ({:?}): {}, served {}, with less {}, partial {}, refused {}, without an answer {}; {:.0} ms \
+             (median), {:.0} ms (99th percentile)\n",
+            sessions.tenant,
+            sessions.level,
+            reads.all,
+            reads.served,
+            reads.less,
+            reads.partial,
+            reads.refused,
+            reads.silent,
+            reads.latency_ms[0],
+            reads.latency_ms[1]
+        );
+    }
     if figures.orphaned > 0 {
         text += &format!(
             "owed by senders that went for good or lost their folder: {}, ended in time {}, delivered {}\n",
--- a/fleet/src/sweep.rs
+++ b/fleet/src/sweep.rs
@@ -118,7 +118,49 @@
             cell(outcomes.iter().map(|o| o.lateness_us[1] as f64 / 1000.0).collect()),
         ]);
     }
-    table.to_string()
+    let starts: Vec<_> = groups.iter().filter(|(_, outcomes)| outcomes.iter().any(|o| shown(o))).collect();
+    if starts.is_empty() {
+        return table.to_string();
+    }
+    let names: Vec<&str> = ["scenario"].into_iter().chain(starts_figures().map(|figure| figure.0)).collect();
+    let mut second = report::table(&names);
+    for (name, outcomes) in starts {
+        let trusted: Vec<&&Outcome> = outcomes.iter().filter(|outcome| outcome.doubt.is_none()).collect();
+        let cells = starts_figures().map(|(_, figure)| cell(trusted.iter().map(|o| figure(o)).collect()));
+        second.add_row([name.clone()].into_iter().chain(cells).collect::<Vec<_>>());
+    }
+    format!("{table}\n{second}")
+}
+
+/// Whether the start of a run is worth a row: of many senders, or at a list service that turned some away.
+fn shown(outcome: &Outcome) -> bool {
+    let start = &outcome.figures.start;
+    start.senders > MANY || start.list_turned_away > 0
+}
+
+/// See [`shown`].
+const MANY: usize = 30;
+
+/// Figures of a start.
+fn starts_figures() -> impl Iterator<Item = Figure<'static>> {
+    let figures: [Figure; 14] = [
+        ("list calls", &|o| o.figures.start.list_calls as f64),
+        ("in the worst second", &|o| o.figures.start.list_worst_second as f64),
+        ("of a sender in 10 s", &|o| o.figures.start.list_first.0),
+        ("turned away", &|o| o.figures.start.list_turned_away as f64),
+        ("new connections", &|o| o.figures.start.connections as f64),
+        ("at an endpoint in a second", &|o| o.figures.start.connections_worst as f64),
+        ("falls", &|o| o.figures.start.falls.len() as f64),
+        ("refused calls", &|o| o.figures.start.refused as f64),
+        ("wasted calls", &|o| o.figures.start.wasted as f64),
+        ("ready ms, median", &|o| o.figures.start.ready_ms[0]),
+        ("ready ms, p99", &|o| o.figures.start.ready_ms[1]),
+        ("all ready s", &|o| o.figures.start.all_ready_s),
+        ("in time %, first 30 s", &|o| o.figures.start.in_time()),
+        // One that never gets there shows as what no run can have.
+        ("as usual after s", &|o| o.figures.start.as_usual_s.unwrap_or(9999.0)),
+    ];
+    figures.into_iter()
 }
 
 /// A figure of a run, and its name.
@@ -135,7 +177,8 @@
         ("p99 ms", &|o| o.figures.all.latency_ms[2]),
         ("calls", &|o| o.figures.calls as f64),
     ];
-    for (name, figure) in figures {
+    let starts = pairs.iter().any(|(a, b)| shown(a) || shown(b));
+    for (name, figure) in figures.into_iter().chain(starts_figures().filter(|_| starts)) {
         table.add_row(vec![
             name.to_owned(),
             cell(pairs.iter().map(|(a, _)| figure(a)).collect()),
--- a/fleet/src/world/mod.rs
+++ b/fleet/src/world/mod.rs
@@ -5,6 +5,7 @@
 pub mod endpoints;
 pub mod http;
 pub mod senders;
+pub mod sessions;
 pub mod views;
 
 use std::collections::HashMap;
--- /dev/null
+++ b/fleet/src/world/sessions.rs
@@ -0,0 +1,242 @@
+//! Clients with sessions: each hands messages in at one sender and asks others what became of them, where operators and
+//! tenants' programs ask. What they are told goes into the history, and is judged from there alone.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use rand_distr::{Distribution, Exp};
+use serde_json::{Value, json};
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpStream;
+use tokio::task::JoinSet;
+
+use super::clients::{Arrival, Clients, answer};
+use super::senders::Tier;
+use crate::ledger::{Log, Recorder, Row, What};
+use crate::scenario::{Scenario, Sessions};
+use crate::{Micros, micros};
+
+/// The header of a token, at the 202 and at a read.
+const TOKEN: &str = "session-token";
+/// An answer is due within this time.
+const ANSWER: Duration = Duration::from_secs(1);
+/// Earlier messages of its own that a read asks for beside the newest.
+const EARLIER: usize = 3;
+
+/// One session.
+struct Session {
+    number: usize,
+    plan: usize,
+    rules: Sessions,
+    /// What it must not be shown less than, as it was last told; none yet where it has not written or read.
+    token: Option<String>,
+    /// Messages that were taken on, the newest last.
+    written: Vec<String>,
+    rng: ChaCha8Rng,
+}
+
+/// What the sessions of a run need.
+pub struct Readers {
+    /// Through whom they write.
+    pub clients: Arc<Clients>,
+    /// Whom they ask.
+    pub tier: Arc<Tier>,
+    /// Where it is all taken down.
+    pub recorder: Recorder,
+    /// Senders.
+    pub senders: usize,
+    /// When the run's clients begin, and how long they come.
+    pub times: (Micros, Micros),
+    /// Destinations that they write to.
+    pub partners: u16,
+}
+
+/// Plays all sessions of a scenario until its clients go.
+pub fn play(readers: &Arc<Readers>, scenario: &Scenario, seed: u64) -> JoinSet<()> {
+    let mut playing = JoinSet::new();
+    let mut number = 0;
+    for (plan, rules) in scenario.sessions.iter().enumerate() {
+        for _ in 0..rules.count {
+            // Not the stream that arrivals are drawn from.
+            let rng = ChaCha8Rng::seed_from_u64(seed ^ 0x7365_7373_0000_0000 ^ number as u64);
+            let (rules, token, written) = (rules.clone(), None, vec![]);
+            let session = Session { number, plan, rules, token, written, rng };
+            let readers = readers.clone();
+            playing.spawn(async move { readers.session(session).await });
+            number += 1;
+        }
+    }
+    playing
+}
+
+impl Readers {
+    async fn session(&self, mut session: Session) {
+        let (begin, length) = self.times;
+        let Ok(gap) = Exp::new(session.rules.per_s / session.rules.count.max(1) as f64) else { return };
+        let mut at = begin;
+        for n in 0usize.. {
+            at += micros(gap.sample(&mut session.rng).min(3600.0));
+            if at >= begin + length {
+                return;
+            }
+            self.recorder.until(at).await;
+            let home = session.rng.random_range(0..self.senders);
+            self.write(&mut session, n, home).await;
+            for _ in 0..session.rules.reads {
+                tokio::time::sleep(Duration::from_millis(session.rules.every_ms)).await;
+                // Anywhere else; itself where there is nobody else.
+                let other = match self.senders {
+                    1 => 0,
+                    all => (home + session.rng.random_range(1..all)) % all,
+                };
+                self.read(&mut session, other).await;
+            }
+        }
+    }
+
+    async fn write(&self, session: &mut Session, n: usize, home: usize) {
+        let dest = session.rng.random_range(0..self.partners);
+        let arrival = Arrival { at: 0, home, class: 0, dest };
+        let id = format!("s{}-{n}", session.number);
+        let tenant = session.rules.tenant.clone();
+        let told = self.clients.once(&id, &arrival, &tenant, session.token.as_deref()).await;
+        let Some(token) = told else { return };
+        self.recorder.see(What::Wrote {
+            session: session.number,
+            plan: session.plan,
+            id: id.clone(),
+            token: token.is_some(),
+        });
+        session.written.push(id);
+        if token.is_some() {
+            session.token = token;
+        }
+    }
+
+    async fn read(&self, session: &mut Session, sender: usize) {
+        let Some((address, _)) = self.tier.mgmt(sender) else { return };
+        let newest = session.written.len().saturating_sub(EARLIER);
+        let mut asked: Vec<String> = session.written[newest..].to_vec();
+        let place = session.rng.random_range(0..session.written.len().max(1));
+        asked.extend(session.written.get(place).filter(|_| place < newest).cloned());
+        if asked.is_empty() {
+            return;
+        }
+        let (sent, carried) = (self.recorder.now(), session.token.is_some());
+        let query = json!({"tenant": session.rules.tenant, "ids": asked}).to_string();
+        let told = tokio::time::timeout(ANSWER, ask(address, &query, session.token.as_deref())).await;
+        let came = self.recorder.now();
+        let (status, token, body) = told.ok().flatten().unwrap_or((0, None, Value::Null));
+        // Their clocks are this machine's; as the run counts they are so much ahead.
+        let unix =
+            SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |since| since.as_micros() as Micros);
+        let ahead = unix.saturating_sub(came);
+        let answer = read(&body, ahead);
+        self.recorder.saw(
+            came,
+            What::Read {
+                session: session.number,
+                plan: session.plan,
+                sender,
+                sent,
+                status,
+                carried,
+                given: token.is_some(),
+                asked,
+                rows: answer.rows,
+                partial: answer.partial,
+                less: answer.less,
+                missing: answer.missing,
+                logs: answer.logs,
+            },
+        );
+        if token.is_some() {
+            session.token = token;
+        }
+    }
+}
+
+async fn ask(address: SocketAddr, query: &str, token: Option<&str>) -> Option<(u16, Option<String>, Value)> {
+    let mut stream = TcpStream::connect(address).await.ok()?;
+    let token = token.map_or(String::new(), |token| format!("Session-Token: {token}\r\n"));
+    let request = format!(
+        "POST /control/status/query HTTP/1.1\r\nHost: mgmt\r\nContent-Type: application/json\r\n{token}\
+         Content-Length: {}\r\n\r\n{query}",
+        query.len()
+    );
+    stream.write_all(request.as_bytes()).await.ok()?;
+    let answer = answer(&mut stream).await?;
+    let body = serde_json::from_slice(&answer.body).unwrap_or(Value::Null);
+    Some((answer.status, answer.headers.get(TOKEN).cloned(), body))
+}
+
+/// What an answer says, as the history has it.
+#[derive(Debug, Default, PartialEq)]
+struct Told {
+    rows: Vec<Row>,
+    partial: bool,
+    less: bool,
+    missing: Vec<usize>,
+    logs: Vec<Log>,
+}
+
+/// States by name, as bits; the wire may have either.
+const STATES: [(&str, u8); 6] =
+    [("taken", 1), ("calling", 2), ("deferred", 4), ("undeliverable", 8), ("unknown", 16), ("delivered", 32)];
+
+fn states(value: &Value) -> u8 {
+    let bit =
+        |name: &Value| STATES.iter().find(|state| Some(state.0) == name.as_str()).map_or(0, |state| state.1);
+    match value {
+        Value::Number(bits) => bits.as_u64().unwrap_or(0) as u8,
+        Value::Array(names) => names.iter().map(bit).fold(0, |all, one| all | one),
+        name => bit(name),
+    }
+}
+
+/// Reads an answer; the senders' clocks are so much ahead of the run's.
+fn read(body: &Value, ahead: Micros) -> Told {
+    let of_run = |unix: &Value| unix.as_u64().unwrap_or(0).saturating_sub(ahead);
+    let list = |key: &str| body[key].as_array().map(Vec::as_slice).unwrap_or_default();
+    let rank = |value: &Value| value.as_u64().map(|rank| rank as usize);
+    let rows = list("rows").iter().filter_map(|row| {
+        let id = row["id"].as_str()?.to_owned();
+        let attempts = row["attempts"].as_u64().unwrap_or(0) as u16;
+        Some(Row { id, states: states(&row["states"]), attempts })
+    });
+    let logs = list("logs").iter().filter_map(|log| {
+        let owner = rank(&log["log"]["owner"])?;
+        let (as_of, known_since) = (of_run(&log["reached"]["as_of"]), of_run(&log["known_since"]));
+        Some(Log { owner, as_of, known_since })
+    });
+    Told {
+        rows: rows.collect(),
+        partial: body["partial"].as_bool().unwrap_or(false),
+        less: body["less"].as_bool().or(body["stale"].as_bool()).unwrap_or(false),
+        missing: list("missing").iter().filter_map(|missing| rank(&missing["owner"])).collect(),
+        logs: logs.collect(),
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn an_answer_is_read_whole_and_states_in_either_form() {
+        let body = json!({
+            "rows": [{"id": "a", "states": 33, "attempts": 2}, {"id": "b", "states": ["taken", "calling"]}],
+            "partial": true, "missing": [{"owner": 3}],
+            "logs": [{"log": {"owner": 1, "life": 7}, "reached": {"upto": 4, "as_of": 1500}, "known_since": 1100}]
+        });
+        let told = read(&body, 1000);
+        let row = |id: &str, states, attempts| Row { id: id.into(), states, attempts };
+        assert_eq!(told.rows, [row("a", 33, 2), row("b", 3, 0)]);
+        assert_eq!(told.logs, [Log { owner: 1, as_of: 500, known_since: 100 }]);
+        assert_eq!((told.partial, told.less, told.missing), (true, false, vec![3]));
+        assert_eq!(read(&Value::Null, 0), Told::default());
+    }
+}
--- a/fleet/tests/links.rs
+++ b/fleet/tests/links.rs
@@ -30,6 +30,7 @@
             try_limit: 6,
             drain_grace: 0,
             view_period: None,
+            plans: vec![],
         };
         let (recorder, writer) = Recorder::begin(&folder.path().join("history"), &head).unwrap();
         let mut sockets = Vec::new();
--- a/fleet/tests/small.rs
+++ b/fleet/tests/small.rs
@@ -191,6 +191,30 @@
     assert_eq!((outcome.code(), outcome.figures.all.messages, outcome.figures.calls), (0, 0, 0));
 }
 
+/// Guards the start of a tier at a list service that bears little: calls are counted and turned away, the list that
+/// they begin with is old, one is killed while it starts, one joins later, and all are ready all the same.
+#[test]
+fn a_start_at_a_list_service_that_bears_little_is_counted() {
+    let out = tempfile::tempdir().unwrap();
+    let more = "[start]\nearly = true\njoins = 1\njoins_at_s = 1\n[discovery]\ncalls_per_s = 2\nbehind = 2\n\
+                [load]\nfrom_s = 2\n[partners]\ncold_start = true\n\
+                [[fault]]\nkind = \"kill\"\nat_s = 0.1\nfor_s = 0.5\nfirst = 1\n";
+    let (_, outcome) = played(small_of(5, more), out.path());
+    let start = &outcome.figures.start;
+    assert!(start.senders == 5 && start.never_ready == 0 && start.all_ready_s > 0.9, "{start:?}");
+    let history = History::read(&out.path().join("history.jsonl")).unwrap();
+    let borne =
+        |entry: &&linenwing_fleet::ledger::Entry| matches!(entry.what, What::ListCall { status: 200, .. });
+    let borne: Vec<u64> = history.entries.iter().filter(borne).map(|entry| entry.t).collect();
+    assert!(borne.windows(3).all(|three| three[2] - three[0] >= 1_000_000), "two in any second: {borne:?}");
+    assert!(borne.len() >= 5 && start.list_turned_away > 0, "{start:?}");
+    assert_eq!(start.list_calls, borne.len() as u64 + start.list_turned_away);
+    // What it began with lacked an endpoint, of which the service told later.
+    let told = |at: &dyn Fn(&What) -> bool| history.entries.iter().position(|entry| at(&entry.what)).unwrap();
+    let missing = |what: &What| matches!(what, What::Told { endpoint, .. } if endpoint == "s-008-1");
+    assert!(told(&missing) > told(&|what| matches!(what, What::ListCall { status: 200, .. })));
+}
+
 /// Traced arrivals are played as they stand, and what can't be is refused.
 #[test]
 fn a_trace_is_played_as_it_stands() {
--- a/fleet/tests/spoilt.rs
+++ b/fleet/tests/spoilt.rs
@@ -1,8 +1,9 @@
 //! The checker's own worth: a history that keeps every rule, spoilt in one place for each rule.
 
 use linenwing_fleet::ledger::checker::check;
+use linenwing_fleet::ledger::reads::{Level, PlanRules};
 use linenwing_fleet::ledger::rules::Rule;
-use linenwing_fleet::ledger::{Asked, CallEnd, ClassRules, Entry, Head, History, What};
+use linenwing_fleet::ledger::{Asked, CallEnd, ClassRules, Entry, Head, History, Log, Row, What};
 
 const S: u64 = 1_000_000;
 
@@ -16,6 +17,7 @@
         try_limit: 6,
         drain_grace: 2 * S,
         view_period: None,
+        plans: vec![],
     }
 }
 
@@ -215,3 +217,121 @@
     assert_eq!(judged([both(S, "aa"), vec![(20 * S, view(0, "aa", "2"))]].concat(), None), 1, "they differ");
     assert_eq!(judged(vec![(S, view(0, "aa", "1"))], None), 1, "one tells nothing");
 }
+
+/// A read by a session, of "a" and "b", as the whole history has it: told of both, with nothing missing.
+fn read(plan: usize, sent: u64, change: impl FnOnce(&mut What)) -> (u64, What) {
+    let row = |id: &str| Row { id: id.into(), states: 3, attempts: 1 };
+    let mut read = What::Read {
+        session: plan,
+        plan,
+        sender: 1,
+        sent,
+        status: 200,
+        carried: plan == 0,
+        given: plan == 0,
+        asked: vec!["a".into(), "b".into()],
+        rows: vec![row("a"), row("b")],
+        partial: false,
+        less: false,
+        missing: vec![],
+        logs: vec![Log { owner: 0, as_of: sent, known_since: 0 }],
+    };
+    change(&mut read);
+    (sent + S / 100, read)
+}
+
+fn rows(of: impl FnOnce(&mut Vec<Row>)) -> impl FnOnce(&mut What) {
+    |read| {
+        if let What::Read { rows, .. } = read {
+            of(rows);
+        }
+    }
+}
+
+/// Guards the rules on reads: for each level one read that is as it should be, what is told as less or as missing, and
+/// one spoilt place for each way in which each rule is broken.
+#[test]
+fn reads_are_held_against_what_was_written_and_told() {
+    let plan = |level| PlanRules { level, staleness: 2 * S, tokens: true };
+    let judged = |plan_of: usize, reads: Vec<(u64, What)>| {
+        let plans = [Level::Session, Level::Bounded, Level::Any].map(plan).to_vec();
+        let mut entries = vec![];
+        for (n, id) in [(1, "a"), (5, "b")] {
+            entries.push((n * S, offered(id, 0, n * S)));
+            entries.push((n * S + 5_000, What::Heard { id: id.into(), status: 202 }));
+            let (session, plan, id, token) = (plan_of, plan_of, id.to_owned(), plan_of == 0);
+            entries.push((n * S + 5_000, What::Wrote { session, plan, id, token }));
+        }
+        entries.extend(reads);
+        // Only what is read is of interest: the run ends before anything is overdue.
+        entries.push((9 * S, What::Over));
+        let entries = entries.into_iter().map(|(t, what)| Entry { t, what }).collect();
+        let history = History::new(Head { plans, ..head() }, entries);
+        let mut rules: Vec<Rule> = check(&history).into_iter().map(|b| b.rule).collect();
+        rules.dedup();
+        rules
+    };
+    let without_b = || rows(|rows| drop(rows.pop()));
+    let and = |one: &dyn Fn(&mut What), read: (u64, What)| {
+        let (t, mut read) = read;
+        one(&mut read);
+        (t, read)
+    };
+    let less = |read: &mut What| {
+        if let What::Read { less, .. } = read {
+            *less = true;
+        }
+    };
+    let missing = |read: &mut What| {
+        if let What::Read { missing, partial, .. } = read {
+            (*missing, *partial) = (vec![0], true);
+        }
+    };
+    let silently = |read: &mut What| {
+        if let What::Read { missing, .. } = read {
+            *missing = vec![0];
+        }
+    };
+    let as_of = |of: u64, since: u64| {
+        move |read: &mut What| {
+            if let What::Read { logs, .. } = read {
+                *logs = vec![Log { owner: 0, as_of: of, known_since: since }];
+            }
+        }
+    };
+    let token = |read: &mut What| {
+        if let What::Read { given, .. } = read {
+            *given = !*given;
+        }
+    };
+    let undone = |states, attempts| {
+        rows(move |rows| {
+            rows.iter_mut().for_each(|row| (row.states, row.attempts) = (states, attempts));
+        })
+    };
+    for plan in 0..3 {
+        assert_eq!(judged(plan, vec![read(plan, 6 * S, |_| ()), read(plan, 7 * S, |_| ())]), [], "{plan}");
+        assert_eq!(judged(plan, vec![and(&less, read(plan, 8 * S, without_b()))]), [], "{plan} tells less");
+        assert_eq!(judged(plan, vec![and(&missing, read(plan, 8 * S, without_b()))]), [], "{plan} names it");
+        let late = as_of(8 * S, 6 * S);
+        assert_eq!(judged(plan, vec![and(&late, read(plan, 8 * S, without_b()))]), [], "{plan}: horizon");
+        assert_eq!(judged(plan, vec![read(plan, 4 * S, without_b())]), [], "{plan}: not written yet");
+    }
+    let old = |read: (u64, What)| and(&as_of(4 * S, 0), read);
+    assert_eq!(judged(2, vec![old(read(2, 8 * S, without_b()))]), [], "old, with its age");
+    assert_eq!(judged(1, vec![old(read(1, 5 * S + 900_000, without_b()))]), [], "old, within its bound");
+    let spoilt = [
+        ("own write not shown", 0, vec![old(read(0, 8 * S, without_b()))], Rule::Session),
+        ("an end undone", 0, vec![read(0, 6 * S, undone(35, 1)), read(0, 7 * S, |_| ())], Rule::Monotonic),
+        ("fewer attempts", 0, vec![read(0, 6 * S, undone(3, 2)), read(0, 7 * S, |_| ())], Rule::Monotonic),
+        ("too old for its bound", 1, vec![old(read(1, 8 * S, without_b()))], Rule::Staleness),
+        ("an old part", 1, vec![old(read(1, 8 * S, |_| ()))], Rule::Staleness),
+        ("not told as missing", 2, vec![read(2, 8 * S, without_b())], Rule::Partial),
+        ("missing, and said to be whole", 2, vec![and(&silently, read(2, 8 * S, |_| ()))], Rule::Partial),
+        ("a token for nothing", 2, vec![and(&token, read(2, 8 * S, |_| ()))], Rule::Entitlement),
+        ("no token for its plan", 0, vec![and(&token, read(0, 8 * S, |_| ()))], Rule::Entitlement),
+    ];
+    for (name, plan, reads, rule) in spoilt {
+        assert_eq!(judged(plan, reads), [rule], "{name}");
+    }
+}
--- a/src/channel.rs
+++ b/src/channel.rs
@@ -174,7 +174,11 @@
                 let anew = self.peer.is_some_and(|peer| peer != from);
                 if anew {
                     // Whatever was said was said to a process that is no more.
-                    *self = Self { welcome: self.welcome, sent: self.sent, ..Self::new(self.magic, self.own, self.tier) };
+                    *self = Self {
+                        welcome: self.welcome,
+                        sent: self.sent,
+                        ..Self::new(self.magic, self.own, self.tier)
+                    };
                 }
                 self.peer = Some(from);
                 self.answer = true;
--- a/src/mesh.rs
+++ b/src/mesh.rs
@@ -214,7 +214,12 @@
     use crate::channel::STATUS;
 
     /// Plays two sides for a time over a link that loses the datagrams it is told to.
-    fn play(sides: &mut [Mesh; 2], from: Micros, until: Micros, lose: impl Fn(usize) -> bool) -> Vec<Vec<u8>> {
+    fn play(
+        sides: &mut [Mesh; 2],
+        from: Micros,
+        until: Micros,
+        lose: impl Fn(usize) -> bool,
+    ) -> Vec<Vec<u8>> {
         let (mut said, mut sent) = (Vec::new(), 0);
         for now in (from..until).step_by(1_000) {
             for side in 0..2 {
--- a/src/net/parts/covering.rs
+++ b/src/net/parts/covering.rs
@@ -5,9 +5,9 @@
 use std::hash::{BuildHasher, RandomState};
 use std::path::{Path, PathBuf};
 
+use myrtleyard::channel::TAKEOVER;
 use myrtleyard::interface::Micros;
 use myrtleyard::membership::{Fact, Facts, State};
-use myrtleyard::channel::TAKEOVER;
 use myrtleyard::takeover::lots::Memory;
 use myrtleyard::takeover::{Fit, Takeover};
 use serde_json::{Value, json};
--- a/src/takeover/mod.rs
+++ b/src/takeover/mod.rs
@@ -11,8 +11,8 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::interface::Micros;
 use crate::channel::{self, Channel};
+use crate::interface::Micros;
 use lots::{Fact, Item, Known, LotId, Lots, MOST_ITEMS, Memory, Op, Out, Rank, Said};
 
 /// Bounds of the lease, milliseconds.
