Follow the wire that reads by plan have, and judge a session by what its tokens cover

Need: the 202's token names its own taking on alone, and a read takes one token, so that a client which reads and writes can hold one of the two. A read in the history therefore tells from when on its tokens cover what the session did; only that is judged.

A start is as usual from when on its share in time stays there: the first moments, before the load is felt, were taken for it. `check` tells a start's figures too.

--- a/fleet/src/ledger/mod.rs
+++ b/fleet/src/ledger/mod.rs
@@ -281,8 +281,8 @@
         sent: Micros,
         /// HTTP status; 0 where no answer came.
         status: u16,
-        /// The session's token went with it.
-        carried: bool,
+        /// Tokens went with it, which cover what the session has written and was told from then on.
+        since: Option<Micros>,
         /// A token came back.
         given: bool,
         /// The messages that were asked for.
--- a/fleet/src/ledger/reads.rs
+++ b/fleet/src/ledger/reads.rs
@@ -79,6 +79,8 @@
     rows: &'a [Row],
     partial: bool,
     less: bool,
+    /// What the session wrote and was told from then on is covered by its tokens.
+    since: Micros,
     missing: &'a [usize],
     logs: &'a [Log],
 }
@@ -120,6 +122,7 @@
                 plan,
                 sent,
                 status,
+                since,
                 given,
                 asked,
                 rows,
@@ -133,7 +136,8 @@
                     continue;
                 }
                 let (t, sent, partial, less) = (*t, *sent, *partial, *less);
-                let read = Read { t, sent, asked, rows, partial, less, missing, logs };
+                let since = since.unwrap_or(Micros::MAX);
+                let read = Read { t, sent, asked, rows, partial, less, since, missing, logs };
                 let session = sessions.entry(*session).or_default();
                 judge(history.head.plans.get(*plan), session, &read, &mut broken);
                 entitled(history, *plan, *given, t, None, "a read", &mut broken);
@@ -181,7 +185,7 @@
             continue;
         }
         match plan.level {
-            Level::Session => {
+            Level::Session if written.heard >= read.since => {
                 broken(Rule::Session, id, format!("written {ms} ms before, and not in the answer"));
             }
             Level::Bounded if written.heard + plan.staleness + LONGER < read.sent => {
@@ -210,7 +214,9 @@
         return;
     }
     for id in read.asked {
-        let Some((came, before)) = session.told.get(id.as_str()).filter(|told| told.0 < read.sent) else {
+        let Some((came, before)) =
+            session.told.get(id.as_str()).filter(|told| told.0 < read.sent && told.0 >= read.since)
+        else {
             continue;
         };
         let ms = (read.sent - came) / 1000;
--- a/fleet/src/ledger/starts.rs
+++ b/fleet/src/ledger/starts.rs
@@ -14,7 +14,7 @@
 const FIRST: Micros = 10 * S;
 /// Service is told for so long from the start.
 const SERVICE: Micros = 30 * S;
-/// Service is as usual again once so much of what it is in the end is reached, over [`OVER`].
+/// Service is as usual again from when on it is at least so much of what it is in the end, over [`OVER`].
 const AS_USUAL: f64 = 0.95;
 /// See [`AS_USUAL`].
 const OVER: Micros = 3 * S;
@@ -68,7 +68,7 @@
     pub never_ready: usize,
     /// Messages of the first thirty seconds, and those of them that were in time.
     pub first: (u64, u64),
-    /// From the start until the share in time is 95 in 100 of what it is in the last third.
+    /// From the start until the share in time stays at 95 in 100 of what it is in the last third, or above.
     pub as_usual_s: Option<f64>,
 }
 
@@ -118,11 +118,12 @@
         let all = within().count();
         (all > 0).then(|| within().filter(|m| m.1).count() as f64 / all as f64)
     };
-    let steady = share(last - (last - first) / 3, last + 1)?;
-    let seconds = 0..=(last - origin) / S;
-    let mut froms = seconds.map(|n| origin + n * S);
-    let back = froms.find(|from| share(*from, from + OVER).is_some_and(|now| now >= steady * AS_USUAL))?;
-    Some((back - origin) as f64 / S as f64)
+    let settled = last - (last - first) / 3;
+    let steady = share(settled, last + 1)?;
+    // From the first span on after which none is below it, up to those that say what is usual.
+    let spans = (0..).map(|n| origin + n * S).take_while(|from| from + OVER <= settled);
+    let below = spans.filter(|from| share(*from, from + OVER).is_none_or(|now| now < steady * AS_USUAL));
+    Some(below.last().map_or(0.0, |from| (from + S - origin) as f64 / S as f64))
 }
 
 /// Reads a history; `messages` as for [`as_usual`], in order.
--- a/fleet/src/main.rs
+++ b/fleet/src/main.rs
@@ -174,6 +174,7 @@
         Some(Act::Check { history }) => {
             let (broken, figures) = judge(&history)?;
             broken.iter().for_each(|breach| println!("BROKEN {breach}"));
+            print!("{}", report::start(&figures));
             println!("{} messages, {} broken rules", figures.all.messages, broken.len());
             Ok(u8::from(!broken.is_empty()))
         }
--- a/fleet/src/report/mod.rs
+++ b/fleet/src/report/mod.rs
@@ -12,7 +12,7 @@
 
 use crate::experiment::{Outcome, Play};
 use crate::ledger::History;
-use crate::ledger::figures::Tally;
+use crate::ledger::figures::{Figures, Tally};
 
 /// A file's SHA-256, as hexadecimal text.
 ///
@@ -102,31 +102,7 @@
         cost.senders_cpu_s,
         cost.log_bytes as f64 / 1e6
     );
-    let start = &figures.start;
-    text += &format!(
-        "start of {} at {:.1} s: ready after {:.0} ms (median), {:.0} ms (99th percentile), all after {:.2} s; list calls \
-         {}, {} in the worst second, {} turned away, {} silent, of a sender in its first 10 s {:.2} (mean), {} (most); \
-         connections {}, {} at an endpoint in a second; falls {}; calls refused {}, wasted {}; in time in the first 30 s \
-         {:.1}%, as usual after {} s\n",
-        start.senders,
-        start.at_s,
-        start.ready_ms[0],
-        start.ready_ms[1],
-        start.all_ready_s,
-        start.list_calls,
-        start.list_worst_second,
-        start.list_turned_away,
-        start.list_silent,
-        start.list_first.0,
-        start.list_first.1,
-        start.connections,
-        start.connections_worst,
-        start.falls.len(),
-        start.refused,
-        start.wasted,
-        start.in_time(),
-        start.as_usual_s.map_or("-".to_owned(), |s| format!("{s:.0}"))
-    );
+    text += &start(figures);
     for (sessions, reads) in play.scenario.sessions.iter().zip(&figures.reads) {
         text += &format!(
             "reads of {} ({:?}): {}, served {}, with less {}, partial {}, refused {}, without an answer {}; {:.0} ms \
@@ -177,5 +153,34 @@
     text
 }
 
+/// What a start of the tier took, in a line.
+pub fn start(figures: &Figures) -> String {
+    let start = &figures.start;
+    format!(
+        "start of {} at {:.1} s: ready after {:.0} ms (median), {:.0} ms (99th percentile), all after {:.2} s; list calls \
+         {}, {} in the worst second, {} turned away, {} silent, of a sender in its first 10 s {:.2} (mean), {} (most); \
+         connections {}, {} at an endpoint in a second; falls {}; calls refused {}, wasted {}; in time in the first 30 s \
+         {:.1}%, as usual after {} s\n",
+        start.senders,
+        start.at_s,
+        start.ready_ms[0],
+        start.ready_ms[1],
+        start.all_ready_s,
+        start.list_calls,
+        start.list_worst_second,
+        start.list_turned_away,
+        start.list_silent,
+        start.list_first.0,
+        start.list_first.1,
+        start.connections,
+        start.connections_worst,
+        start.falls.len(),
+        start.refused,
+        start.wasted,
+        start.in_time(),
+        start.as_usual_s.map_or("-".to_owned(), |s| format!("{s:.0}"))
+    )
+}
+
 /// Broken rules that are shown on the terminal.
 const SHOWN: usize = 10;
