--- a/src/net/config.rs
+++ b/src/net/config.rs
@@ -59,10 +59,8 @@
     /// Starts with others at once, where that is on.
     pub start: Option<start::Config>,
     /// The status index, where it is on.
-    #[expect(dead_code, reason = "the part that reads it comes next")]
     pub status: Option<status::Config>,
     /// Plans by tenant, where they are on.
-    #[expect(dead_code, reason = "the part that reads it comes next")]
     pub plans: Option<plans::Config>,
     /// The module's settings.
     pub settings: Settings,
--- a/src/net/platform.rs
+++ b/src/net/platform.rs
@@ -302,7 +302,7 @@
             let listener = TcpListener::bind("127.0.0.1:0").await?;
             let (inbound, heard) = unbounded_channel();
             let (_, discovery) = watch::channel(listener.local_addr()?);
-            tokio::task::spawn_local(follow(discovery, following, wanted, inbound));
+            tokio::task::spawn_local(follow(discovery, following, None, wanted, inbound));
             Ok(Self(listener, heard))
         }
 
