Close no client's connection at SIGTERM that a request may be on its way over

Need: after SIGTERM clients send on every connection that stays open, up to SIGKILL, 3.7 s later. What the sender did, by its code: at `Stopping` each connection was shut down (`graceful_shutdown` in `Intake::serve`). One that stood idle, or was new and had brought nothing yet, was closed there and then, unread requests with it: a crossing costs the client a new connection, for which the sender is reached for 0.2 to 0.4 s only, and a new connection closed with no answer counts as refused. All others got one more answer.

Change: nothing is closed at SIGTERM. Connections are kept for 1.4 s, and from then on each answer ends its connection, as it does out of service. What stands idle goes by its own time (2.25 s; clients let go after 2), so that none is open at the end, and none was closed that a request could be crossing.

Not taken: closing what is idle a moment before the end, which would serve longer, and cross requests when nobody takes new connections any more. An idle client keeps a process that is asked to end for up to 3.7 s now, not 1 s.

Test: clients that are idle, new and late all hand in after SIGTERM, one goes on until it is told to close, and the process ends by itself; fails without.

--- a/src/net/intake.rs
+++ b/src/net/intake.rs
@@ -17,15 +17,20 @@
 use serde::{Deserialize, Serialize};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{Semaphore, mpsc::UnboundedSender, oneshot, watch};
-use tokio::time::timeout;
+use tokio::time::{Instant, timeout};
 
 use super::journal::Taken;
 use super::names::Names;
-use super::{BODY_LIMIT, Clock, Inbound, Standing};
+use super::{BODY_LIMIT, Clock, Inbound, STOP_WITHIN, Standing};
 
 /// Guards the places for clients: a connection that brings no request for so long is closed. The platform
 /// lets idle ones go after 2 s, and wants an answer or a close 3 s after connecting.
 const HEAD_WITHIN: Duration = Duration::from_millis(2250);
+/// A process that was asked to end keeps connections for so long. Clients go on using each that stays open until the
+/// process is killed, whatever that does to their last requests. So from then on each answer ends its connection, and
+/// what stands idle has gone by `HEAD_WITHIN` before the end: none is closed that a request may be on its way over.
+const KEPT_WHILE_STOPPING: Duration =
+    Duration::from_micros(STOP_WITHIN).saturating_sub(HEAD_WITHIN).saturating_sub(Duration::from_millis(50));
 /// How long a body may take after its head: no client waits longer than 400 ms for its answer.
 const BODY_WITHIN: Duration = Duration::from_millis(500);
 
@@ -60,6 +65,8 @@
     names: Rc<RefCell<Names>>,
     inbound: UnboundedSender<Inbound>,
     standing: watch::Receiver<Standing>,
+    /// Since when the process is asked to end.
+    stopping: Cell<Option<Instant>>,
     open: Cell<usize>,
 }
 
@@ -110,7 +117,7 @@
         inbound: UnboundedSender<Inbound>,
         standing: watch::Receiver<Standing>,
     ) -> Self {
-        Self { clock, names, inbound, standing, open: Cell::new(0) }
+        Self { clock, names, inbound, standing, stopping: Cell::default(), open: Cell::new(0) }
     }
 
     /// Client connections that are open.
@@ -121,6 +128,13 @@
     /// Takes connections for as long as the process runs, `most` at a time.
     pub async fn listen(self: Rc<Self>, listener: TcpListener, most: usize) {
         let places = std::sync::Arc::new(Semaphore::new(most));
+        let noted = self.clone();
+        tokio::task::spawn_local(async move {
+            let mut standing = noted.standing.clone();
+            if standing.wait_for(|standing| *standing == Standing::Stopping).await.is_ok() {
+                noted.stopping.set(Some(Instant::now()));
+            }
+        });
         loop {
             let Ok(place) = places.clone().acquire_owned().await else { return };
             let Ok((stream, _)) = listener.accept().await else {
@@ -140,26 +154,23 @@
 
     async fn serve(&self, stream: TcpStream) {
         let _ = stream.set_nodelay(true);
-        let mut standing = self.standing.clone();
-        standing.mark_unchanged();
         let service = service_fn(|request| self.answer(request));
         let connection = http1::Builder::new()
             .timer(TokioTimer::new())
             .header_read_timeout(HEAD_WITHIN)
             .max_buf_size(HEAD_LIMIT)
             .serve_connection(TokioIo::new(stream), service);
-        let mut connection = std::pin::pin!(connection);
-        loop {
-            tokio::select! {
-                _ = connection.as_mut() => return,
-                Ok(()) = standing.changed() => {
-                    // Time is short then. A sender out of service has the time to let each client's next
-                    // answer end its connection, which crosses no request that was already written.
-                    if *standing.borrow_and_update() == Standing::Stopping {
-                        connection.as_mut().graceful_shutdown();
-                    }
-                }
-            }
+        // Nothing ends it but its client, its own time or an answer: that crosses no request already written.
+        let _ = connection.await;
+    }
+
+    /// Whether a connection is good for more than the answer at hand.
+    fn keeps(&self) -> bool {
+        match *self.standing.borrow() {
+            Standing::InService => true,
+            Standing::Stopping => self.stopping.get().is_none_or(|at| at.elapsed() < KEPT_WHILE_STOPPING),
+            // Whoever still comes to a sender that sends clients elsewhere gets one answer a connection.
+            Standing::Starting | Standing::OutOfService | Standing::HandedOver => false,
         }
     }
 
@@ -170,8 +181,7 @@
             (&Method::POST, _) => self.hand_in(request).await,
             _ => plain(StatusCode::NOT_FOUND, "not found\n"),
         };
-        // Whoever still comes to a sender that sends clients elsewhere gets one answer a connection.
-        Ok(if *self.standing.borrow() == Standing::InService { response } else { closing(response) })
+        Ok(if self.keeps() { response } else { closing(response) })
     }
 
     /// Guards against anything that a client may write: what can't be meant as a message gets 400.
@@ -244,7 +254,6 @@
 #[cfg(test)]
 mod tests {
     use tokio::io::{AsyncReadExt, AsyncWriteExt};
-    use tokio::time::Instant;
 
     use super::*;
 
--- a/tests/node/main.rs
+++ b/tests/node/main.rs
@@ -342,18 +342,31 @@
     let mut idle = Client::new(&node);
     assert_eq!(idle.ask(&handing_in("a", "order", 7, 20_000)).status(), 202);
     let call = endpoint.next();
+    let mut new = Client::new(&node);
     node.terminate();
-    assert!(idle.ended(), "idle client connections are closed");
+    let ready = b"GET /ready HTTP/1.1\r\nHost: origin.svc\r\n\r\n";
+    wait_until(|| node.ask(ready).status() == 503);
+    // Clients go on using what is open, be it idle or so new that it has brought nothing, and what they open still.
     let mut late = Client::new(&node);
-    assert_eq!(late.ask(b"GET /ready HTTP/1.1\r\nHost: origin.svc\r\n\r\n").status(), 503);
-    assert!(late.ended());
-    let mut late = Client::new(&node);
-    assert_eq!(late.ask(&handing_in("b", "note", 7, 20_000)).status(), 202);
-    assert!(late.ended());
-    let second = endpoint.next();
-    assert_eq!(second.http.headers["req-id"], "b");
-    second.reply(status(200));
+    for (client, id) in [(&mut idle, "b"), (&mut new, "c"), (&mut late, "d")] {
+        assert_eq!(client.ask(&handing_in(id, "note", 7, 20_000)).status(), 202, "{id}");
+        let next = endpoint.next();
+        assert_eq!(next.http.headers["req-id"], id);
+        next.reply(status(200));
+    }
     call.reply(status(200));
+    // In time for none to be open at the end, whoever uses it to the last.
+    let mut used = 0;
+    let ended = loop {
+        let answer = idle.ask(&handing_in(&format!("{used}"), "note", 7, 20_000));
+        used += 1;
+        endpoint.next().reply(status(200));
+        if answer.headers.get("connection").is_some_and(|told| told == "close") {
+            break idle.ended();
+        }
+        std::thread::sleep(std::time::Duration::from_millis(20));
+    };
+    assert!(ended && new.ended() && late.ended());
     assert_eq!(node.exit_code(), Some(0));
 }
 
