--- a/src/status/query.rs
+++ b/src/status/query.rs
@@ -236,12 +236,15 @@
     }
 }
 
+/// The log at hand, the place to go on from, and the span of the last entry.
+type At = (Holding, Option<(Micros, Key)>, Option<u32>);
+
 /// Reading some logs that are here, in slices.
 #[derive(Debug)]
 struct Scan {
     query: Query,
     waiting: VecDeque<LogId>,
-    at: Option<(Holding, Option<(Micros, Key)>, Option<u32>)>,
+    at: Option<At>,
     /// Ids that are still to be looked up in the log at hand.
     ids: usize,
     found: BTreeMap<(Micros, Key), Entry>,
