--- a/src/net/control.rs
+++ b/src/net/control.rs
@@ -17,6 +17,8 @@
     Members,
     /// How the status index stands.
     Status,
+    /// Plans by tenant, and what became of reads.
+    Plans,
     /// What is covered, held for others, and taken over.
     Takeover,
     /// Send clients elsewhere, and have all ended within this time if there is one.
@@ -27,6 +29,17 @@
     RestoreEndpoints(Endpoints),
 }
 
+/// A read of the status index.
+#[derive(Debug)]
+pub struct StatusCall {
+    /// What is asked for.
+    pub query: myrtleyard::status::Query,
+    /// The header `Session-Token`, as it came; of use where there are plans.
+    pub token: Option<String>,
+    /// Routes and reasons are wanted in the answer.
+    pub route: bool,
+}
+
 /// Endpoints that are named in a call.
 #[derive(Debug, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -45,6 +58,8 @@
     pub status: StatusCode,
     /// JSON.
     pub body: Vec<u8>,
+    /// For the header `Session-Token`.
+    pub token: Option<String>,
 }
 
 impl Reply {
@@ -52,7 +67,7 @@
     pub fn new(status: StatusCode, content: &impl Serialize) -> Self {
         let mut body = serde_json::to_vec(content).unwrap_or_default();
         body.push(b'\n');
-        Self { status, body }
+        Self { status, body, token: None }
     }
 
     /// A yes with a content.
--- a/src/net/driver.rs
+++ b/src/net/driver.rs
@@ -62,7 +62,7 @@
     fn answer(self, answer: Answer) {
         for waiting in self.answers {
             // Who does not wait any more has said so.
-            let _ = waiting.send(answer);
+            let _ = waiting.send(answer.clone());
         }
     }
 }
@@ -493,7 +493,7 @@
             Inbound::Control(ask, reply) => {
                 let _ = reply.send(self.control(ask, said));
             }
-            Inbound::StatusQuery(query, within, reply) => self.ask_status(*query, within, reply),
+            Inbound::StatusQuery(call, within, reply) => self.ask_status(*call, within, reply),
             Inbound::Terminate if self.stop_at.is_some() => {}
             Inbound::Terminate => {
                 let at = self.clock.now() + STOP_WITHIN;
@@ -513,7 +513,7 @@
             // The client did not hear that it is taken on, and says it once more.
             match self.fresh.get_mut(number) {
                 Some(fresh) => fresh.answers.push(answer),
-                None => drop(answer.send(Answer::Taken)),
+                None => drop(answer.send(self.taken_answer(&taken))),
             }
             return;
         }
@@ -749,7 +749,8 @@
                 self.cover(number, now);
                 let Taken { id, class, destination, .. } = &fresh.taken;
                 tracing::debug!(id, class, destination, "taken on");
-                fresh.answer(Answer::Taken);
+                let answer = self.taken_answer(&fresh.taken);
+                fresh.answer(answer);
             }
             for (number, how, id) in std::mem::take(&mut self.unsaid) {
                 self.end_told(number, how, id);
--- a/src/net/driver/draining.rs
+++ b/src/net/driver/draining.rs
@@ -56,6 +56,7 @@
             Ask::Members => self.members(),
             Ask::Takeover => self.takeover_report(),
             Ask::Status => self.status_report(),
+            Ask::Plans => self.plans_report(),
             Ask::OutOfService(within) => match self.service(false, within, said) {
                 true => Reply::yes(&self.drain_report()),
                 // A process that is on its way out does not come back.
--- a/src/net/driver/indexed.rs
+++ b/src/net/driver/indexed.rs
@@ -4,10 +4,11 @@
 
 use hyper::StatusCode;
 use myrtleyard::interface::Micros;
-use myrtleyard::status::{Query, State};
+use myrtleyard::status::State;
 use tokio::sync::oneshot;
 
-use super::super::control::Reply;
+use super::super::control::{Reply, StatusCall};
+use super::super::intake::Answer;
 use super::super::journal::{GivenUp, Taken};
 use super::super::parts::Part;
 use super::super::parts::indexing::end_of;
@@ -56,13 +57,35 @@
         }
     }
 
-    /// Asks the tier; whoever asked hears within that time.
-    pub(super) fn ask_status(&mut self, query: Query, within: Micros, reply: oneshot::Sender<Reply>) {
+    /// What a client hears whose message is taken on: with a token where its tenant's plan has sessions.
+    pub(super) fn taken_answer(&self, taken: &Taken) -> Answer {
+        let token = self.parts.reading.as_ref().zip(self.parts.indexing.as_ref());
+        let token = token.and_then(|(reading, indexing)| reading.token(taken, indexing));
+        token.map_or(Answer::Taken, Answer::TakenAt)
+    }
+
+    /// Plans and reads, for operators.
+    pub(super) fn plans_report(&self) -> Reply {
+        match self.parts.reading.as_ref().filter(|reading| reading.is_on()) {
+            Some(reading) => Reply::yes(&reading.report(self.clock.now())),
+            None => {
+                let why = "there are no plans: the configuration has no section \"plans\"";
+                Reply::typed(StatusCode::NOT_FOUND, "plans-off", why, "add the section beside \"status\"")
+            }
+        }
+    }
+
+    /// Asks the tier; whoever asked hears within that time. Where there are plans, the tenant's decides.
+    pub(super) fn ask_status(&mut self, call: StatusCall, within: Micros, reply: oneshot::Sender<Reply>) {
         let now = self.clock.now();
-        match &mut self.parts.indexing {
-            Some(indexing) => indexing.ask(query, within, now, reply),
+        let facts = self.parts.view.as_ref().map(|view| view.facts(now));
+        match (&mut self.parts.indexing, &mut self.parts.reading) {
+            (Some(indexing), Some(reading)) if reading.is_on() => {
+                reading.begin(call, (now, within), reply, (indexing, facts.as_ref()));
+            }
+            (Some(indexing), _) => indexing.ask(call.query, within, now, reply),
             // Who does not wait any more has gone.
-            None => drop(reply.send(not_on())),
+            (None, _) => drop(reply.send(not_on())),
         }
     }
 
--- a/src/net/intake.rs
+++ b/src/net/intake.rs
@@ -32,6 +32,9 @@
 /// A longer head is refused unread. It bounds what a connection buffers, too: bodies pass through in pieces.
 const HEAD_LIMIT: usize = 16 * 1024;
 
+/// Says what a session must not be shown less than; `docs/plans.md`.
+pub const SESSION_TOKEN: &str = "session-token";
+
 /// A message that a client hands in, and where its answer goes.
 #[derive(Debug)]
 pub struct HandedIn {
@@ -44,7 +47,7 @@
 }
 
 /// What the client hears.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Answer {
     /// The sender owes the message its end.
     Taken,
@@ -52,6 +55,8 @@
     Refused(Micros),
     /// Failed.
     Failed,
+    /// Taken, with a session token, since the tenant's plan has sessions.
+    TakenAt(String),
 }
 
 /// What all client connections share.
@@ -226,6 +231,13 @@
         withdrawal.id = None;
         match answered {
             Ok(Answer::Taken) => plain(StatusCode::ACCEPTED, ""),
+            Ok(Answer::TakenAt(token)) => {
+                let mut response = plain(StatusCode::ACCEPTED, "");
+                if let Ok(token) = HeaderValue::from_str(&token) {
+                    response.headers_mut().insert(SESSION_TOKEN, token);
+                }
+                response
+            }
             Ok(Answer::Refused(again)) => {
                 let mut response = plain(StatusCode::SERVICE_UNAVAILABLE, "refused\n");
                 if again > 0 {
--- a/src/net/mgmt.rs
+++ b/src/net/mgmt.rs
@@ -25,9 +25,9 @@
 use tokio::time::{Instant, timeout};
 
 use super::config::{self, InForce};
-use super::control::{Ask, Reply};
+use super::control::{Ask, Reply, StatusCall};
 use super::figures::Figures;
-use super::intake::{closing, plain, readiness};
+use super::intake::{SESSION_TOKEN, closing, plain, readiness};
 use super::{Inbound, Standing};
 
 /// Callers at a time.
@@ -127,15 +127,22 @@
             "/control/members" if get => self.ask(Ask::Members).await,
             "/control/takeover" if get => self.ask(Ask::Takeover).await,
             "/control/status" if get => self.ask(Ask::Status).await,
-            "/control/status/query" if post => match whole(request, QUERY_BODY).await {
-                Ok(body) => match serde_json::from_slice(&body) {
-                    Ok(query) => self.status(query, begun).await,
-                    Err(e) => answered(unreadable(&e)),
-                },
-                Err(no) => answered(no),
-            },
+            "/control/plans" if get => self.ask(Ask::Plans).await,
+            "/control/status/query" if post => {
+                let (token, route) = (token(&request), request.uri().query() == Some("route=1"));
+                match whole(request, QUERY_BODY).await {
+                    Ok(body) => match serde_json::from_slice(&body) {
+                        Ok(query) => self.status(StatusCall { query, token, route }, begun).await,
+                        Err(e) => answered(unreadable(&e)),
+                    },
+                    Err(no) => answered(no),
+                }
+            }
             path if get && path.starts_with(MESSAGE) => match one_message(path, request.uri().query()) {
-                Some(query) => self.status(query, begun).await,
+                Some((query, route)) => {
+                    let token = token(&request);
+                    self.status(StatusCall { query, token, route }, begun).await
+                }
                 None => answered(no_message()),
             },
             "/control/endpoints/drain" if post => {
@@ -146,7 +153,7 @@
             }
             "/control/config/check" if post => answered(self.check(request).await),
             "/control/ready" | "/control/counters" | "/control/drain" | "/control/endpoints"
-            | "/control/members" | "/control/takeover" | "/control/status" => not_allowed("GET"),
+            | "/control/members" | "/control/takeover" | "/control/status" | "/control/plans" => not_allowed("GET"),
             path if path.starts_with(MESSAGE) => not_allowed("GET"),
             "/control/out-of-service"
             | "/control/in-service"
@@ -182,13 +189,13 @@
     }
 
     /// What the tier knows of some messages, with what is left of the time for the call.
-    async fn status(&self, query: Query, begun: Instant) -> Response<Full<Bytes>> {
+    async fn status(&self, call: StatusCall, begun: Instant) -> Response<Full<Bytes>> {
         if *self.standing.borrow() == Standing::Starting {
             return answered(Reply::no(StatusCode::SERVICE_UNAVAILABLE, "starting"));
         }
         let within = ANSWER_WITHIN.saturating_sub(begun.elapsed()).as_micros() as Micros;
         let (reply, replied) = oneshot::channel();
-        let _ = self.inbound.send(Inbound::StatusQuery(Box::new(query), within, reply));
+        let _ = self.inbound.send(Inbound::StatusQuery(Box::new(call), within, reply));
         let gone = || Reply::no(StatusCode::SERVICE_UNAVAILABLE, "stopping");
         answered(replied.await.unwrap_or_else(|_| gone()))
     }
@@ -230,18 +237,22 @@
 }
 
 /// A query of a single message, by its id in the path and its tenant: none is the one of messages without any.
-fn one_message(path: &str, query: Option<&str>) -> Option<Query> {
+fn one_message(path: &str, query: Option<&str>) -> Option<(Query, bool)> {
     let text = |text: &str| percent_decode_str(text).decode_utf8().ok().map(|text| text.into_owned());
     let id = text(path.strip_prefix(MESSAGE)?).filter(|id| !id.is_empty())?;
-    let tenant = match query {
-        None => String::new(),
-        Some(query) => text(query.strip_prefix("tenant=")?)?,
-    };
-    serde_json::from_value(json!({"tenant": tenant, "ids": [id]})).ok()
+    let (mut tenant, mut route) = (String::new(), false);
+    for pair in query.into_iter().flat_map(|query| query.split('&')) {
+        match pair.split_once('=')? {
+            ("tenant", name) => tenant = text(name)?,
+            ("route", "1") => route = true,
+            _ => return None,
+        }
+    }
+    Some((serde_json::from_value(json!({"tenant": tenant, "ids": [id]})).ok()?, route))
 }
 
 fn no_message() -> Reply {
-    let why = "the path names no message, or the query is another than tenant=NAME";
+    let why = "the path names no message, or the query is another than tenant=NAME and route=1";
     let remedy = "ask for /control/status/message/ID?tenant=NAME, both percent-encoded";
     Reply::typed(StatusCode::BAD_REQUEST, "status-message", why, remedy)
 }
@@ -279,9 +290,17 @@
     let mut response = Response::new(Full::new(Bytes::from(reply.body)));
     *response.status_mut() = reply.status;
     response.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
+    if let Some(token) = reply.token.and_then(|token| HeaderValue::from_str(&token).ok()) {
+        response.headers_mut().insert(SESSION_TOKEN, token);
+    }
     response
 }
 
+/// The session token of a call; one that is not text is none that can be read.
+fn token(request: &Request<Incoming>) -> Option<String> {
+    request.headers().get(SESSION_TOKEN).map(|token| token.to_str().unwrap_or_default().trim().to_owned())
+}
+
 fn not_allowed(allowed: &'static str) -> Response<Full<Bytes>> {
     let mut response = plain(StatusCode::METHOD_NOT_ALLOWED, "another method is meant\n");
     response.headers_mut().insert(ALLOW, HeaderValue::from_static(allowed));
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -88,7 +88,7 @@
     /// Operators ask for something else.
     Control(control::Ask, oneshot::Sender<control::Reply>),
     /// The status index is asked; the answer is due within that time.
-    StatusQuery(Box<myrtleyard::status::Query>, Micros, oneshot::Sender<control::Reply>),
+    StatusQuery(Box<control::StatusCall>, Micros, oneshot::Sender<control::Reply>),
 }
 
 /// How one attempt ended.
--- a/src/net/parts/indexing.rs
+++ b/src/net/parts/indexing.rs
@@ -13,7 +13,7 @@
 use myrtleyard::status::folder::{LEAST_ROOM, Step};
 use myrtleyard::status::index::{Index, Place};
 use myrtleyard::status::log::{Restored, restore};
-use myrtleyard::status::query::{LONGEST, Refused};
+use myrtleyard::status::query::{Answer, LONGEST, Refused};
 use myrtleyard::status::{Config as Section, Entry, Query, Rank, State};
 use serde_json::{Value, json};
 use tokio::sync::oneshot;
@@ -40,6 +40,8 @@
     failed: Option<Micros>,
     /// Those who wait for answers.
     waiting: BTreeMap<u64, oneshot::Sender<Reply>>,
+    /// Answers to what another part has asked.
+    others: Vec<(u64, Answer)>,
 }
 
 fn segment(folder: &Path, at: u64) -> PathBuf {
@@ -100,7 +102,7 @@
         let room = Self::room(section, config.disk);
         let core = Index::new(section, place, restored, old, (room, boot), chance(), now);
         let folder = folder.to_owned();
-        Some(Self { core, own, folder, open: None, failed: None, waiting: BTreeMap::new() })
+        Some(Self { core, own, folder, open: None, failed: None, waiting: BTreeMap::new(), others: Vec::new() })
     }
 
     /// Bytes that it may take of the folder, of which `disk` bytes are for everything: a quarter of it at most.
@@ -209,13 +211,24 @@
         self.keep(now);
         self.core.tick(now, out);
         for (number, answer) in self.core.answers() {
-            if let Some(waiting) = self.waiting.remove(&number) {
+            match self.waiting.remove(&number) {
                 // Who does not wait any more has gone.
-                let _ = waiting.send(Reply::yes(&answer));
+                Some(waiting) => drop(waiting.send(Reply::yes(&answer))),
+                None => self.others.push((number, answer)),
             }
         }
     }
 
+    /// Answers to what another part has asked of the core.
+    pub fn answers(&mut self) -> Vec<(u64, Answer)> {
+        std::mem::take(&mut self.others)
+    }
+
+    /// Whether there are any.
+    pub fn has_answers(&self) -> bool {
+        !self.others.is_empty()
+    }
+
     /// Asks the tier; the answer comes within that time.
     pub fn ask(&mut self, query: Query, within: Micros, now: Micros, reply: oneshot::Sender<Reply>) {
         let routes = self.core.routes();
@@ -226,7 +239,8 @@
     }
 }
 
-fn refused(why: &Refused) -> Reply {
+/// The answer to a query that is not taken.
+pub fn refused(why: &Refused) -> Reply {
     let status = match why {
         Refused::Busy => StatusCode::SERVICE_UNAVAILABLE,
         Refused::Ids(_) | Refused::Limit(_) => StatusCode::BAD_REQUEST,
--- a/src/net/parts/mod.rs
+++ b/src/net/parts/mod.rs
@@ -5,6 +5,7 @@
 pub mod covering;
 pub mod draining;
 pub mod indexing;
+pub mod reading;
 pub mod view;
 
 use std::path::Path;
@@ -17,6 +18,7 @@
 use covering::Covering;
 use draining::Draining;
 use indexing::Indexing;
+use reading::Reading;
 use view::View;
 
 /// Datagrams to other senders, by their numbers.
@@ -54,6 +56,8 @@
     pub covering: Option<Covering>,
     /// The status index.
     pub indexing: Option<Indexing>,
+    /// Reads by plan.
+    pub reading: Option<Reading>,
 }
 
 impl Parts {
@@ -64,6 +68,7 @@
             view: View::open(config, now),
             covering: Covering::open(config, folder, now),
             indexing: Indexing::open(config, folder, now),
+            reading: Reading::open(config),
         }
     }
 
@@ -77,6 +82,10 @@
     /// The configuration has changed. Draining, covers and the index stay as they were at the start, since their room was set
     /// aside then.
     pub fn adopt(&mut self, config: &Config, now: Micros, out: &mut Out) {
+        match &mut self.reading {
+            Some(reading) => reading.adopt(config),
+            None => self.reading = Reading::open(config),
+        }
         match (&mut self.view, &config.membership) {
             (Some(view), Some(_)) => view.adopt(config, now),
             (Some(view), None) => {
@@ -101,7 +110,11 @@
         let view = self.view.as_ref().and_then(Part::due);
         let covering = self.covering.as_ref().and_then(Part::due);
         let indexing = self.indexing.as_ref().and_then(Part::due);
-        draining.into_iter().chain(view).chain(covering).chain(indexing).min()
+        // An answer of the index that is there is gone on with at once.
+        let answered = self.indexing.as_ref().filter(|indexing| indexing.has_answers()).map(|_| 0);
+        let reading = self.reading.as_ref().and_then(Part::due);
+        let index = indexing.into_iter().chain(answered).chain(reading);
+        draining.into_iter().chain(view).chain(covering).chain(index).min()
     }
 
     /// Calls those whose time has come.
@@ -116,6 +129,13 @@
         for part in self.each().filter(|part| part.due().is_some_and(|due| due <= now)) {
             part.tick(now, out);
         }
+        if let (Some(indexing), Some(reading)) = (&mut self.indexing, &mut self.reading) {
+            let answers = indexing.answers();
+            if !answers.is_empty() || reading.due().is_some_and(|due| due <= now) {
+                let facts = self.view.as_ref().map(|view| view.facts(now));
+                reading.go_on(now, answers, (indexing, facts.as_ref()));
+            }
+        }
     }
 
     /// Hands a datagram to the part that it is for; whether there is one.
--- /dev/null
+++ b/src/net/parts/reading.rs
@@ -0,0 +1,527 @@
+//! Reads by plan at the running sender: each is taken apart into logs, sent where `myrtleyard::plans` says, and put
+//! together from what the status index answers.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::rc::Rc;
+
+use hyper::StatusCode;
+use myrtleyard::interface::Micros;
+use myrtleyard::membership::{Facts, tier_of};
+use myrtleyard::plans::limits::{Denied, Plans, Tally};
+use myrtleyard::plans::route::{Holder, Log, MOST_HOLDERS, Need, Role, Route, Stated, World};
+use myrtleyard::plans::session::{Ask, Ended, Outcome, Read, Verdict};
+use myrtleyard::plans::token::Token;
+use myrtleyard::plans::{Level, limits};
+use myrtleyard::status::query::{Answer, Missing, Refused, Routes, Told, Touched, Why};
+use myrtleyard::status::shards::key_of;
+use myrtleyard::status::{Entry, Life, LogId, Positions, Query, Rank, Reached};
+use serde_json::{Value, json};
+use tokio::sync::oneshot;
+
+use super::super::config::Config;
+use super::super::control::{Reply, StatusCall};
+use super::super::journal::Taken;
+use super::Part;
+use super::indexing::{Indexing, refused};
+
+/// Reads under way at most.
+const MOST_READS: usize = 64;
+/// The index answers so long before a question's time is up, so that its answer is there by then, microseconds.
+const MARGIN: Micros = 30_000;
+/// Reading costs so much where an estimate does not say: here, in this zone, elsewhere.
+const COSTS: (u64, u64, u64) = (0, 1, 4);
+/// And so much more at a sender that has not been chosen to keep the log.
+const NOT_CHOSEN: u64 = 8;
+/// Senders that may have kept a log and are considered, besides its owner: whoever is chosen while more of these are
+/// away is not asked.
+const KEEPERS: usize = MOST_HOLDERS - 1;
+/// Whatever life an owner is in. Lives are drawn from 1 on.
+const ANY_LIFE: Life = Life(0);
+
+/// Rows of one answer of the index, with what it says of itself.
+type Rows = Rc<Answer>;
+
+/// What else a part of the sender is asked with: the index, and how the view stands.
+type Around<'a> = (&'a mut Indexing, Option<&'a Facts>);
+
+/// A read under way.
+struct Under {
+    core: Read<Rows>,
+    query: Query,
+    plan: String,
+    token: Token,
+    logs: Vec<LogId>,
+    route: bool,
+    begun: Micros,
+    reply: oneshot::Sender<Reply>,
+    told: Vec<Told>,
+    touched: Vec<Touched>,
+    missing: Vec<Missing>,
+}
+
+/// A question to the index: whose read it is of, and which log is asked for where.
+struct Out {
+    read: u64,
+    logs: Vec<(LogId, Need, Rank, u32)>,
+}
+
+/// The part.
+pub struct Reading {
+    plans: Plans,
+    /// The section is there. If it goes, reads under way come to their end.
+    on: bool,
+    own: Rank,
+    size: usize,
+    tier: u32,
+    next: u64,
+    under: BTreeMap<u64, Under>,
+    out: BTreeMap<u64, Out>,
+}
+
+impl Reading {
+    /// As the configuration has it; nothing without its section, and without the index.
+    pub fn open(config: &Config) -> Option<Self> {
+        let section = config.plans.clone()?;
+        config.status.as_ref()?;
+        let own = config.rank()?;
+        let tier = config.membership.as_ref().map_or(0, |membership| tier_of(&membership.tier));
+        let (under, out) = (BTreeMap::new(), BTreeMap::new());
+        let size = config.peers.len();
+        Some(Self { plans: Plans::new(section), on: true, own, size, tier, next: 0, under, out })
+    }
+
+    /// The configuration has changed.
+    pub fn adopt(&mut self, config: &Config) {
+        self.on = config.plans.is_some();
+        self.plans.adopt(config.plans.clone().unwrap_or_default());
+    }
+
+    /// Whether the section is there.
+    pub fn is_on(&self) -> bool {
+        self.on
+    }
+
+    /// What a client gets with its 202, if its tenant's plan has sessions and the message is in the index.
+    pub fn token(&self, taken: &Taken, indexing: &Indexing) -> Option<String> {
+        let tenant = taken.owner.as_deref().unwrap_or_default();
+        if !self.on || !self.plans.entitled(tenant) {
+            return None;
+        }
+        let held = indexing.core.log().table().get(&key_of(tenant, &taken.id))?;
+        let mut token = Token::default();
+        token.see(indexing.core.own_log(), held.number);
+        Some(token.text(self.tier))
+    }
+
+    /// Begins a read, or says why not.
+    pub fn begin(
+        &mut self,
+        call: StatusCall,
+        (now, within): (Micros, Micros),
+        reply: oneshot::Sender<Reply>,
+        around: Around<'_>,
+    ) {
+        let StatusCall { query, token, route } = call;
+        let admitted = self.plans.admit(&query.tenant, token.as_deref(), self.tier, now);
+        let (plan, token) = match admitted {
+            Ok(admitted) => admitted,
+            Err(denied) => {
+                let (tenant, code) = (&query.tenant, denied.code());
+                tracing::info!(tenant, code, "a read is denied");
+                return drop(reply.send(denial(&denied)));
+            }
+        };
+        if self.under.len() >= MOST_READS {
+            return drop(reply.send(refused(&Refused::Busy)));
+        }
+        let logs = self.logs(&token, around.0, now);
+        let core = match Read::begin(&plan, token.clone(), logs.iter().copied(), now, within) {
+            Ok(core) => core,
+            Err(wide) => {
+                let remedy = "ask for ids, or for less time";
+                return drop(reply.send(Reply::typed(StatusCode::BAD_REQUEST, "read_wide", wide, remedy)));
+            }
+        };
+        let plan = self.plans.of(&query.tenant).0.to_owned();
+        let (told, touched, missing) = (Vec::new(), Vec::new(), Vec::new());
+        let under =
+            Under { core, query, plan, token, logs, route, begun: now, reply, told, touched, missing };
+        self.next += 1;
+        self.under.insert(self.next, under);
+        self.go_on(now, Vec::new(), around);
+    }
+
+    /// What a read is made of: the logs that its token names, and each owner's in whatever life it is, unless the token
+    /// names the only one that is known here.
+    fn logs(&self, token: &Token, indexing: &Indexing, now: Micros) -> Vec<LogId> {
+        let positions = indexing.core.positions(now);
+        let hints = indexing.core.hints().values();
+        let mut known: BTreeMap<Rank, Vec<LogId>> = BTreeMap::new();
+        for log in positions.keys().chain(hints.flat_map(BTreeMap::keys)) {
+            let of = known.entry(log.owner).or_default();
+            if !of.contains(log) {
+                of.push(*log);
+            }
+        }
+        let named = |owner: Rank| match known.get(&owner).map(Vec::as_slice) {
+            Some([only]) => token.upto(*only).is_some(),
+            _ => false,
+        };
+        let owners = (0..self.size).filter_map(|rank| Rank::try_from(rank).ok());
+        let owners = owners.filter(|owner| token.overflowed() || !named(*owner));
+        let any = owners.map(|owner| LogId { owner, life: ANY_LIFE });
+        any.chain(token.logs().map(|(log, _)| log)).collect()
+    }
+
+    /// Goes on with all reads: answers of the index are checked, and what is open is asked for.
+    pub fn go_on(&mut self, now: Micros, answers: Vec<(u64, Answer)>, (indexing, facts): Around<'_>) {
+        for (number, answer) in answers {
+            self.answered(number, answer);
+        }
+        let numbers: Vec<u64> = self.under.keys().copied().collect();
+        for number in numbers {
+            let Some(under) = self.under.get_mut(&number) else { continue };
+            let (logs, here) = holders(&under.logs, self.own, indexing, now);
+            let near = |rank: Rank| {
+                facts.and_then(|facts| facts.members.get(usize::from(rank))).is_some_and(|fact| fact.near)
+            };
+            let own = self.own;
+            let owners: BTreeSet<Rank> = under.logs.iter().map(|log| log.owner).collect();
+            let chosen: BTreeMap<Rank, Vec<Rank>> =
+                owners.into_iter().map(|owner| (owner, indexing.core.replicas_of(owner))).collect();
+            let cost = |rank: Rank, log: LogId| {
+                let of = chosen.get(&log.owner).is_some_and(|of| of.contains(&rank)) || rank == log.owner;
+                match rank {
+                    _ if rank == own => COSTS.0,
+                    _ if near(rank) => COSTS.1 + if of { 0 } else { NOT_CHOSEN },
+                    _ => COSTS.2 + if of { 0 } else { NOT_CHOSEN },
+                }
+            };
+            let world = World { own, here: &here, facts, logs: &logs, cost: &cost, busy: &|_| false };
+            let asks = under.core.step(now, &world);
+            if under.core.is_over() {
+                if let Some(under) = self.under.remove(&number) {
+                    self.end(under, now);
+                }
+            } else if let Err(why) = self.ask(number, asks, now, indexing)
+                && let Some(under) = self.under.remove(&number)
+            {
+                // Who does not wait any more has gone.
+                let _ = under.reply.send(refused(&why));
+            }
+        }
+    }
+
+    /// Asks the index, which knows owners: where two logs of one owner go to different senders, in two questions.
+    fn ask(
+        &mut self,
+        read: u64,
+        asks: Vec<Ask>,
+        now: Micros,
+        indexing: &mut Indexing,
+    ) -> Result<(), Refused> {
+        let Some(under) = self.under.get(&read) else { return Ok(()) };
+        let mut batches: Vec<(Routes, Out, Micros)> = Vec::new();
+        for Ask { number, to, logs, by } in asks {
+            for (log, need) in logs {
+                let fits = |routes: &Routes| routes.0.get(&log.owner).is_none_or(|to_whom| to_whom == &[to]);
+                let at = batches.iter().position(|batch| fits(&batch.0)).unwrap_or(batches.len());
+                if at == batches.len() {
+                    batches.push((Routes::default(), Out { read, logs: Vec::new() }, by));
+                }
+                batches[at].0.0.insert(log.owner, vec![to]);
+                batches[at].1.logs.push((log, need, to, number));
+            }
+        }
+        for (routes, out, by) in batches {
+            // Which state a message has shows only once all logs are joined.
+            let query = Query { states: Vec::new(), ..under.query.clone() };
+            let within = by.saturating_sub(now).saturating_sub(MARGIN).max(MARGIN);
+            let number = indexing.core.ask(now, query, routes, within)?;
+            self.out.insert(number, out);
+        }
+        Ok(())
+    }
+
+    fn answered(&mut self, number: u64, answer: Answer) {
+        let Some(Out { read, logs }) = self.out.remove(&number) else { return };
+        let Some(under) = self.under.get_mut(&read) else { return };
+        let answer = Rc::new(answer);
+        under.told.extend(answer.logs.iter().cloned());
+        under.touched.extend(answer.touched.iter().cloned());
+        under.missing.extend(answer.missing.iter().cloned());
+        for told in answer.logs.iter().filter(|told| !logs.iter().any(|asked| asked.0 == told.log)) {
+            if told.shown > 0 {
+                under.core.came(told.log, told.shown.max(told.reached.upto));
+            }
+        }
+        for (log, need, from, number) in logs {
+            let (stated, shown) = stated(&answer, log, need, from);
+            under.core.answered((from, number), log, stated, (shown, answer.clone()));
+        }
+    }
+
+    fn end(&mut self, under: Under, now: Micros) {
+        let Under { core, query, plan, token, route, begun, reply: to, told, touched, missing, .. } = under;
+        let ended = core.ended();
+        let (tenant, level, outcome) = (query.tenant.clone(), ended.level, ended.outcome);
+        let tally = tally(&ended);
+        let verdicts = ended.parts.iter().map(|part| part.verdict);
+        self.plans.ended(&tenant, level, outcome, verdicts, tally);
+        let named = |verdict| named(&ended, verdict);
+        let (lost, late) = (named(Verdict::Lost), named(Verdict::Late));
+        let took_us = now.saturating_sub(begun);
+        let Tally { here, asked, waits } = tally;
+        match outcome {
+            Outcome::Kept => {
+                tracing::debug!(tenant, plan, ?level, here, asked, waits, took_us, "a read by plan");
+            }
+            Outcome::Less | Outcome::Refused => {
+                let (lost, late) = (lost.len(), late.len());
+                tracing::info!(
+                    tenant,
+                    plan,
+                    ?level,
+                    ?outcome,
+                    here,
+                    asked,
+                    waits,
+                    lost,
+                    late,
+                    took_us,
+                    "a read by plan"
+                );
+            }
+        }
+        let mut read = json!({"plan": plan, "level": level, "outcome": outcome, "lost": lost, "late": late});
+        if token.overflowed() {
+            read["overflowed"] = json!(true);
+        }
+        if let Some(without) = &ended.without_lost {
+            read["token_without_lost"] = json!(without.text(self.tier));
+        }
+        if route {
+            read["routes"] = routes(&ended);
+        }
+        let session = (level == Level::Session).then(|| ended.token.text(self.tier));
+        let mut reply = if outcome == Outcome::Refused {
+            refusal(&lost, &late, &read)
+        } else {
+            let oldest = ended.parts.iter().filter_map(|part| part.answer.as_ref());
+            let oldest = oldest.map(|answer| answer.1.as_of).min();
+            read["age_ms"] = json!(oldest.map(|oldest| now.saturating_sub(oldest) / 1000));
+            let mut answer = put_together(&query, &ended, (told, touched, missing));
+            answer.took_us = took_us;
+            let mut body = serde_json::to_value(&answer).unwrap_or_default();
+            body["read"] = read;
+            Reply::yes(&body)
+        };
+        reply.token = session;
+        // Who does not wait any more has gone.
+        let _ = to.send(reply);
+    }
+}
+
+impl Part for Reading {
+    fn due(&self) -> Option<Micros> {
+        self.under.values().filter_map(|under| under.core.due()).min()
+    }
+
+    fn report(&self, _now: Micros) -> Value {
+        let counts = self
+            .plans
+            .counts()
+            .map(|(tenant, level, counts)| json!({"tenant": tenant, "level": level, "counts": counts}));
+        let plans: BTreeMap<&str, Value> = self
+            .plans
+            .in_force()
+            .map(|(name, plan)| {
+                let plan = json!({"level": plan.level, "staleness_ms": plan.staleness_ms, "wait_ms": plan.wait_ms,
+                                  "or": plan.otherwise, "reads_per_s": plan.reads_per_s});
+                (name, plan)
+            })
+            .collect();
+        json!({"plans": plans, "reads": counts.collect::<Vec<_>>(), "under_way": self.under.len(),
+               "bounds": {"reads": MOST_READS, "tenants": limits::MOST_TENANTS}})
+    }
+}
+
+/// What a sender that was asked states of a log, by the index's answer, and up to where it may have shown it.
+fn stated(answer: &Answer, log: LogId, need: Need, from: Rank) -> (Stated, u64) {
+    let of: Vec<&Told> =
+        answer.logs.iter().filter(|told| told.log.owner == log.owner && told.server == from).collect();
+    let Some(first) = of.first() else {
+        let silent = answer
+            .missing
+            .iter()
+            .any(|missing| missing.owner == log.owner && !matches!(missing.why, Why::NotHeld));
+        return (if silent { Stated::Silent } else { Stated::Nothing }, 0);
+    };
+    let owner = from == log.owner;
+    if log.life == ANY_LIFE {
+        // An owner tells of its present life first. What is shown counts for the logs themselves.
+        let newest = of.iter().max_by_key(|told| told.reached.as_of).unwrap_or(first);
+        return (Stated::Has(if owner { first.reached } else { newest.reached }), 0);
+    }
+    match of.iter().find(|told| told.log == log) {
+        // It got back what others kept of a life that is over: that may be enough, but it is not all.
+        Some(told) if owner && first.log != log => match need {
+            Need::Upto(_) if need.met(log, from, told.reached) => (Stated::Has(told.reached), told.shown),
+            _ => (Stated::Over, told.shown),
+        },
+        Some(told) => (Stated::Has(told.reached), told.shown),
+        None if owner => (Stated::Over, 0),
+        None => (Stated::Nothing, 0),
+    }
+}
+
+/// Who may hold each log, and how far: who keeps it by the index, and whoever said so. Then how far each is here.
+fn holders(logs: &[LogId], own: Rank, indexing: &Indexing, now: Micros) -> (Vec<Log>, Positions) {
+    let index = &indexing.core;
+    let positions = index.positions(now);
+    let none = Reached { upto: 0, as_of: 0 };
+    let reached = |positions: &Positions, log: LogId| match log.life {
+        ANY_LIFE => {
+            let of = positions.iter().filter(|held| held.0.owner == log.owner);
+            of.map(|held| *held.1).max_by_key(|reached| reached.as_of)
+        }
+        _ => positions.get(&log).copied(),
+    };
+    let mut here = Positions::new();
+    let holders = |log: &LogId| {
+        let mut ranks = index.keepers_of(log.owner, KEEPERS);
+        ranks.push(log.owner);
+        ranks.extend(index.hints().iter().filter(|hint| reached(hint.1, *log).is_some()).map(|hint| *hint.0));
+        ranks.sort_unstable();
+        ranks.dedup();
+        ranks.retain(|rank| *rank != own);
+        let holder = |rank: Rank| {
+            let role = if rank == log.owner { Role::Owner } else { Role::Replica };
+            let reached = index.hints().get(&rank).and_then(|hint| reached(hint, *log));
+            Holder { rank, role, reached: reached.unwrap_or(none) }
+        };
+        Log { id: *log, holders: ranks.into_iter().map(holder).collect(), empty: None }
+    };
+    let all = logs.iter().map(holders).collect();
+    for log in logs {
+        here.extend(reached(&positions, *log).map(|reached| (*log, reached)));
+    }
+    (all, here)
+}
+
+fn tally(ended: &Ended<Rows>) -> Tally {
+    let mut tally = Tally::default();
+    for hop in ended.parts.iter().flat_map(|part| &part.hops) {
+        match hop.route {
+            Route::Here => tally.here += 1,
+            Route::At(_) | Route::Owner(_) | Route::Adopter(_) => tally.asked += 1,
+            Route::Wait(_) => tally.waits += 1,
+            Route::NotTouched | Route::Lost | Route::Late => {}
+        }
+    }
+    tally
+}
+
+fn named(ended: &Ended<Rows>, verdict: Verdict) -> Vec<Value> {
+    let parts = ended.parts.iter().filter(|part| part.verdict == verdict);
+    parts.map(|part| json!({"log": part.log, "need": part.need})).collect()
+}
+
+fn routes(ended: &Ended<Rows>) -> Value {
+    let parts = ended.parts.iter().map(|part| {
+        let answer = part.answer.as_ref();
+        let (server, reached) = (answer.map(|answer| answer.0), answer.map(|answer| answer.1));
+        json!({"owner": part.log.owner, "life": part.log.life, "need": part.need, "verdict": part.verdict,
+               "hops": part.hops, "server": server, "reached": reached})
+    });
+    Value::Array(parts.collect())
+}
+
+fn denial(denied: &Denied) -> Reply {
+    let status = match denied {
+        Denied::NoSession { .. } => StatusCode::FORBIDDEN,
+        Denied::Token(_) => StatusCode::BAD_REQUEST,
+        Denied::Rate { .. } => StatusCode::TOO_MANY_REQUESTS,
+    };
+    Reply::typed(status, denied.code(), denied, denied.remedy())
+}
+
+/// A read that would have shown less.
+fn refusal(lost: &[Value], late: &[Value], read: &Value) -> Reply {
+    let (status, code, error, remedy) = if lost.is_empty() {
+        let error = format!("{} logs can't be had as far as the plan asks, in time", late.len());
+        let remedy = "read again; if it stays so, look which of the owners are away, or allow tell-stale";
+        (StatusCode::SERVICE_UNAVAILABLE, "read_late", error, remedy)
+    } else {
+        let error = format!("of {} logs what the session has seen is lost", lost.len());
+        let remedy = "have the client go on with token_without_lost, and hand in again what it misses";
+        (StatusCode::GONE, "read_lost", error, remedy)
+    };
+    Reply::new(status, &json!({"code": code, "error": error, "remedy": remedy, "read": read}))
+}
+
+/// All answers of a read as one.
+fn put_together(
+    query: &Query,
+    ended: &Ended<Rows>,
+    (told, touched, missing): (Vec<Told>, Vec<Touched>, Vec<Missing>),
+) -> Answer {
+    let mut answers: Vec<&Rows> = Vec::new();
+    let mut reached: Vec<Rank> = Vec::new();
+    for (owner, (_, _, rows)) in
+        ended.parts.iter().filter_map(|part| Some((part.log.owner, part.answer.as_ref()?)))
+    {
+        reached.push(owner);
+        if !answers.iter().any(|known| Rc::ptr_eq(known, rows)) {
+            answers.push(rows);
+        }
+    }
+    let mut rows: BTreeMap<_, Entry> = BTreeMap::new();
+    for entry in answers.iter().flat_map(|answer| &answer.rows) {
+        match rows.get_mut(&key_of(&entry.tenant, &entry.id)) {
+            Some(known) => known.join(entry),
+            None => drop(rows.insert(key_of(&entry.tenant, &entry.id), entry.clone())),
+        }
+    }
+    let known = |id: &&String| !rows.contains_key(&key_of(&query.tenant, id));
+    let not_known = query.ids.iter().filter(known).cloned().collect();
+    let mut next = answers.iter().filter_map(|answer| answer.next.clone()).min();
+    let mut rows: Vec<Entry> = rows.into_values().filter(|entry| query.wants(entry)).collect();
+    rows.sort_by(|a, b| (a.taken_at, &a.id).cmp(&(b.taken_at, &b.id)));
+    rows.retain(|entry| next.as_ref().is_none_or(|(at, id)| (entry.taken_at, &entry.id) <= (*at, id)));
+    if rows.len() > query.limit as usize {
+        rows.truncate(query.limit as usize);
+        next = rows.last().map(|last| (last.taken_at, last.id.clone()));
+    }
+    let mut owners: Vec<Rank> = ended.parts.iter().map(|part| part.log.owner).collect();
+    owners.sort_unstable();
+    owners.dedup();
+    reached.sort_unstable();
+    reached.dedup();
+    let mut named: Vec<Missing> = Vec::new();
+    for missing in missing {
+        let open = !reached.contains(&missing.owner);
+        if open && !named.iter().any(|known| known.owner == missing.owner) {
+            named.push(missing);
+        }
+    }
+    let mut logs: Vec<Told> = Vec::new();
+    for told in told {
+        if !logs.iter().any(|known| known.log == told.log && known.server == told.server) {
+            logs.push(told);
+        }
+    }
+    Answer {
+        rows,
+        next,
+        partial: ended.outcome != Outcome::Kept,
+        asked: owners.len(),
+        reached: reached.len(),
+        missing: named,
+        known_since: answers.iter().map(|answer| answer.known_since).max().unwrap_or(0),
+        logs,
+        not_known,
+        touched,
+        took_us: 0,
+    }
+}
--- a/src/plans/route.rs
+++ b/src/plans/route.rs
@@ -284,7 +284,7 @@
     let over = said.get(&log.owner) == Some(&Stated::Over);
     // Whoever is furthest, first: what the hints say may be old.
     let furthest = |holder: &&&Holder| (u64::MAX - holder.reached.upto, price(holder));
-    if let Some(behind) = left.iter().filter(|_| over || again).min_by_key(furthest) {
+    if let Some(behind) = left.iter().filter(|_| over || again || need == Need::Any).min_by_key(furthest) {
         return to(behind, if over { Reason::Remains } else { Reason::CatchUp });
     }
     if lost(log, need, said, &all) {
--- a/src/plans/session.rs
+++ b/src/plans/session.rs
@@ -15,13 +15,13 @@
 use crate::status::{LogId, Rank, Reached};
 
 /// From the beginning of a read to its end at most, microseconds. Its answer is due within 1 s.
-pub const ANSWER_WITHIN: Micros = 850_000;
+pub const ANSWER_WITHIN: Micros = 800_000;
 /// Who has not answered after so long is routed round, microseconds.
 pub const ASK_WITHIN: Micros = 150_000;
 /// How long a log that can't be read yet rests before it is looked at again, microseconds.
 pub const PAUSE: Micros = 40_000;
 /// Times that one log is asked for at most.
-pub const MOST_ASKS: usize = 16;
+pub const MOST_ASKS: usize = 24;
 /// Logs that one read touches at most.
 pub const MOST_LOGS: usize = 4_096;
 
@@ -93,6 +93,8 @@
     end: Micros,
     /// Questions so far.
     asks: u32,
+    /// Seen in logs that were not asked for.
+    came: Token,
     legs: BTreeMap<LogId, Leg<R>>,
 }
 
@@ -145,7 +147,8 @@
 pub struct Wide(pub usize);
 
 impl<R: Clone> Read<R> {
-    /// Begins one at a plan's level over the logs that may hold rows, and all that the token names.
+    /// Begins one at a plan's level over the logs that may hold rows, and all that the token names. It ends after
+    /// `within` microseconds, or [`ANSWER_WITHIN`] if that is less.
     ///
     /// # Errors
     /// There are too many.
@@ -154,6 +157,7 @@
         token: Token,
         logs: impl IntoIterator<Item = LogId>,
         now: Micros,
+        within: Micros,
     ) -> Result<Self, Wide> {
         let token = if plan.level == Level::Session { token } else { Token::default() };
         let need = |log: LogId| match plan.level {
@@ -184,9 +188,9 @@
         if legs.len() > MOST_LOGS {
             return Err(Wide(legs.len()));
         }
-        let end = now.saturating_add(ANSWER_WITHIN);
+        let end = now.saturating_add(within.min(ANSWER_WITHIN));
         let until = now.saturating_add(Micros::from(plan.wait_ms) * 1000).min(end);
-        Ok(Self { level: plan.level, otherwise: plan.otherwise, token, until, end, asks: 0, legs })
+        Ok(Self { level: plan.level, otherwise: plan.otherwise, token, until, end, asks: 0, came: Token::default(), legs })
     }
 
     /// When it wants to go on without an answer; nothing if it has ended.
@@ -293,6 +297,13 @@
         }
     }
 
+    /// With the rows of logs that were asked for came those of another one, up to this number.
+    pub fn came(&mut self, log: LogId, shown: u64) {
+        if self.level == Level::Session {
+            self.came.see(log, shown);
+        }
+    }
+
     /// What it has come to, once it is over.
     pub fn ended(self) -> Ended<R> {
         let kept = |leg: &Leg<R>| matches!(leg.verdict, Some(Verdict::Kept | Verdict::NotTouched));
@@ -320,6 +331,9 @@
             let verdict = leg.verdict.unwrap_or(Verdict::Late);
             parts.push(Part { log, need: leg.need, verdict, hops: leg.hops, answer });
         }
+        if outcome != Outcome::Refused {
+            token.merge(&self.came);
+        }
         let without_lost = if lost.is_empty() { None } else { token.without(&lost) };
         Ended { outcome, level: self.level, parts, token, without_lost }
     }
--- a/src/status/index.rs
+++ b/src/status/index.rs
@@ -8,7 +8,7 @@
 use super::folder::{LEAST_ROOM, Segments, Step};
 use super::log::{Log, Restored};
 use super::query::{Answer, Here, Queries, Refused, Routes, Say};
-use super::replicate::{BEAT, Replication, replicas};
+use super::replicate::{BEAT, Replication, keepers, replicas};
 use super::shards::{key_of, shard_of};
 use super::store::{Batch, Have, Store};
 use super::{Config, Entry, Life, LogId, Positions, Query, Rank, ShardId, State};
@@ -177,6 +177,11 @@
         self.facts.as_ref().map_or(Vec::new(), |facts| replicas(owner, self.replicas, &self.hosts, facts))
     }
 
+    /// The best `count` of those that may have been chosen to keep an owner's log, whoever is there now.
+    pub fn keepers_of(&self, owner: Rank, count: usize) -> Vec<Rank> {
+        keepers(owner, count, &self.hosts)
+    }
+
     /// Whether a message is in its own log.
     pub fn knows(&self, tenant: &str, id: &str) -> bool {
         self.log.table().get(&key_of(tenant, id)).is_some()
--- a/src/status/query.rs
+++ b/src/status/query.rs
@@ -96,6 +96,9 @@
     pub reached: Reached,
     /// Its horizon.
     pub known_since: Micros,
+    /// The greatest number of a change that may be in the rows, or be the reason that one is missing: a copy may have
+    /// newer entries than it has without gaps. 0 if no entry was looked at.
+    pub shown: u64,
     /// Spans in which entries were looked at, entries, and their bytes.
     pub touched: (u32, u64, u64),
 }
@@ -156,6 +159,8 @@
     pub reached: Reached,
     /// Its horizon: what was taken on before may have been left out.
     pub known_since: Micros,
+    /// The greatest number of a change that may have been shown; 0 if no entry was looked at.
+    pub shown: u64,
 }
 
 /// What a query really read, by link.
@@ -232,7 +237,16 @@
         let table = self.table(id)?;
         let own = id == self.log.id();
         let reached = if own { self.log.reached(now) } else { self.store.logs().get(&id)?.reached };
-        Some(Holding { log: id, reached, known_since: table.known_since(), touched: (0, 0, 0) })
+        Some(Holding { log: id, reached, known_since: table.known_since(), shown: 0, touched: (0, 0, 0) })
+    }
+
+    /// With what may have been shown, once it has been read.
+    fn read(&self, holding: Holding) -> Holding {
+        let last = match self.store.logs().get(&holding.log) {
+            _ if holding.log == self.log.id() => self.log.last(),
+            copy => copy.map_or(holding.reached.upto, |copy| copy.cursor().max(copy.reached.upto)),
+        };
+        Holding { shown: if holding.touched.1 > 0 { last } else { 0 }, ..holding }
     }
 }
 
@@ -305,7 +319,7 @@
                     self.at = Some((holding, from, span));
                     return false;
                 }
-                self.logs.push(holding);
+                self.logs.push(here.read(holding));
                 continue;
             }
             let most = self.query.limit as usize;
@@ -338,7 +352,7 @@
                 self.at = Some((holding, Some(place), span));
                 return false;
             }
-            self.logs.push(holding);
+            self.logs.push(here.read(holding));
         }
     }
 }
@@ -578,10 +592,10 @@
             }
         }
         for (n, holding) in logs.into_iter().enumerate() {
-            let Holding { log, reached, known_since, touched: (shards, entries, bytes) } = holding;
+            let Holding { log, reached, known_since, shown, touched: (shards, entries, bytes) } = holding;
             let wire_bytes = if n == 0 { wire_bytes } else { 0 };
             self.touched.push(Touched { server, log, shards, entries, bytes, wire_bytes, took_us });
-            self.logs.push(Told { log, server, reached, known_since });
+            self.logs.push(Told { log, server, reached, known_since, shown });
         }
     }
 
--- a/src/status/replicate.rs
+++ b/src/status/replicate.rs
@@ -57,6 +57,16 @@
     ranks
 }
 
+/// Those who may have been chosen to keep an owner's log, whoever was there then: the best of all, best first.
+pub fn keepers(owner: Rank, count: usize, hosts: &[u32]) -> Vec<Rank> {
+    let elsewhere = |rank: &Rank| hosts.get(usize::from(*rank)) != hosts.get(usize::from(owner));
+    let ranks = (0..hosts.len()).filter_map(|rank| Rank::try_from(rank).ok());
+    let mut ranks: Vec<Rank> = ranks.filter(elsewhere).collect();
+    ranks.sort_by_key(|rank| std::cmp::Reverse(weight(owner, *rank)));
+    ranks.truncate(count);
+    ranks
+}
+
 /// How far a receiver is with a log.
 #[derive(Debug, Default)]
 struct Push {
--- a/tests/node/main.rs
+++ b/tests/node/main.rs
@@ -2,6 +2,7 @@
 
 mod configuration;
 mod draining;
+mod plans;
 mod status;
 mod world;
 
--- /dev/null
+++ b/tests/node/plans.rs
@@ -0,0 +1,133 @@
+//! Reads by plan on running senders: written at one, read at another, through kills, stops, lag and a lost folder.
+
+use serde_json::{Value, json};
+
+use super::status::tier_with;
+use super::world::*;
+
+fn plans() -> Value {
+    json!({"water": {"level": "session", "wait_ms": 600}, "default": {"level": "any"}})
+}
+
+fn tier(platform: &Platform) -> Vec<Node> {
+    let nodes = tier_with(platform, &[], |config| config["plans"] = plans());
+    let replicas = |node: &Node| {
+        node.call("GET", "/control/status").json()["index"]["replicas"].as_array().map_or(0, Vec::len)
+    };
+    wait_until(|| nodes.iter().all(|node| replicas(node) == 2));
+    nodes
+}
+
+/// The session token of the 202, if it has one.
+fn hand_in(node: &Node, id: &str, tenant: &str) -> Option<String> {
+    let text = String::from_utf8(handing_in(id, "order", 9, 60_000)).unwrap();
+    let text = text.replace("Req-Kind", &format!("Req-Owner: {tenant}\r\nReq-Kind"));
+    let told = node.ask(text.as_bytes());
+    assert_eq!(told.status(), 202);
+    told.headers.get("session-token").cloned()
+}
+
+fn read(node: &Node, id: &str, tenant: &str, token: &str) -> Http {
+    node.operator(&format!(
+        "GET /control/status/message/{id}?tenant={tenant}&route=1 HTTP/1.1\r\nHost: m\r\nSession-Token: {token}\r\n\r\n"
+    ))
+}
+
+/// The read shows the message, is worth its level, and gives a token back.
+fn kept(node: &Node, id: &str, token: &str) -> String {
+    let told = read(node, id, "water", token);
+    let body = told.json();
+    assert_eq!((told.status(), &body["read"]["outcome"]), (200, &json!("kept")), "{body}");
+    assert_eq!(body["rows"][0]["id"], id, "{body}");
+    told.headers["session-token"].clone()
+}
+
+#[test]
+fn a_tenant_reads_its_own_writes_at_any_sender_if_its_plan_says_so() {
+    let platform = Platform::new();
+    let mut nodes = tier(&platform);
+    assert_eq!(hand_in(&nodes[0], "dim", "light"), None);
+    let token = hand_in(&nodes[0], "one", "water").unwrap();
+    // At once, wherever.
+    let token = kept(&nodes[1], "one", &token);
+    let token = kept(&nodes[2], "one", &token);
+    let no = read(&nodes[1], "dim", "light", &token);
+    assert_eq!((no.status(), &no.json()["code"]), (403, &json!("plan_no_session")));
+    assert!(no.json()["error"].as_str().unwrap().contains("plan default"));
+    assert!(!no.headers.contains_key("session-token"));
+    let no = read(&nodes[1], "one", "water", &token[..token.len() - 4]);
+    assert_eq!((no.status(), &no.json()["code"]), (400, &json!("token_cut")));
+    // A replica that was stopped while it happened has to catch up, or somebody else is asked.
+    nodes[1].signal("STOP");
+    let late = hand_in(&nodes[0], "late", "water").unwrap();
+    nodes[1].signal("CONT");
+    let token = kept(&nodes[1], "late", &late);
+    // An owner that has stopped is routed round once a replica has it.
+    kept(&nodes[2], "late", &token);
+    let has = |node: &Node| {
+        let report = node.call("GET", "/control/status").json();
+        let log = nodes[0].call("GET", "/control/status").json()["index"].clone();
+        let copies = report["index"]["copies"].as_array().unwrap();
+        copies.iter().any(|copy| copy["log"] == log["log"] && copy["upto"] == log["last"])
+    };
+    wait_until(|| has(&nodes[1]) && has(&nodes[2]));
+    nodes[0].signal("STOP");
+    let token = kept(&nodes[1], "late", &token);
+    nodes[0].signal("CONT");
+    // Killed, and back with its folder.
+    nodes[0].kill();
+    let token = kept(&nodes[2], "late", &token);
+    let back = nodes.remove(0).kill_and_restart();
+    let token = kept(&back, "late", &token);
+    kept(&nodes[0], "late", &token);
+    let report = nodes[0].call("GET", "/control/plans").json();
+    let reads = report["reads"].as_array().unwrap();
+    let water = reads.iter().find(|counts| counts["tenant"] == "water").unwrap();
+    assert!(water["counts"]["kept"].as_u64().unwrap() >= 4 && water["counts"]["denied"] == 1, "{report}");
+}
+
+#[test]
+fn what_was_lost_with_a_folder_is_told_as_lost_and_not_as_absent() {
+    let platform = Platform::new();
+    let mut nodes = tier(&platform);
+    let kept_token = hand_in(&nodes[1], "other", "water").unwrap();
+    // Nobody else hears of it.
+    nodes[1].kill();
+    nodes[2].kill();
+    let token = hand_in(&nodes[0], "gone", "water").unwrap();
+    let owner = nodes.remove(0).kill_and_restart_after(|state| std::fs::remove_dir_all(state).unwrap());
+    // As long as one who may have it is away, it is late.
+    let no = read(&owner, "gone", "water", &token);
+    assert_eq!((no.status(), &no.json()["code"]), (503, &json!("read_late")), "{}", no.json());
+    let nodes: Vec<Node> = nodes.into_iter().map(Node::kill_and_restart).collect();
+    wait_until(|| read(&owner, "gone", "water", &token).status() == 410);
+    let no = read(&nodes[0], "gone", "water", &token);
+    assert_eq!((no.status(), &no.json()["code"]), (410, &json!("read_lost")), "{}", no.json());
+    assert_eq!(no.json()["read"]["lost"].as_array().unwrap().len(), 1);
+    assert_eq!(no.headers["session-token"], token);
+    // Who takes the loss goes on without it.
+    let without = no.json()["read"]["token_without_lost"].as_str().unwrap().to_owned();
+    assert_eq!(read(&nodes[0], "gone", "water", &without).json()["not_known"], json!(["gone"]));
+    kept(&owner, "other", &kept_token);
+}
+
+/// Guards the promise that without its section plans cost nothing, and reads under way against a reload.
+#[test]
+fn without_the_section_there_is_no_token_and_a_plan_can_come_and_go() {
+    let platform = Platform::new();
+    let nodes = tier_with(&platform, &[], |_| {});
+    assert_eq!(hand_in(&nodes[0], "a", "water"), None);
+    let told = read(&nodes[0], "a", "water", "nonsense");
+    assert_eq!((told.status(), told.headers.get("session-token")), (200, None));
+    assert_eq!(told.json().get("read"), None);
+    assert_eq!(nodes[0].call("GET", "/control/plans").status(), 404);
+    nodes[0].reload(|config| config["plans"] = plans());
+    wait_until(|| nodes[0].call("GET", "/control/plans").status() == 200);
+    let token = hand_in(&nodes[0], "b", "water").unwrap();
+    kept(&nodes[0], "b", &token);
+    nodes[0].reload(|config| config["plans"]["water"] = json!({"level": "any"}));
+    wait_until(|| read(&nodes[0], "b", "water", &token).status() == 403);
+    // Old tokens stay good.
+    nodes[0].reload(|config| config["plans"] = plans());
+    wait_until(|| read(&nodes[0], "b", "water", &token).status() == 200);
+}
--- a/tests/node/status.rs
+++ b/tests/node/status.rs
@@ -15,6 +15,11 @@
 
 /// Three senders with the index on.
 fn tier(platform: &Platform, endpoints: &[Value]) -> Vec<Node> {
+    tier_with(platform, endpoints, |_| {})
+}
+
+/// The same with a configuration that `change` alters.
+pub fn tier_with(platform: &Platform, endpoints: &[Value], change: impl Fn(&mut Value)) -> Vec<Node> {
     let peers = addresses(3);
     let start = |own: &String| {
         Node::start(platform, endpoints, |config| {
@@ -26,6 +31,7 @@
             config["status"] = json!({"room_mb": 2});
             let realm = |name| json!({"name": name, "quota_per_s": 1000.0, "fraction": 0.5});
             config["settings"]["realms"] = json!([realm("water"), realm("light")]);
+            change(config);
         })
     };
     peers.iter().map(start).collect()
--- a/tests/node/world.rs
+++ b/tests/node/world.rs
@@ -415,7 +415,12 @@
     }
 
     pub fn terminate(&self) {
-        let sent = Command::new("kill").args(["-TERM", &self.child.id().to_string()]).status();
+        self.signal("TERM");
+    }
+
+    /// Sends it a signal, by its name.
+    pub fn signal(&self, name: &str) {
+        let sent = Command::new("kill").args([&format!("-{name}"), &self.child.id().to_string()]).status();
         assert!(sent.unwrap().success());
     }
 
@@ -425,8 +430,7 @@
         let mut config = serde_json::from_slice(&std::fs::read(&path).unwrap()).unwrap();
         change(&mut config);
         std::fs::write(path, config.to_string()).unwrap();
-        let sent = Command::new("kill").args(["-HUP", &self.child.id().to_string()]).status();
-        assert!(sent.unwrap().success());
+        self.signal("HUP");
     }
 
     pub fn exit_code(&mut self) -> Option<i32> {
--- a/tests/plans.rs
+++ b/tests/plans.rs
@@ -163,7 +163,7 @@
     }
 
     fn read(&mut self, plan: &Plan, token: &Token, logs: &[LogId]) -> Ended<u64> {
-        let read = Read::begin(plan, token.clone(), logs.iter().copied(), NOW);
+        let read = Read::begin(plan, token.clone(), logs.iter().copied(), NOW, ANSWER_WITHIN);
         let Ok(mut read) = read else { unreachable!("few logs") };
         let mut now = NOW;
         for _ in 0..1_000 {
--- a/tests/plans_model.rs
+++ b/tests/plans_model.rs
@@ -9,7 +9,7 @@
 use myrtleyard::membership::{Fact, Facts, State};
 use myrtleyard::plans::adopted::{Adopted, Known};
 use myrtleyard::plans::route::{Holder, Log, Need, Role, Stated, World};
-use myrtleyard::plans::session::{Outcome, Read, Verdict};
+use myrtleyard::plans::session::{ANSWER_WITHIN, Outcome, Read, Verdict};
 use myrtleyard::plans::token::Token;
 use myrtleyard::plans::{Level, Otherwise, Plan};
 use myrtleyard::status::{Life, LogId, Positions, Rank, Reached};
@@ -383,7 +383,7 @@
         let logs: Vec<LogId> = self.logs(tier).into_iter().map(|log| log.id).collect();
         let known = &mut tier.sessions[session];
         known.reads += 1;
-        let Ok(core) = Read::begin(&plan, known.token.clone(), logs, BEGIN) else { return };
+        let Ok(core) = Read::begin(&plan, known.token.clone(), logs, BEGIN, ANSWER_WITHIN) else { return };
         let (wrote, saw) = (known.wrote.clone(), known.saw.clone());
         known.reading = Some(Reading { at, now: BEGIN, core, wrote, saw });
         self.step(tier, session);
