--- a/src/net/driver/draining.rs
+++ b/src/net/driver/draining.rs
@@ -59,6 +59,7 @@
             Ask::Estimate(body) => self.estimate(&body),
             Ask::Status => self.status_report(),
             Ask::Start => self.start_report(),
+            Ask::Plans => self.plans_report(),
             Ask::OutOfService(within) => match self.service(false, within, said) {
                 true => Reply::yes(&self.drain_report()),
                 // A process that is on its way out does not come back.
--- a/src/net/parts/indexing.rs
+++ b/src/net/parts/indexing.rs
@@ -42,6 +42,8 @@
     waiting: BTreeMap<u64, oneshot::Sender<Reply>>,
     /// Answers of this turn, for estimates to be held against.
     pub answered: Vec<(u64, Answer)>,
+    /// Answers to what another part has asked.
+    others: Vec<(u64, Answer)>,
 }
 
 fn segment(folder: &Path, at: u64) -> PathBuf {
@@ -110,6 +112,7 @@
             failed: None,
             waiting: BTreeMap::new(),
             answered: Vec::new(),
+            others: Vec::new(),
         })
     }
 
@@ -219,14 +222,25 @@
         self.keep(now);
         self.core.tick(now, out);
         for (number, answer) in self.core.answers() {
-            if let Some(waiting) = self.waiting.remove(&number) {
+            match self.waiting.remove(&number) {
                 // Who does not wait any more has gone.
-                let _ = waiting.send(Reply::yes(&answer));
+                Some(waiting) => drop(waiting.send(Reply::yes(&answer))),
+                None => self.others.push((number, answer.clone())),
             }
             self.answered.push((number, answer));
         }
     }
 
+    /// Answers to what another part has asked of the core.
+    pub fn answers(&mut self) -> Vec<(u64, Answer)> {
+        std::mem::take(&mut self.others)
+    }
+
+    /// Whether there are any.
+    pub fn has_answers(&self) -> bool {
+        !self.others.is_empty()
+    }
+
     /// Asks the tier; the answer comes within that time, under the number that this gives.
     pub fn ask(
         &mut self,
@@ -249,7 +263,8 @@
     }
 }
 
-fn refused(why: &Refused) -> Reply {
+/// The answer to a query that is not taken.
+pub fn refused(why: &Refused) -> Reply {
     let status = match why {
         Refused::Busy => StatusCode::SERVICE_UNAVAILABLE,
         Refused::Ids(_) | Refused::Limit(_) => StatusCode::BAD_REQUEST,
--- a/src/net/parts/mod.rs
+++ b/src/net/parts/mod.rs
@@ -6,6 +6,7 @@
 pub mod draining;
 pub mod estimating;
 pub mod indexing;
+pub mod reading;
 pub mod starting;
 pub mod view;
 
@@ -21,6 +22,7 @@
 use draining::Draining;
 use estimating::Estimating;
 use indexing::Indexing;
+use reading::Reading;
 use starting::Starting;
 use view::View;
 
@@ -63,6 +65,8 @@
     pub indexing: Option<Indexing>,
     /// A start with others at once.
     pub starting: Option<Starting>,
+    /// Reads by plan.
+    pub reading: Option<Reading>,
 }
 
 impl Parts {
@@ -75,6 +79,7 @@
             estimating: Estimating::open(config, now),
             indexing: Indexing::open(config, folder, now),
             starting: Starting::open(config, folder, now),
+            reading: Reading::open(config),
         }
     }
 
@@ -90,6 +95,10 @@
     /// aside then.
     pub fn adopt(&mut self, config: &Config, now: Micros, out: &mut Out) {
         self.estimating.iter_mut().for_each(|estimating| estimating.adopt(config));
+        match &mut self.reading {
+            Some(reading) => reading.adopt(config),
+            None => self.reading = Reading::open(config),
+        }
         match (&mut self.view, &config.membership) {
             (Some(view), Some(_)) => view.adopt(config, now),
             (Some(view), None) => {
@@ -120,7 +129,11 @@
         let indexing = self.indexing.as_ref().and_then(Part::due);
         let starting = self.starting.as_ref().and_then(Part::due);
         let early = draining.into_iter().chain(view).chain(covering);
-        early.chain(indexing).chain(estimating).chain(starting).min()
+        // An answer of the index that is there is gone on with at once.
+        let answered = self.indexing.as_ref().filter(|indexing| indexing.has_answers()).map(|_| 0);
+        let reading = self.reading.as_ref().and_then(Part::due);
+        let index = indexing.into_iter().chain(answered).chain(reading).chain(estimating);
+        early.chain(index).chain(starting).min()
     }
 
     /// Calls those whose time has come.
@@ -142,6 +155,13 @@
         for part in self.each().filter(|part| part.due().is_some_and(|due| due <= now)) {
             part.tick(now, out);
         }
+        if let (Some(indexing), Some(reading)) = (&mut self.indexing, &mut self.reading) {
+            let answers = indexing.answers();
+            if !answers.is_empty() || reading.due().is_some_and(|due| due <= now) {
+                let facts = self.view.as_ref().map(|view| view.facts(now));
+                reading.go_on(now, answers, (indexing, facts.as_ref()));
+            }
+        }
     }
 
     /// Hands a datagram to the part that it is for; whether there is one.
--- a/tests/node/main.rs
+++ b/tests/node/main.rs
@@ -4,6 +4,7 @@
 mod draining;
 mod estimating;
 mod late;
+mod plans;
 mod status;
 mod world;
 
