Share what a cold destination bears by how much each sender holds for it

Need: after a start of the whole tier all of 300 senders have 1/300 of what a cold destination bears, whether they hold anything for it or not, and a destination that is cold by its own start (since_ms) is taken for warm. What is held since an outage began says nothing where no outage was seen, so that a told part goes before it: with the two compared, 30 of 30 calls went at a part of a tenth; now 2.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -252,8 +252,10 @@
             return true;
         };
         let part = backlog * 1e6 / (now.saturating_sub(self.bad_since)).max(1) as f64;
-        let even = 1.0 / settings.senders as f64;
-        let own = self.usual_rate(rules).max(self.told * self.part.unwrap_or(even)).max(part);
+        let own = match self.part.filter(|_| self.told > 0.0) {
+            Some(part) => self.told * part,
+            None => self.usual_rate(rules).max(self.told / settings.senders as f64).max(part),
+        };
         let seconds = rules.overload_for as f64 / 1e6;
         let least = FEW_SENDERS as f64 / (settings.senders as f64 * seconds);
         self.ramp = (rules.fall_multiple * share * own * RAMP_MARGIN).max(least);
--- a/tests/policy.rs
+++ b/tests/policy.rs
@@ -753,3 +753,29 @@
     }
     assert_eq!(unaware.sent.len(), 3, "no limit is none");
 }
+
+/// A destination that is cold since its own start, of which nobody saw an outage: what it bears is shared by the parts
+/// that senders were told, not evenly.
+#[test]
+fn a_cold_destination_gets_this_senders_part_of_what_it_bears() {
+    let calls = |part: Option<f64>| {
+        let settings = Settings { senders: 10, weights: Weights::Nominal, ..settings() };
+        let mut s = Sender::new(settings, &[Entry { weight: 20.0, ..entry(1, 0) }]);
+        let destination = DEST;
+        let cold = part.map(|part| Event::Cold { destination, ago: SECOND, part });
+        s.tell(cold.into_iter().collect());
+        for _ in 0..30 {
+            s.accept(SAFE);
+            while !s.out.is_empty() {
+                s.end(Outcome::Delivered);
+            }
+        }
+        s.sent.len()
+    };
+    // Two times its fifth and a little of 20 calls a second, for three seconds, less a tenth.
+    let (none, all, half, tenth) = (calls(None), calls(Some(1.0)), calls(Some(0.5)), calls(Some(0.1)));
+    assert!(
+        none == 30 && (25..=29).contains(&all) && (12..=14).contains(&half) && tenth == 2,
+        "{none} {all} {half} {tenth}"
+    );
+}
