--- a/fleet/src/ledger/reads.rs
+++ b/fleet/src/ledger/reads.rs
@@ -199,10 +199,15 @@
         }
     }
     if plan.level == Level::Bounded && !read.less {
-        for log in read.logs.iter().filter(|log| log.as_of + plan.staleness + LONGER < read.sent) {
-            let age = (read.sent - log.as_of) / 1000;
-            let what =
-                format!("sender {}'s part is {age} ms old, and it does not say that it is less", log.owner);
+        // A log of a folder that was lost gets no older: its owner's newest says how old its part is.
+        let mut newest: BTreeMap<usize, Micros> = BTreeMap::new();
+        for log in read.logs {
+            let as_of = newest.entry(log.owner).or_default();
+            *as_of = log.as_of.max(*as_of);
+        }
+        for (owner, as_of) in newest.into_iter().filter(|log| log.1 + plan.staleness + LONGER < read.sent) {
+            let age = (read.sent - as_of) / 1000;
+            let what = format!("sender {owner}'s part is {age} ms old, and it does not say that it is less");
             broken(Rule::Staleness, read.asked.first().map_or("-", String::as_str), what);
         }
     }
