--- a/tests/estimate/main.rs
+++ b/tests/estimate/main.rs
@@ -329,6 +329,8 @@
         Summary::of(log(0), 5, Version::default(), &[entry(1, "a", 0, 1, 5 * SPAN, State::Taken)]);
     summary.cells[0].entries = u64::MAX;
     summary.cells[0].bytes = u64::MAX;
+    summary.cells.push(summary.cells[0]);
+    assert_eq!(summary.part(&query("a")).map(|part| part.most), Some(u64::MAX));
     let (mut catalogue, _) = catalogue(0, &[entry(1, "a", 0, 1, 5 * SPAN, State::Taken)], u64::MAX);
     catalogue.slack = u64::MAX;
     let mut known = Known::new(0, 2, 1, u64::MAX);
