Tell who is served only where a sender makes under a call a span

Two or three senders are served at each destination several times in an overload's span: when one has had nothing delivered for that long, this is evidence of its own.

The bound is that of the ramp, below which calls go at random times.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -220,9 +220,16 @@
         self.bad_run + self.fulls > 0 && now >= seen + rules.overload_for
     }
 
-    fn note_well(&mut self, rules: &Rules, now: Micros) {
-        let gap = now >= self.well.1 + rules.overload_for;
-        self.well = (if gap { now } else { self.well.0 }, now);
+    /// Somebody is served as usual. It says something only where a sender's part of a told limit is less than a
+    /// call a span: who sends more learns enough from its own.
+    fn note_well(&mut self, settings: &Settings, now: Micros) -> bool {
+        let span = settings.rules.overload_for;
+        let part = self.limit() * span as f64 / 1e6 / settings.senders as f64;
+        let says = part > 0.0 && part < 1.0;
+        if says {
+            self.well = (if now >= self.well.1 + span { now } else { self.well.0 }, now);
+        }
+        says
     }
 
     /// Guards against pushing over a returning destination: the share of its capacity to count on,
@@ -733,7 +740,7 @@
                 }
             }
             (NOTE_FULL, []) => route.book_full(now),
-            (NOTE_WELL, []) => route.note_well(&self.settings.rules, now),
+            (NOTE_WELL, []) => _ = route.note_well(&self.settings, now),
             (NOTE_LIMIT, [low, high]) => {
                 let limit = f64::from(u16::from_le_bytes([*low, *high])) / 8.0;
                 route.reported = if limit > 0.0 { limit } else { route.reported };
@@ -773,8 +780,8 @@
                     if (outcome, call.route.1) == (Outcome::Delivered, None)
                         && now >= route.well.1 + rules.overload_for / 3
                         && route.cold_share(rules, now).is_none()
+                        && route.note_well(&self.settings, now)
                     {
-                        route.note_well(rules, now);
                         self.news.insert((NOTE_WELL, call.route.0));
                     }
                     route.record(&self.settings, flight.0, call.sent, outcome, now);
