Let a full buffer turn away what comes before it hands back what it took

Cause: `shed` weighed what was taken on and what comes in the same turn alike.

Change: that price is added to the worth that a message is kept for, unless it came in this very turn (nobody was told that it is taken on), has three tenths of its time left or less, has no try left, or was told to wait beyond that. A message that outlived its process counts as new in its first turn only. Where the new one is worth more all the same, an old one still goes. No final answer comes later for it: which message is given up is chosen anew, not when.

The test fails with a price of nothing.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -40,6 +40,9 @@
 const NOTE_WELL: u8 = 0x14;
 /// A report that is further off from what is known of a limit, up or down, tells of another limit.
 const LIMIT_CHANGE: f64 = 1.5;
+/// A message that was taken on costs this part of its worth if it is handed back unrun while more than this part
+/// of its time is left.
+const EARLY: f64 = 0.3;
 /// What each further message adds to the weight of a call at a cold destination.
 const BUNDLE_WEIGHT: f64 = 0.25;
 
@@ -947,7 +950,7 @@
                     as Micros
             });
             let wait = wait.min().unwrap_or(Micros::MAX / 4);
-            let worth = self.worth_at(held, now.saturating_add(wait));
+            let worth = self.worth_at(held, now.saturating_add(wait)) + self.early_price(held);
             least.push(((worth * 1e6) as u64, held.aim, *id, wait));
         }
         least.sort_unstable();
@@ -956,6 +959,18 @@
         }
     }
 
+    /// What handing it back now would cost beside its worth. What comes in this very turn is not taken on yet,
+    /// and what was told to wait beyond its early time, or has no try left, has its reason.
+    fn early_price(&self, held: &Held) -> f64 {
+        let time = held.message.time_left;
+        let until = held.deadline - (time as f64 * EARLY) as Micros;
+        let told = self.usable(held).map(|(_, route)| route.wait_until).min().is_some_and(|at| at > until);
+        let fresh = held.deadline - time == self.now;
+        let reason = fresh || told || self.now >= until || held.attempts >= self.settings.try_limit;
+        let worth = self.settings.classes[held.message.class].worth * self.within_share(held.message.tenant);
+        if reason { 0.0 } else { EARLY * worth }
+    }
+
     /// Messages held for each destination.
     fn backlog(&self) -> BTreeMap<DestinationId, f64> {
         let mut backlog = BTreeMap::new();
--- a/tests/policy.rs
+++ b/tests/policy.rs
@@ -529,6 +529,27 @@
     assert!(s.sent.iter().any(|o| o.message == id));
 }
 
+/// Found on the standing test: what had been taken on was handed back for what came after it.
+#[test]
+fn a_full_buffer_turns_away_what_comes_before_it_hands_back() {
+    let mut s = Sender::new(settings(), &[entry(1, 0)]);
+    let wait = Event::Wait { endpoint: endpoint(1), wait: 10 * SECOND };
+    s.tell(vec![wait.clone()]);
+    let taken: Vec<_> = (0..60).map(|_| s.accept(SAFE)).collect();
+    assert_eq!(s.refused, []);
+    s.pass(2 * SECOND);
+    let new: Vec<_> = (0..5).map(|_| s.accept(SAFE)).collect();
+    let refused: Vec<_> = std::mem::take(&mut s.refused).into_iter().map(|r| r.0).collect();
+    assert_eq!(refused, new, "nobody has been told that these are taken on");
+    // Nine tenths of their time later, the wait goes on: what is handed back then was not early.
+    s.pass(7 * SECOND);
+    s.tell(vec![wait]);
+    s.pass(6 * SECOND);
+    let new = s.accept(SAFE);
+    assert!(s.refused.iter().all(|r| taken.contains(&r.0) && r.0 != new), "{:?}", s.refused);
+    assert_eq!(s.refused.len(), 1);
+}
+
 #[test]
 fn equal_events_give_equal_actions() {
     let run = || {
