--- a/src/policy.rs
+++ b/src/policy.rs
@@ -40,6 +40,9 @@
 const NOTE_WELL: u8 = 0x14;
 /// A report that is further off from what is known of a limit, up or down, tells of another limit.
 const LIMIT_CHANGE: f64 = 1.5;
+/// A message that was taken on costs this part of its worth if it is handed back unrun while more than this part
+/// of its time is left.
+const EARLY: f64 = 0.3;
 /// What each further message adds to the weight of a call at a cold destination.
 const BUNDLE_WEIGHT: f64 = 0.25;
 
@@ -222,9 +225,16 @@
         self.bad_run + self.fulls > 0 && now >= seen + rules.overload_for
     }
 
-    fn note_well(&mut self, rules: &Rules, now: Micros) {
-        let gap = now >= self.well.1 + rules.overload_for;
-        self.well = (if gap { now } else { self.well.0 }, now);
+    /// Somebody is served as usual. It says something only where a sender's part of a told limit is less than a
+    /// call a span: who sends more learns enough from its own.
+    fn note_well(&mut self, settings: &Settings, now: Micros) -> bool {
+        let span = settings.rules.overload_for;
+        let part = self.limit() * span as f64 / 1e6 / settings.senders as f64;
+        let says = part > 0.0 && part < 1.0;
+        if says {
+            self.well = (if now >= self.well.1 + span { now } else { self.well.0 }, now);
+        }
+        says
     }
 
     /// Guards against pushing over a returning destination: the share of its capacity to count on,
@@ -751,7 +761,7 @@
                 }
             }
             (NOTE_FULL, []) => route.book_full(now),
-            (NOTE_WELL, []) => route.note_well(&self.settings.rules, now),
+            (NOTE_WELL, []) => _ = route.note_well(&self.settings, now),
             (NOTE_LIMIT, [low, high]) => {
                 let limit = f64::from(u16::from_le_bytes([*low, *high])) / 8.0;
                 route.reported = if limit > 0.0 { limit } else { route.reported };
@@ -800,8 +810,8 @@
                     if (outcome, call.route.1) == (Outcome::Delivered, None)
                         && now >= route.well.1 + rules.overload_for / 3
                         && route.cold_share(rules, now).is_none()
+                        && route.note_well(&self.settings, now)
                     {
-                        route.note_well(rules, now);
                         self.news.insert((NOTE_WELL, call.route.0));
                     }
                     route.record(&self.settings, flight.0, call.sent, outcome, now);
@@ -967,7 +977,7 @@
                     as Micros
             });
             let wait = wait.min().unwrap_or(Micros::MAX / 4);
-            let worth = self.worth_at(held, now.saturating_add(wait));
+            let worth = self.worth_at(held, now.saturating_add(wait)) + self.early_price(held);
             least.push(((worth * 1e6) as u64, held.aim, *id, wait));
         }
         least.sort_unstable();
@@ -976,6 +986,18 @@
         }
     }
 
+    /// What handing it back now would cost beside its worth. What comes in this very turn is not taken on yet,
+    /// and what was told to wait beyond its early time, or has no try left, has its reason.
+    fn early_price(&self, held: &Held) -> f64 {
+        let time = held.message.time_left;
+        let until = held.deadline - (time as f64 * EARLY) as Micros;
+        let told = self.usable(held).map(|(_, route)| route.wait_until).min().is_some_and(|at| at > until);
+        let fresh = held.deadline - time == self.now;
+        let reason = fresh || told || self.now >= until || held.attempts >= self.settings.try_limit;
+        let worth = self.settings.classes[held.message.class].worth * self.within_share(held.message.tenant);
+        if reason { 0.0 } else { EARLY * worth }
+    }
+
     /// Messages held for each destination.
     fn backlog(&self) -> BTreeMap<DestinationId, f64> {
         let mut backlog = BTreeMap::new();
