--- a/src/net/calls.rs
+++ b/src/net/calls.rs
@@ -509,7 +509,7 @@
                 if report.is_empty() {
                     report = std::str::from_utf8(&body).map_or(vec![], |text| shared.fields(text));
                 }
-                Ok((outcome(head.status, &head.headers), report))
+                Ok((outcome(head.status, &head.headers, 1), report))
             };
             let (outcome, report) = match timeout(within, asked).await {
                 Ok(Ok(seen)) => seen,
@@ -685,7 +685,8 @@
             let ends = parts.iter().map(end).collect();
             return Ok(Answered { ends, report, wait, rest: Some((conn, None)) });
         }
-        let end = (outcome(head.status, &head.headers), head.status == StatusCode::GONE);
+        let messages = load.messages.get();
+        let end = (outcome(head.status, &head.headers, messages), head.status == StatusCode::GONE);
         Ok(Answered { ends: vec![end; parts.len()], report, wait, rest: Some((conn, Some(body))) })
     }
 
@@ -749,23 +750,31 @@
     }
 }
 
+/// The seconds that an answer tells to stay away, if that can be read.
+fn retry_after(headers: &HeaderMap) -> Option<f64> {
+    headers.get(RETRY_AFTER)?.to_str().ok()?.trim().parse().ok()
+}
+
 /// The wait that an answer tells, in seconds with decimals; strange ones are none.
 fn told_wait(headers: &HeaderMap) -> Option<Micros> {
-    let seconds: f64 = headers.get(RETRY_AFTER)?.to_str().ok()?.trim().parse().ok()?;
     // No destination means a wait of more than an hour.
+    let seconds = retry_after(headers)?;
     (seconds > 0.0).then(|| (seconds.min(3600.0) * 1e6).ceil() as Micros)
 }
 
-fn outcome(status: StatusCode, headers: &HeaderMap) -> Outcome {
+/// How a call with so many messages ended. What the protocol does not have there was not to be read: it may have run.
+fn outcome(status: StatusCode, headers: &HeaderMap, messages: usize) -> Outcome {
     match status.as_u16() {
         200 => Outcome::Delivered,
+        429 if retry_after(headers).is_none() => Outcome::Error,
         429 => Outcome::Full(told_wait(headers)),
         503 if headers.get("x-line-busy").is_some_and(|v| v.as_bytes() == b"1") => {
             Outcome::Moot { no_slot: true }
         }
         503 => Outcome::Full(told_wait(headers)),
-        // Not sent, not for this endpoint, or not to be read there: it never ran.
-        400 | 404 | 410 | 413 | 504 => Outcome::Moot { no_slot: false },
+        // Not sent, or a batch that was not taken whole: it never ran.
+        410 | 504 => Outcome::Moot { no_slot: false },
+        400 | 413 if messages > 1 => Outcome::Moot { no_slot: false },
         _ => Outcome::Error,
     }
 }
--- a/src/net/driver.rs
+++ b/src/net/driver.rs
@@ -343,7 +343,9 @@
                 }
                 (Some(how), _) => how,
                 // Its class is not one of the settings' any more, so that the module can't judge it.
-                (None, None) if live.attempts.iter().all(|a| a.never_ran) => GivenUp::Deferred(0),
+                (None, None) if live.covered.is_none() && live.attempts.iter().all(|a| a.never_ran) => {
+                    GivenUp::Deferred(0)
+                }
                 (None, None) => GivenUp::Undeliverable,
             };
             self.index_ended(number, end_of(given_up));
@@ -907,6 +909,7 @@
         let now = self.clock.now();
         let idle = self.journal.live().is_empty() && clients == 0;
         let called = now < at - STOP_WITHIN + STILL_CALLED;
-        (idle && !called && self.unwritten.is_empty()) || (now >= at && self.calls.out() == 0)
+        // A client whose request is still read would lose it with the process.
+        (idle && !called && self.unwritten.is_empty()) || (now >= at && self.calls.out() == 0 && clients == 0)
     }
 }
--- a/src/net/platform.rs
+++ b/src/net/platform.rs
@@ -113,6 +113,8 @@
 ) {
     let mut whole = false;
     let mut conn = None;
+    // Where the connection leads: that discovery moves may come to be known in any wait.
+    let mut asked_at = *discovery.borrow();
     // Whether the poll before fell silent as well.
     let mut silent = false;
     if matches!(following, Following::Ask(..)) {
@@ -123,6 +125,9 @@
             whole |= pace.turn().await;
         }
         let address = *discovery.borrow_and_update();
+        if address != asked_at {
+            (conn, asked_at) = (None, address);
+        }
         let path = match following {
             Following::Watch(from, hold) if !whole => {
                 format!("/v1/endpoints?from={from}&hold_ms={}", hold.as_millis())
@@ -154,22 +159,25 @@
             let failed = if broken { Failed::Silence } else { Failed::Answer };
             pace.ended(list.as_ref().map(|list| list.index != *from).ok_or(failed));
         }
+        whole = false;
         let rest = match (&list, &mut following) {
             (Some(list), Following::Watch(from, _)) => {
+                // Versions begin anew, and what lies between is not in these changes.
+                whole = !list.snapshot && list.index < *from;
                 *from = list.index;
                 Some(Duration::ZERO)
             }
             (Some(_), Following::Ask(rest, rng)) => Some(rest.mul_f64(0.86 + 0.28 * rng.f64())),
             (None, Following::Watch(..)) => Some(AGAIN),
-            // One that is silent may be alone in that. Else the module says when.
+            // One that is silent may be alone in that, and an answer after it shows that discovery is there. Else
+            // the module says when.
             (None, Following::Ask(_, rng)) => {
-                (silent && !silent_before).then(|| POLL_AGAIN.mul_f64(rng.f64()))
+                (silent != silent_before).then(|| POLL_AGAIN.mul_f64(rng.f64()))
             }
         };
         if list.is_none() {
             conn = None;
         }
-        whole = false;
         let said = match list {
             Some(list) => Some(Inbound::Listed(list)),
             // The module would put the next poll off.
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -40,8 +40,8 @@
 const NOTE_WELL: u8 = 0x14;
 /// A report that is further off from what is known of a limit, up or down, tells of another limit.
 const LIMIT_CHANGE: f64 = 1.5;
-/// A message that was taken on costs this part of its worth if it is handed back unrun while more than this part
-/// of its time is left.
+/// A message that was taken on costs this part of its worth if it is handed back unrun while more than this
+/// part of its time is left.
 const EARLY: f64 = 0.3;
 /// What each further message adds to the weight of a call at a cold destination.
 const BUNDLE_WEIGHT: f64 = 0.25;
@@ -165,8 +165,8 @@
     answered_at: Micros,
     late: bool,
     delivered_at: Micros,
-    /// Since when, with no gap of an overload's span, and when last it was known to serve as usual: by our own
-    /// deliveries and by the others'.
+    /// Since when, with no gap of two thirds of an overload's span, and when last it was known to serve as
+    /// usual: by our own deliveries and by the others'.
     well: (Micros, Micros),
 }
 
@@ -217,22 +217,24 @@
     }
 
     /// A sender that sends little sees no run: one failure or refusal with nothing delivered for an
-    /// overload's span holds it back until the next success. Not a refusal where others were served before it
-    /// and ever since: that is a limit used up. A shut destination serves nobody, and its return is no proof.
+    /// overload's span holds it back until the next success. Not a refusal where others were served before
+    /// it, after it and ever since: that is a limit used up. A shut destination serves nobody, and its return
+    /// is no proof.
     fn suspect(&self, rules: &Rules, now: Micros) -> bool {
-        let served = self.bad_run == 0 && self.well.0 <= self.bad_since;
+        let served = self.bad_run == 0 && self.well.0 <= self.bad_since && self.well.1 > self.full_at;
         let seen = if served { self.well.1.max(self.delivered_at) } else { self.delivered_at };
         self.bad_run + self.fulls > 0 && now >= seen + rules.overload_for
     }
 
-    /// Somebody is served as usual. It says something only where a sender's part of a told limit is less than a
-    /// call a span: who sends more learns enough from its own.
+    /// Somebody is served as usual, and said so: word comes each third of a span, so that one that is missing
+    /// is a gap. It says something only where a sender's part of a told limit is less than a call a span: who
+    /// sends more learns enough from its own.
     fn note_well(&mut self, settings: &Settings, now: Micros) -> bool {
         let span = settings.rules.overload_for;
         let part = self.limit() * span as f64 / 1e6 / settings.senders as f64;
         let says = part > 0.0 && part < 1.0;
         if says {
-            self.well = (if now >= self.well.1 + span { now } else { self.well.0 }, now);
+            self.well = (if now >= self.well.1 + span / 3 * 2 { now } else { self.well.0 }, now);
         }
         says
     }
@@ -670,7 +672,9 @@
         self.hold(message);
         let Some(held) = self.held.get_mut(&message.id) else { return };
         held.attempts = attempts;
-        held.may_have_run = may_have_run.iter().map(|a| (0, self.now.saturating_sub(a.0), a.1)).collect();
+        // No attempt of this process has such a number, so that the end of none takes one of these away.
+        let earlier = may_have_run.iter().map(|a| (u16::MAX, self.now.saturating_sub(a.0), a.1));
+        held.may_have_run = earlier.collect();
     }
 
     fn hold(&mut self, message: &Message) {
@@ -986,8 +990,8 @@
         }
     }
 
-    /// What handing it back now would cost beside its worth. What comes in this very turn is not taken on yet,
-    /// and what was told to wait beyond its early time, or has no try left, has its reason.
+    /// What handing it back now would cost beside its worth. What comes in this very turn is not taken on
+    /// yet, and what was told to wait beyond its early time, or has no try left, has its reason.
     fn early_price(&self, held: &Held) -> f64 {
         let time = held.message.time_left;
         let until = held.deadline - (time as f64 * EARLY) as Micros;
