--- a/src/net/mgmt.rs
+++ b/src/net/mgmt.rs
@@ -153,7 +153,9 @@
             }
             "/control/config/check" if post => answered(self.check(request).await),
             "/control/ready" | "/control/counters" | "/control/drain" | "/control/endpoints"
-            | "/control/members" | "/control/takeover" | "/control/status" | "/control/plans" => not_allowed("GET"),
+            | "/control/members" | "/control/takeover" | "/control/status" | "/control/plans" => {
+                not_allowed("GET")
+            }
             path if path.starts_with(MESSAGE) => not_allowed("GET"),
             "/control/out-of-service"
             | "/control/in-service"
--- a/src/net/parts/indexing.rs
+++ b/src/net/parts/indexing.rs
@@ -102,7 +102,15 @@
         let room = Self::room(section, config.disk);
         let core = Index::new(section, place, restored, old, (room, boot), chance(), now);
         let folder = folder.to_owned();
-        Some(Self { core, own, folder, open: None, failed: None, waiting: BTreeMap::new(), others: Vec::new() })
+        Some(Self {
+            core,
+            own,
+            folder,
+            open: None,
+            failed: None,
+            waiting: BTreeMap::new(),
+            others: Vec::new(),
+        })
     }
 
     /// Bytes that it may take of the folder, of which `disk` bytes are for everything: a quarter of it at most.
--- a/src/plans/session.rs
+++ b/src/plans/session.rs
@@ -190,7 +190,16 @@
         }
         let end = now.saturating_add(within.min(ANSWER_WITHIN));
         let until = now.saturating_add(Micros::from(plan.wait_ms) * 1000).min(end);
-        Ok(Self { level: plan.level, otherwise: plan.otherwise, token, until, end, asks: 0, came: Token::default(), legs })
+        Ok(Self {
+            level: plan.level,
+            otherwise: plan.otherwise,
+            token,
+            until,
+            end,
+            asks: 0,
+            came: Token::default(),
+            legs,
+        })
     }
 
     /// When it wants to go on without an answer; nothing if it has ended.
