Name a type of the plans' model and take one branch out of another

Cause: two lints that the build refuses, in the model's test. Change: a name for what a read that ended found, and the condition in the guard.

--- a/tests/plans_model.rs
+++ b/tests/plans_model.rs
@@ -114,9 +114,12 @@
     left: Bounds,
     /// What was found, by name.
     found: BTreeSet<&'static str>,
-    ended: BTreeSet<(usize, Outcome, Vec<(LogId, Verdict)>)>,
+    ended: BTreeSet<Ended>,
 }
 
+/// A session's read that has ended, how, and what it found of each log.
+type Ended = (usize, Outcome, Vec<(LogId, Verdict)>);
+
 impl fmt::Debug for Tier {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(f, "{:?}\n{:?}\n{:?} {:?}", self.senders, self.sessions, self.passed, self.found)
@@ -570,10 +573,10 @@
                     let at = (0..self.size).filter(|rank| there(*rank));
                     acts.extend(at.map(|rank| Act::Begin(session, rank as Rank)));
                 }
-                Some(reading) if there(usize::from(reading.at)) => {
-                    if left.lapses > 0 || Self::silent(tier, session) {
-                        acts.push(Act::Lapse(session));
-                    }
+                Some(reading)
+                    if there(usize::from(reading.at)) && (left.lapses > 0 || Self::silent(tier, session)) =>
+                {
+                    acts.push(Act::Lapse(session));
                 }
                 _ => {}
             }
