Take word of who is served out again: a simpler rule answers the same need

Cause: word between senders of who is served as usual (0x14) was one of two mends of one cause, that a single refusal at a limit is taken for an outage by a sender that calls seldom.

Change: it goes, with its tests.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -37,7 +37,6 @@
 const NOTE_TURN: u8 = 0x11;
 const NOTE_FULL: u8 = 0x12;
 const NOTE_LIMIT: u8 = 0x13;
-const NOTE_WELL: u8 = 0x14;
 /// A report that is further off from what is known of a limit, up or down, tells of another limit.
 const LIMIT_CHANGE: f64 = 1.5;
 /// A message that was taken on costs this part of its worth if it is handed back unrun while more than this
@@ -165,9 +164,6 @@
     answered_at: Micros,
     late: bool,
     delivered_at: Micros,
-    /// Since when, with no gap of two thirds of an overload's span, and when last it was known to serve as
-    /// usual: by our own deliveries and by the others'.
-    well: (Micros, Micros),
 }
 
 /// A rate of events that fades with `span`, after a further event.
@@ -217,26 +213,9 @@
     }
 
     /// A sender that sends little sees no run: one failure or refusal with nothing delivered for an
-    /// overload's span holds it back until the next success. Not a refusal where others were served before
-    /// it, after it and ever since: that is a limit used up. A shut destination serves nobody, and its return
-    /// is no proof.
+    /// overload's span holds it back until the next success.
     fn suspect(&self, rules: &Rules, now: Micros) -> bool {
-        let served = self.bad_run == 0 && self.well.0 <= self.bad_since && self.well.1 > self.full_at;
-        let seen = if served { self.well.1.max(self.delivered_at) } else { self.delivered_at };
-        self.bad_run + self.fulls > 0 && now >= seen + rules.overload_for
-    }
-
-    /// Somebody is served as usual, and said so: word comes each third of a span, so that one that is missing
-    /// is a gap. It says something only where a sender's part of a told limit is less than a call a span: who
-    /// sends more learns enough from its own.
-    fn note_well(&mut self, settings: &Settings, now: Micros) -> bool {
-        let span = settings.rules.overload_for;
-        let part = self.limit() * span as f64 / 1e6 / settings.senders as f64;
-        let says = part > 0.0 && part < 1.0;
-        if says {
-            self.well = (if now >= self.well.1 + span / 3 * 2 { now } else { self.well.0 }, now);
-        }
-        says
+        self.bad_run + self.fulls > 0 && now >= self.delivered_at + rules.overload_for
     }
 
     /// Guards against pushing over a returning destination: the share of its capacity to count on,
@@ -765,7 +744,6 @@
                 }
             }
             (NOTE_FULL, []) => route.book_full(now),
-            (NOTE_WELL, []) => _ = route.note_well(&self.settings, now),
             (NOTE_LIMIT, [low, high]) => {
                 let limit = f64::from(u16::from_le_bytes([*low, *high])) / 8.0;
                 route.reported = if limit > 0.0 { limit } else { route.reported };
@@ -809,15 +787,6 @@
                     if matches!(outcome, Outcome::Delivered | Outcome::Error) {
                         route.note_answer(call.sent, now);
                     }
-                    // All was well, and nobody has said so of late.
-                    let rules = &self.settings.rules;
-                    if (outcome, call.route.1) == (Outcome::Delivered, None)
-                        && now >= route.well.1 + rules.overload_for / 3
-                        && route.cold_share(rules, now).is_none()
-                        && route.note_well(&self.settings, now)
-                    {
-                        self.news.insert((NOTE_WELL, call.route.0));
-                    }
                     route.record(&self.settings, flight.0, call.sent, outcome, now);
                 }
             }
