Take one refusal for a limit's, and two with nothing served for a possible outage

`dest` 0 was told 18.8 calls a second, refused 37 calls at 12 s, and then served 9 to 12 a second until 22 s, with 20 to 45 messages held by the ramp; 21 of 60 senders had its share at a cold one's.

Cause: `suspect`. A sender that calls a destination once in some seconds has nothing delivered for an overload's span as a rule, so that its first refusal at a limit was taken for an outage: it waits for a turn in the ramp, nine seconds in the mean, up to eighteen, and has no success that could end that before then.

Change: one refusal is not enough, the next call tells. It goes alone, after the pause, pace and turn of a refusal, within two seconds; a destination that is shut refuses it as well. Failures count as before.

Seen to fail: with `fulls` in place of `fulls / 2` the first half of the test fails, with none the second.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -207,10 +207,11 @@
         if cold { 1 } else { OUTAGE_RUN }
     }
 
-    /// A sender that sends little sees no run: one failure or refusal with nothing delivered for an
-    /// overload's span holds it back until the next success.
+    /// A sender that sends little sees no run: one failure, or two refusals, with nothing delivered for an
+    /// overload's span hold it back until the next success. A single refusal is most often a limit's, and the
+    /// next call, one at a time after a pause, tells: a shut destination refuses that as well.
     fn suspect(&self, rules: &Rules, now: Micros) -> bool {
-        self.bad_run + self.fulls > 0 && now >= self.delivered_at + rules.overload_for
+        self.bad_run + self.fulls / 2 > 0 && now >= self.delivered_at + rules.overload_for
     }
 
     /// Guards against pushing over a returning destination: the share of its capacity to count on,
--- a/tests/policy.rs
+++ b/tests/policy.rs
@@ -753,3 +753,27 @@
     }
     assert_eq!(unaware.sent.len(), 3, "no limit is none");
 }
+
+/// Found on the large fleet: where a limit was used up for a moment, senders that call there once in some seconds
+/// were held back as from an outage, for ten seconds and more.
+#[test]
+fn one_refusal_is_no_outage_and_two_with_nothing_served_may_be() {
+    let calls = |refusals| {
+        let mut s = one_of(100, 20.0);
+        s.accept(SAFE);
+        s.end(Outcome::Delivered);
+        s.pass(5 * SECOND);
+        s.accept(SAFE);
+        for _ in 0..refusals {
+            while s.out.is_empty() && s.now < START + 20 * SECOND {
+                s.pass(SECOND / 20);
+            }
+            s.end(Outcome::Full(None));
+        }
+        let before = s.sent.len();
+        s.pass(3 * SECOND);
+        s.sent.len() - before
+    };
+    assert_eq!(calls(1), 1, "the next call tells whether it was more than a limit");
+    assert_eq!(calls(2), 0, "a destination that refuses this as well may be shut, and come back cold");
+}
