--- a/src/policy.rs
+++ b/src/policy.rs
@@ -212,10 +212,11 @@
         if cold { 1 } else { OUTAGE_RUN }
     }
 
-    /// A sender that sends little sees no run: one failure or refusal with nothing delivered for an
-    /// overload's span holds it back until the next success.
+    /// A sender that sends little sees no run: one failure, or two refusals, with nothing delivered for an
+    /// overload's span hold it back until the next success. A single refusal is most often a limit's, and the
+    /// next call, one at a time after a pause, tells: a shut destination refuses that as well.
     fn suspect(&self, rules: &Rules, now: Micros) -> bool {
-        self.bad_run + self.fulls > 0 && now >= self.delivered_at + rules.overload_for
+        self.bad_run + self.fulls / 2 > 0 && now >= self.delivered_at + rules.overload_for
     }
 
     /// Guards against pushing over a returning destination: the share of its capacity to count on,
@@ -912,7 +913,12 @@
         let (Some(rate), Some(t)) = (self.tenants.get(tenant), self.settings.tenants.get(tenant)) else {
             return 1.0;
         };
-        let total = rate.0 * self.settings.senders as f64;
+        let (sent, quota) =
+            self.tenants.iter().zip(&self.settings.tenants).fold((0.0, 0.0), |sum, (r, t)| {
+                (sum.0 + r.0 * self.settings.senders as f64, sum.1 + t.quota)
+            });
+        // A busier sender than others hears more of every tenant: only the mix tells who is beyond its share.
+        let total = rate.0 * self.settings.senders as f64 / (sent / quota.max(1e-9)).max(1.0);
         let within = if total > t.quota { t.quota / total } else { 1.0 };
         within + (1.0 - within) * self.settings.over_share_worth
     }
