--- a/fleet/src/experiment.rs
+++ b/fleet/src/experiment.rs
@@ -25,6 +25,7 @@
 use crate::links::udp::Relays;
 use crate::nemesis::{self, Conditions, Struck};
 use crate::scenario::{Scenario, bank};
+use crate::told::Told;
 use crate::world::clients::{Clients, arrivals};
 use crate::world::discovery::{self, Agent, List, Listed, Service};
 use crate::world::endpoints::{Nature, Partner, TRY_LIMIT};
@@ -427,7 +428,7 @@
     }
     while let Some(started) = starting.join_next().await {
         if let (Ok(Err(e)), Ok(mut troubles)) = (started, troubles.lock()) {
-            troubles.push(e);
+            troubles.push(format!("{e} ({})", e.code()));
         }
     }
     if !scenario.start.early && troubles.lock().is_ok_and(|troubles| troubles.is_empty()) {
--- a/fleet/src/lib.rs
+++ b/fleet/src/lib.rs
@@ -10,12 +10,15 @@
 pub mod cost;
 pub mod experiment;
 pub mod explain;
+pub mod failures;
 pub mod ledger;
 pub mod links;
 pub mod nemesis;
 pub mod report;
 pub mod scenario;
 pub mod sweep;
+#[path = "../../src/told.rs"]
+pub mod told;
 pub mod world;
 
 /// Time in microseconds since the run began, on the monotonic clock: a wall clock that steps moves nothing.
--- a/fleet/src/main.rs
+++ b/fleet/src/main.rs
@@ -7,8 +7,10 @@
 
 use clap::{Args, Parser, Subcommand};
 use linenwing_fleet::experiment::{Outcome, Play, judge, play};
+use linenwing_fleet::failures::Bad;
 use linenwing_fleet::ledger::History;
 use linenwing_fleet::scenario::{Mix, MixName, Scenario};
+use linenwing_fleet::told::Told;
 use linenwing_fleet::{explain, report, sweep};
 
 /// Plays many processes of the sender with faults between them, and proves from a ledger what was lost.
@@ -104,24 +106,8 @@
     Explain { folder: PathBuf, id: String },
 }
 
-fn mix(text: &str) -> Result<MixName, String> {
-    let known = "processes, links, partners or all";
-    serde_json::from_value(serde_json::json!(text)).map_err(|_| format!("expected {known}"))
-}
-
-/// What ended a call before its work: exit code 2.
-struct Bad(String);
-
-impl From<std::io::Error> for Bad {
-    fn from(e: std::io::Error) -> Self {
-        Self(e.to_string())
-    }
-}
-
-impl From<String> for Bad {
-    fn from(e: String) -> Self {
-        Self(e)
-    }
+fn mix(text: &str) -> Result<MixName, Bad> {
+    serde_json::from_value(serde_json::json!(text)).map_err(|_| Bad::Mix)
 }
 
 /// The calm scenario, for whoever names none.
@@ -130,12 +116,12 @@
 fn parsed(text: &str, name: &str) -> Result<Scenario, Bad> {
     Scenario::read(text).map_err(|wrong| {
         let lines: Vec<String> = wrong.iter().map(|wrong| format!("{name}: {wrong}")).collect();
-        Bad(lines.join("\n"))
+        Bad::Scenario(lines.join("\n"))
     })
 }
 
 fn read(path: &Path) -> Result<Scenario, Bad> {
-    let text = std::fs::read_to_string(path).map_err(|e| Bad(format!("{}: {e}", path.display())))?;
+    let text = std::fs::read_to_string(path).map_err(|why| Bad::File { path: path.to_owned(), why })?;
     parsed(&text, &path.display().to_string())
 }
 
@@ -144,7 +130,7 @@
         Some(program) => program.clone(),
         None => sweep::own_binary()?,
     };
-    program.canonicalize().map_err(|e| Bad(format!("{}: {e}", program.display())))
+    program.canonicalize().map_err(|why| Bad::File { path: program, why })
 }
 
 fn main() -> ExitCode {
@@ -156,8 +142,8 @@
     }));
     match act(Cli::parse().command) {
         Ok(code) => ExitCode::from(code),
-        Err(Bad(why)) => {
-            eprintln!("{why}");
+        Err(why) => {
+            eprintln!("{why}\n{}: {}", why.code(), why.remedy());
             ExitCode::from(2)
         }
     }
@@ -204,7 +190,7 @@
             let mut less = scenario.clone();
             for section in &without {
                 if less.sections.remove(section).is_none() {
-                    return Err(Bad(format!("--without {section}: the scenario has no such section")));
+                    return Err(Bad::Section(section.clone()));
                 }
             }
             let mut plays = Vec::new();
@@ -259,11 +245,11 @@
             let first = Play { scenario, seed, binary: program(&common.binary)?, out, progress: false };
             let broken = sweep::rules(&play(&first)?);
             if broken.is_empty() {
-                return Err(Bad("this run breaks no rule: there is nothing to be made smaller".into()));
+                return Err(Bad::Sound);
             }
             let smaller =
                 sweep::shrink(&first, &broken, runs, |n, faults| eprintln!("run {n}: {faults} faults"))?;
-            let text = smaller.text().map_err(|e| Bad(e.to_string()))?;
+            let text = smaller.text().map_err(|e| Bad::Text(e.to_string()))?;
             std::fs::write(&to, text)?;
             println!("{} faults, in {}", smaller.fault.len(), to.display());
             Ok(0)
@@ -309,7 +295,7 @@
 fn first() -> Result<u8, Bad> {
     let built = Command::new(env!("CARGO")).args(["build", "--release", "--locked"]).status();
     if !built.as_ref().is_ok_and(std::process::ExitStatus::success) {
-        return Err(Bad("the sender could not be built: cargo build --release --locked".into()));
+        return Err(Bad::Unbuilt);
     }
     let scenario = parsed(CALM, "calm")?;
     let out = PathBuf::from("target/fleet/calm-1");
--- a/fleet/src/nemesis.rs
+++ b/fleet/src/nemesis.rs
@@ -13,6 +13,7 @@
 use crate::ledger::{Recorder, What};
 use crate::links::{Connections, Datagrams};
 use crate::scenario::{Fault, Kind, MixName, Mode, Scenario};
+use crate::told::Told;
 use crate::world::discovery;
 use crate::world::endpoints::Condition;
 use crate::world::senders::{BACK_AFTER, Tier};
@@ -378,6 +379,6 @@
         _ => Ok(()),
     };
     if let (Err(e), Ok(mut troubles)) = (started, struck.troubles.lock()) {
-        troubles.push(e);
+        troubles.push(format!("{e} ({})", e.code()));
     }
 }
--- a/fleet/src/sweep.rs
+++ b/fleet/src/sweep.rs
@@ -12,13 +12,34 @@
 use crate::nemesis::schedule;
 use crate::report;
 use crate::scenario::Scenario;
+use crate::told;
+
+/// Why runs are not begun.
+#[derive(Debug, thiserror::Error)]
+pub enum NoRuns {
+    /// No seeds.
+    #[error("{0}: expected a seed, or a range such as 1..20 of 10,000 at most")]
+    Seeds(String),
+    /// This program does not know where it lies.
+    #[error("{0}")]
+    Place(#[from] io::Error),
+    /// The sender's program is not there.
+    #[error("the sender is not built: cargo build --release --locked")]
+    NotBuilt,
+}
+
+told! { NoRuns {
+    Seeds => "fleet.seeds", "give a number, or two with .. between them, the smaller one first";
+    Place => "fleet.place", "name the sender's program with --binary";
+    NotBuilt => "fleet.not-built", "build it as the line says, or name one with --binary";
+} }
 
 /// Seeds as a range, `1..20`, both ends among them, or one alone.
 ///
 /// # Errors
 /// Tells what is expected.
-pub fn seeds(text: &str) -> Result<Vec<u64>, String> {
-    let wrong = || format!("{text}: expected a seed, or a range such as 1..20 of 10,000 at most");
+pub fn seeds(text: &str) -> Result<Vec<u64>, NoRuns> {
+    let wrong = || NoRuns::Seeds(text.to_owned());
     let (from, to) = text.split_once("..").unwrap_or((text, text));
     let (from, to) = (from.parse().map_err(|_| wrong())?, to.parse::<u64>().map_err(|_| wrong())?);
     if from <= to && to - from < 10_000 { Ok((from..=to).collect()) } else { Err(wrong()) }
@@ -240,11 +261,11 @@
 ///
 /// # Errors
 /// Tells how it is built.
-pub fn own_binary() -> Result<PathBuf, String> {
-    let own = std::env::current_exe().map_err(|e| e.to_string())?;
+pub fn own_binary() -> Result<PathBuf, NoRuns> {
+    let own = std::env::current_exe()?;
     let folder = own.parent().unwrap_or(Path::new("."));
     // A test's program lies one folder deeper.
     let places = [folder.join("myrtleyard"), folder.join("../myrtleyard")];
     let found = places.into_iter().find(|place| place.is_file());
-    found.ok_or_else(|| "the sender is not built: cargo build --release --locked".to_owned())
+    found.ok_or(NoRuns::NotBuilt)
 }
--- a/fleet/src/world/senders.rs
+++ b/fleet/src/world/senders.rs
@@ -25,7 +25,7 @@
 use super::endpoints::{BATCH, FALL_FOR, FALL_MULTIPLE, SLOTS, TRY_LIMIT};
 use crate::ledger::{Asked, Recorder, What};
 use crate::scenario::{LogLevel, Scenario};
-use crate::{Micros, micros};
+use crate::{Micros, micros, told};
 
 /// From SIGTERM to SIGKILL, and from there to the next start.
 pub const TERM_TO_KILL: Duration = Duration::from_millis(3700);
@@ -49,6 +49,41 @@
 /// Bytes of a log's end that are read for that.
 const LAST_BYTES: u64 = 16 * 1024;
 
+/// Why a sender does not take clients.
+#[derive(Debug, thiserror::Error)]
+pub enum NotReady {
+    /// There is no process.
+    #[error("sender {sender} can't be started: {why}")]
+    Unstarted {
+        /// Its number.
+        sender: usize,
+        /// What the machine says.
+        why: io::Error,
+    },
+    /// The process went.
+    #[error("sender {sender} ended before it was ready; its last lines:\n{lines}")]
+    Ended {
+        /// Its number.
+        sender: usize,
+        /// The end of its log.
+        lines: String,
+    },
+    /// It took longer than it has.
+    #[error("sender {sender} is not ready in 30 s; its last lines:\n{lines}")]
+    Late {
+        /// Its number.
+        sender: usize,
+        /// The end of its log.
+        lines: String,
+    },
+}
+
+told! { NotReady {
+    Unstarted => "fleet.unstarted", "see that the program is there, and that the machine has room for processes";
+    Ended => "fleet.ended", "read its last lines: they name the key, the address or the folder";
+    Late => "fleet.late", "play with fewer senders, or on a machine with less to do";
+} }
+
 /// A piece of the loopback range that is this run's alone, whatever runs beside it.
 pub struct Block {
     net: [u8; 3],
@@ -219,13 +254,13 @@
     ///
     /// # Errors
     /// Tells, with its last lines, that it does not start, ends, or is not ready in time.
-    pub async fn start(&self, sender: usize, empty: bool) -> Result<(), String> {
+    pub async fn start(&self, sender: usize, empty: bool) -> Result<(), NotReady> {
         let place = &self.places[sender];
         let generation = self.started[sender].lock().map_or(0, |mut started| {
             *started += 1;
             *started - 1
         });
-        let failed = |e: io::Error| format!("sender {sender} can't be started: {e}");
+        let failed = |why: io::Error| NotReady::Unstarted { sender, why };
         let state = place.folder.join("state");
         if empty && state.exists() {
             std::fs::remove_dir_all(&state).map_err(failed)?;
@@ -289,8 +324,9 @@
             }
             Ok(Err(Asked::Kill | Asked::Terminate)) => Ok(()),
             told => {
-                let how = if told.is_ok() { "ended before it was ready" } else { "is not ready in 30 s" };
-                Err(format!("sender {sender} {how}; its last lines:\n{}", last_lines(&log)))
+                let lines = last_lines(&log);
+                let ended = told.is_ok();
+                Err(if ended { NotReady::Ended { sender, lines } } else { NotReady::Late { sender, lines } })
             }
         }
     }
@@ -367,7 +403,7 @@
     ///
     /// # Errors
     /// As [`Tier::start`].
-    pub async fn hand_over(&self, sender: usize) -> Result<(), String> {
+    pub async fn hand_over(&self, sender: usize) -> Result<(), NotReady> {
         let before = self.process(sender);
         self.start(sender, false).await?;
         if let Some(before) = before {
--- a/ops/src/call.rs
+++ b/ops/src/call.rs
@@ -1,55 +1,100 @@
 //! One call to a sender's management address, with a bound on its time and on what is read.
 
-use std::io::{Read, Write};
-use std::net::{SocketAddr, TcpStream};
-use std::time::{Duration, Instant};
+use std::net::SocketAddr;
+use std::time::Duration;
 
 use serde_json::Value;
 
+use crate::told;
+
 /// An answer is no longer.
-const LIMIT: usize = 4 << 20;
+const LIMIT: u64 = 4 << 20;
+
+/// Why a sender's word is not there.
+#[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
+pub enum NoWord {
+    /// Nothing came in time.
+    #[error("no answer within {0} ms")]
+    Late(u128),
+    /// It can't be reached, or broke off.
+    #[error("{0}")]
+    Unreached(String),
+    /// It is longer than anything that is expected.
+    #[error("the answer is over {LIMIT} bytes")]
+    Long,
+    /// It is no JSON.
+    #[error("the answer broke off")]
+    Broken,
+    /// It is JSON of another form.
+    #[error("the answer can't be read: {0}")]
+    Unread(String),
+    /// The sender says no.
+    #[error("{why}")]
+    Refused {
+        /// Its words, or its status.
+        why: String,
+        /// Its code and what it says can be done, if it does.
+        told: Option<(String, String)>,
+    },
+    /// This program failed at it.
+    #[error("the call failed")]
+    Failed,
+}
+
+told! { NoWord {
+    Late => "ops.late", "give it more time with --within-ms; else see whether the machine is there";
+    Unreached => "ops.unreached", "see that the address is the sender's mgmt, and that the process runs";
+    Long => "ops.long", "see that the address is a sender's mgmt";
+    Broken => "ops.broken", "ask again, and see that the address is a sender's mgmt";
+    Unread => "ops.unread", "use the program of the sender's version";
+    Refused => "ops.refused", "do what the sender's answer says";
+    Failed => "ops.failed", "ask again, and tell the developers";
+} }
 
 /// Asks for a path; what is told, or why there is nothing in one line.
 ///
 /// # Errors
 /// Fails when nothing comes in time, what comes can't be read, or the answer is a no.
-pub fn get(address: SocketAddr, path: &str, within: Duration) -> Result<Value, String> {
-    let until = Instant::now() + within;
-    let left = || until.checked_duration_since(Instant::now()).filter(|left| !left.is_zero());
-    let late = || format!("no answer within {} ms", within.as_millis());
-    let mut stream = TcpStream::connect_timeout(&address, within).map_err(|e| e.to_string())?;
-    stream.set_write_timeout(Some(within)).map_err(|e| e.to_string())?;
-    let request = format!("GET {path} HTTP/1.1\r\nHost: {address}\r\nConnection: close\r\n\r\n");
-    stream.write_all(request.as_bytes()).map_err(|e| e.to_string())?;
-    let (mut told, mut buffer) = (Vec::new(), [0; 16 * 1024]);
-    loop {
-        stream.set_read_timeout(Some(left().ok_or_else(late)?)).map_err(|e| e.to_string())?;
-        match stream.read(&mut buffer) {
-            Ok(0) => return read(&told),
-            Ok(size) => told.extend_from_slice(&buffer[..size]),
-            Err(_) if left().is_none() => return Err(late()),
-            Err(e) if e.kind() == std::io::ErrorKind::WouldBlock => return Err(late()),
-            Err(e) => return Err(e.to_string()),
-        }
-        if told.len() > LIMIT {
-            return Err(format!("the answer is over {LIMIT} bytes"));
+pub fn get(address: SocketAddr, path: &str, within: Duration) -> Result<Value, NoWord> {
+    // No proxy of the environment and no other place: what is told must be this sender's.
+    let agent = ureq::Agent::config_builder()
+        .timeout_global(Some(within))
+        .http_status_as_error(false)
+        .max_redirects(0)
+        .proxy(None)
+        .build()
+        .new_agent();
+    let failed = |e: ureq::Error| match e {
+        ureq::Error::Timeout(_) => NoWord::Late(within.as_millis()),
+        ureq::Error::BodyExceedsLimit(_) => NoWord::Long,
+        ureq::Error::Io(e) => NoWord::Unreached(e.to_string()),
+        e => NoWord::Unreached(e.to_string()),
+    };
+    let mut answer = agent.get(format!("http://{address}{path}")).call().map_err(failed)?;
+    let body = answer.body_mut().with_config().limit(LIMIT).read_to_vec().map_err(failed)?;
+    let body: Result<Value, _> = serde_json::from_slice(&body);
+    match (answer.status().as_u16(), body) {
+        (200, Ok(body)) => Ok(body),
+        (200, Err(_)) => Err(NoWord::Broken),
+        (status, body) => {
+            let body = body.unwrap_or_default();
+            let text = |key: &str| body[key].as_str().map(str::to_owned);
+            let why = text("error").unwrap_or_else(|| format!("status {status}"));
+            Err(NoWord::Refused { why, told: text("code").zip(text("remedy")) })
         }
     }
 }
 
-fn read(told: &[u8]) -> Result<Value, String> {
-    let mut headers = [httparse::EMPTY_HEADER; 32];
-    let mut answer = httparse::Response::new(&mut headers);
-    let Ok(httparse::Status::Complete(head)) = answer.parse(told) else {
-        return Err("the answer can't be read".to_owned());
-    };
-    let body: Result<Value, _> = serde_json::from_slice(&told[head..]);
-    match (answer.code, body) {
-        (Some(200), Ok(body)) => Ok(body),
-        (Some(200), Err(_)) => Err("the answer broke off".to_owned()),
-        (code, body) => {
-            let why = body.ok().and_then(|body| body["error"].as_str().map(str::to_owned));
-            Err(why.unwrap_or_else(|| format!("status {}", code.unwrap_or(0))))
-        }
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::told::{Told, listed};
+
+    /// Guards the page: it has this program's codes, and no other of its kind.
+    #[test]
+    fn the_page_has_every_code_of_this_program() {
+        let page = listed(include_str!("../../docs/operations.md"));
+        let own: Vec<&str> = page.into_iter().filter(|code| code.starts_with("ops.")).collect();
+        assert_eq!(own, NoWord::CODES);
     }
 }
--- a/ops/src/main.rs
+++ b/ops/src/main.rs
@@ -5,6 +5,8 @@
 
 mod call;
 mod members;
+#[path = "../../src/told.rs"]
+mod told;
 
 use std::net::SocketAddr;
 use std::process::ExitCode;
--- a/ops/src/members.rs
+++ b/ops/src/members.rs
@@ -8,7 +8,8 @@
 use serde::Deserialize;
 use serde_json::Value;
 
-use super::call;
+use super::call::{self, NoWord};
+use super::told::Told;
 
 /// Between two looks when changes are followed.
 const LOOK: Duration = Duration::from_secs(1);
@@ -36,24 +37,22 @@
     accused_by: Vec<usize>,
 }
 
-type Told = Vec<(SocketAddr, Result<(Value, View), String>)>;
+type Words = Vec<(SocketAddr, Result<(Value, View), NoWord>)>;
 
 /// Asks all of them at once, so that one that is slow keeps nobody waiting.
-fn ask(addresses: &[SocketAddr], within: Duration) -> Told {
+fn ask(addresses: &[SocketAddr], within: Duration) -> Words {
     std::thread::scope(|scope| {
         let asked: Vec<_> = addresses
             .iter()
             .map(|address| {
                 scope.spawn(move || {
                     let told = call::get(*address, "/control/members", within)?;
-                    let view =
-                        View::deserialize(&told).map_err(|e| format!("the answer can't be read: {e}"))?;
+                    let view = View::deserialize(&told).map_err(|e| NoWord::Unread(e.to_string()))?;
                     Ok((told, view))
                 })
             })
             .collect();
-        let ended =
-            asked.into_iter().map(|asked| asked.join().unwrap_or_else(|_| Err("the call failed".into())));
+        let ended = asked.into_iter().map(|asked| asked.join().unwrap_or(Err(NoWord::Failed)));
         addresses.iter().copied().zip(ended).collect()
     })
 }
@@ -123,6 +122,19 @@
     table
 }
 
+/// The sender's own code and remedy, where its answer has them.
+fn advice(why: &NoWord) -> (&str, &str) {
+    match why {
+        NoWord::Refused { told: Some((code, remedy)), .. } => (code, remedy),
+        why => (why.code(), why.remedy()),
+    }
+}
+
+fn line(why: &NoWord) -> String {
+    let (code, remedy) = advice(why);
+    format!("{why} ({code}: {remedy})")
+}
+
 /// Shows it once. Tells the exit code.
 pub fn show(addresses: &[SocketAddr], within: Duration, json: bool) -> u8 {
     let told = ask(addresses, within);
@@ -132,7 +144,10 @@
         for (address, told) in &told {
             let line = match told {
                 Ok((told, _)) => serde_json::json!({"sender": address, "told": told}),
-                Err(why) => serde_json::json!({"sender": address, "error": why}),
+                Err(why) => {
+                    let (code, remedy) = advice(why);
+                    serde_json::json!({"sender": address, "code": code, "error": why.to_string(), "remedy": remedy})
+                }
             };
             println!("{line}");
         }
@@ -148,7 +163,7 @@
         }
         for (address, told) in &told {
             if let Err(why) = told {
-                println!("{address}: {why}");
+                println!("{address}: {}", line(why));
             }
         }
     }
@@ -165,7 +180,7 @@
 
 /// Shows what changes until it is ended.
 pub fn follow(addresses: &[SocketAddr], within: Duration) -> ! {
-    let mut before: BTreeMap<SocketAddr, Result<Lives, String>> = BTreeMap::new();
+    let mut before: BTreeMap<SocketAddr, Result<Lives, NoWord>> = BTreeMap::new();
     loop {
         for (address, told) in ask(addresses, within) {
             let now = told.map(|(_, view)| {
@@ -174,7 +189,7 @@
             });
             match (before.get(&address), &now) {
                 (Some(Err(b)), Err(n)) if b == n => {}
-                (_, Err(why)) => println!("{address}: {why}"),
+                (_, Err(why)) => println!("{address}: {}", line(why)),
                 (Some(Ok(b)), Ok(n)) => {
                     for (rank, (state, life)) in n.iter().filter(|(rank, now)| b.get(rank) != Some(now)) {
                         println!("{address}: member {rank} is {state}, life {life}");
--- a/src/drain.rs
+++ b/src/drain.rs
@@ -3,11 +3,12 @@
 //! listing alone: an endpoint that is marked is draining, whatever discovery says.
 
 use std::collections::{BTreeMap, BTreeSet};
-use std::fmt;
 
 use serde::{Deserialize, Serialize};
 
 use crate::interface::{Listing, Micros};
+use crate::told;
+use crate::told::Told;
 
 /// Marks that are kept at most, whatever the configuration says.
 pub const MOST_MARKS: usize = 256;
@@ -37,33 +38,48 @@
 }
 
 /// Why endpoints are not drained. Nothing was changed then.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
 pub enum Refusal {
     /// No names were given.
+    #[error("no endpoint is named")]
     Nothing,
     /// Names that are not in the list.
+    #[error("not in the list: {}", joined(.0))]
     Unknown(Vec<String>),
     /// Destinations that would be left without an active endpoint.
+    #[error("no active endpoint would be left for destination {}", joined(.0))]
     Last(Vec<u16>),
     /// More marks than are kept.
+    #[error("more than {0} endpoints would be marked")]
     TooMany(usize),
 }
 
-fn joined<T: ToString>(items: &[T]) -> String {
-    items.iter().map(T::to_string).collect::<Vec<_>>().join(", ")
-}
+told! { Refusal {
+    Nothing => "draining.nothing", "name at least one endpoint of /control/endpoints in names";
+    Unknown => "draining.unknown", "take the names from /control/endpoints at this sender";
+    Last => "draining.last", "put another endpoint back first, or add \"force\": true";
+    TooMany => "draining.too-many", "put endpoints back, or raise draining.max_marks and start a new process";
+} }
 
-impl fmt::Display for Refusal {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        match self {
-            Self::Nothing => write!(f, "no endpoint is named"),
-            Self::Unknown(names) => write!(f, "not in the list: {}", joined(names)),
-            Self::Last(destinations) => {
-                write!(f, "no active endpoint would be left for destination {}", joined(destinations))
-            }
-            Self::TooMany(most) => write!(f, "more than {most} endpoints would be marked"),
-        }
+/// Marks that were written down can't be read; on-call staff set them again.
+#[derive(Debug, thiserror::Error)]
+#[error("{0}")]
+pub struct Unread(#[from] serde_json::Error);
+
+impl Told for Unread {
+    const CODES: &'static [&'static str] = &["draining.unread"];
+
+    fn code(&self) -> &'static str {
+        Self::CODES[0]
     }
+
+    fn remedy(&self) -> &'static str {
+        "drain the endpoints again: none is marked"
+    }
+}
+
+fn joined<T: ToString>(items: &[T]) -> String {
+    items.iter().map(T::to_string).collect::<Vec<_>>().join(", ")
 }
 
 /// The marks of one sender.
@@ -88,8 +104,8 @@
     ///
     /// # Errors
     /// Fails when it can't be read.
-    pub fn read(most: usize, text: &[u8]) -> Result<Self, String> {
-        let marks: BTreeMap<String, Mark> = serde_json::from_slice(text).map_err(|e| e.to_string())?;
+    pub fn read(most: usize, text: &[u8]) -> Result<Self, Unread> {
+        let marks: BTreeMap<String, Mark> = serde_json::from_slice(text)?;
         let mut read = Self::new(most);
         read.marks = marks.into_iter().take(read.most).collect();
         Ok(read)
@@ -288,7 +304,7 @@
         let marks = Marks::new(8)
             .with(&names(&["a", "b"]), true, 5, &list(&[("a", 7, true), ("b", 8, true)]))
             .unwrap();
-        assert_eq!(Marks::read(8, &marks.written()), Ok(marks.clone()));
+        assert_eq!(Marks::read(8, &marks.written()).unwrap(), marks);
         assert_eq!(Marks::read(1, &marks.written()).unwrap().iter().count(), 1, "as many as are kept");
         let written = marks.written();
         for end in 0..written.len() {
--- a/src/estimate/decide.rs
+++ b/src/estimate/decide.rs
@@ -17,6 +17,7 @@
 use crate::interface::Micros;
 use crate::plans::Plan;
 use crate::status::Query;
+use crate::told;
 
 /// Predictions that finding a smaller query takes at most.
 pub const MOST_TRIES: u32 = 24;
@@ -134,6 +135,11 @@
     Bytes(u64),
 }
 
+told! { Cut {
+    Shards => "estimate.cut-shards", "ask for a shorter time or fewer states, or ask for an estimate again first";
+    Bytes => "estimate.cut-bytes", "ask for a shorter time or fewer states, or ask for an estimate again first";
+} }
+
 impl Running {
     /// Charges a query at the upper end of what it will touch.
     ///
--- a/src/estimate/estimator.rs
+++ b/src/estimate/estimator.rs
@@ -19,6 +19,7 @@
 use crate::mesh::{self, Mesh};
 use crate::plans::{self, Plan};
 use crate::status::{self, Entry, LogId, Query, ShardId};
+use crate::told;
 
 /// Own summaries are made anew so often at most.
 pub const MAKE_EVERY: Micros = 2_000_000;
@@ -43,25 +44,11 @@
     Rows(u32),
 }
 
-impl NoEstimate {
-    /// Stable, for programs.
-    pub fn code(&self) -> &'static str {
-        match self {
-            Self::Ids(_) => "estimate.ids",
-            Self::Times(..) => "estimate.times",
-            Self::Rows(_) => "estimate.rows",
-        }
-    }
-
-    /// What an operator can do.
-    pub fn remedy(&self) -> &'static str {
-        match self {
-            Self::Ids(_) => "name 256 ids at most, and ask again for the others",
-            Self::Times(..) => "have \"from\" before \"to\", both in Unix microseconds",
-            Self::Rows(_) => "have \"limit\" from 1 to 1000, and go on with \"after\"",
-        }
-    }
-}
+told! { NoEstimate {
+    Ids => "estimate.ids", "name 256 ids at most, and ask again for the others";
+    Times => "estimate.times", "have \"from\" before \"to\", both in Unix microseconds";
+    Rows => "estimate.rows", "have \"limit\" from 1 to 1000, and go on with \"after\"";
+} }
 
 /// Holds a query against the bounds that [`status`] sets.
 ///
--- a/src/estimate/sending.rs
+++ b/src/estimate/sending.rs
@@ -12,6 +12,7 @@
 use super::learned::{BAND, Track, log};
 use super::{Doubt, Interval};
 use crate::interface::{DestinationId, Micros, Outlook, RouteOutlook, Settings};
+use crate::told;
 
 /// Destinations that one run names at most.
 pub const MOST_DESTINATIONS: usize = 1_024;
@@ -66,27 +67,12 @@
     Nowhere(u16),
 }
 
-impl NoRun {
-    /// Stable, for programs.
-    pub fn code(&self) -> &'static str {
-        match self {
-            Self::Class(_) => "estimate.class",
-            Self::Tenant(_) => "estimate.tenant",
-            Self::Destinations(_) => "estimate.destinations",
-            Self::Nowhere(_) => "estimate.nowhere",
-        }
-    }
-
-    /// What an operator can do.
-    pub fn remedy(&self) -> &'static str {
-        match self {
-            Self::Class(_) => "name one of settings.classes",
-            Self::Tenant(_) => "name one of settings.realms",
-            Self::Destinations(_) => "name between 1 and 1024 destinations, or split the run",
-            Self::Nowhere(_) => "see GET /control/endpoints; wait until discovery lists one, or leave it out",
-        }
-    }
-}
+told! { NoRun {
+    Class => "estimate.class", "name one of settings.classes";
+    Tenant => "estimate.tenant", "name one of settings.realms";
+    Destinations => "estimate.destinations", "name between 1 and 1024 destinations, or split the run";
+    Nowhere => "estimate.nowhere", "see GET /control/endpoints; wait until discovery lists one, or leave it out";
+} }
 
 /// Whether a run fits into its tenant's share, as this sender judges it.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize)]
--- a/src/estimate/summary.rs
+++ b/src/estimate/summary.rs
@@ -10,6 +10,7 @@
 
 use crate::interface::Micros;
 use crate::status::{Entry, LogId, Query, State};
+use crate::told::Told;
 
 /// Tenants and classes that one summary tells apart, in pairs; the smallest ones beyond it count together.
 pub const MOST_CELLS: usize = 64;
@@ -58,6 +59,18 @@
     hashes: u32,
 }
 
+impl Told for NoFilter {
+    const CODES: &'static [&'static str] = &["estimate.filter"];
+
+    fn code(&self) -> &'static str {
+        Self::CODES[0]
+    }
+
+    fn remedy(&self) -> &'static str {
+        "finish the roll-out, so that all senders run one version"
+    }
+}
+
 /// A set that forgets nothing and may find what was not put in.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 #[serde(try_from = "Bits", into = "Bits")]
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -60,4 +60,5 @@
 pub mod start;
 pub mod status;
 pub mod takeover;
+pub mod told;
 pub mod wire;
--- a/src/main.rs
+++ b/src/main.rs
@@ -15,6 +15,9 @@
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::{mpsc, watch};
 
+use myrtleyard::told::Told;
+use net::config::Wrong;
+use net::refusals::NoStart;
 use net::{Inbound, config, driver, log};
 
 fn main() -> ExitCode {
@@ -30,7 +33,8 @@
     match run() {
         Ok(()) => ExitCode::SUCCESS,
         Err(e) => {
-            eprintln!("myrtleyard: {}", e.replace(['\n', '\r'], " "));
+            let why = e.to_string().replace(['\n', '\r'], " ");
+            eprintln!("myrtleyard: {why} ({}: {})", e.code(), e.remedy());
             ExitCode::FAILURE
         }
     }
@@ -52,25 +56,25 @@
 
 /// The socket that the platform holds for clients and that every process of the sender inherits, if it does.
 #[allow(unsafe_code)]
-fn inherited() -> Result<Option<TcpListener>, String> {
+fn inherited() -> Result<Option<TcpListener>, NoStart> {
     let Some(number) = config::listening()? else { return Ok(None) };
     // SAFETY: the platform hands the descriptor down for this process to own, and says so by its number.
     // This is called once, before the process has opened any of its own.
     let listener = unsafe { TcpListener::from_raw_fd(number) };
-    listener.set_nonblocking(true).map_err(|e| format!("NODE_LISTEN_FD={number}: {e}"))?;
+    listener.set_nonblocking(true).map_err(|why| NoStart::Inherited { number, why })?;
     Ok(Some(listener))
 }
 
-fn run() -> Result<(), String> {
+fn run() -> Result<(), NoStart> {
     let inherited = inherited()?;
     let config = config::read()?;
     log::start(&config.name)?;
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
-    let runtime = runtime.map_err(|e| format!("runtime: {e}"))?;
+    let runtime = runtime.map_err(NoStart::Runtime)?;
     tokio::task::LocalSet::new().block_on(&runtime, async {
         let (inbound, events) = mpsc::unbounded_channel();
         for kind in [SignalKind::terminate(), SignalKind::interrupt()] {
-            let mut asked = signal(kind).map_err(|e| format!("signals: {e}"))?;
+            let mut asked = signal(kind).map_err(NoStart::Signals)?;
             let inbound = inbound.clone();
             tokio::task::spawn_local(async move {
                 if asked.recv().await.is_some() {
@@ -81,13 +85,13 @@
         let (moves, discovery) = watch::channel(config.discovery);
         let in_force = Rc::new(RefCell::new(Arc::new(config.document.clone())));
         let (checked, reloaded) = (in_force.clone(), inbound.clone());
-        let mut reload = signal(SignalKind::hangup()).map_err(|e| format!("signals: {e}"))?;
+        let mut reload = signal(SignalKind::hangup()).map_err(NoStart::Signals)?;
         tokio::task::spawn_local(async move {
             while reload.recv().await.is_some() {
                 // What can't be taken as a whole changes nothing: the sender goes on as it was.
                 let before = checked.borrow().clone();
                 let read = tokio::task::spawn_blocking(move || config::reread(&before)).await;
-                let read = read.map_err(|e| e.to_string()).and_then(|read| read);
+                let read = read.map_err(Wrong::from).and_then(|read| read);
                 if let Ok(config) = &read {
                     checked.replace(Arc::new(config.document.clone()));
                     moves.send_replace(config.discovery);
--- a/src/mesh.rs
+++ b/src/mesh.rs
@@ -11,6 +11,7 @@
 use crate::channel::{Came, Channel};
 use crate::interface::Micros;
 use crate::membership::{Out, Rank};
+use crate::told;
 
 /// Channels at a time at most; beyond it the one that was heard the longest ago goes.
 pub const MOST_CHANNELS: usize = 64;
@@ -32,6 +33,11 @@
     Full(Rank),
 }
 
+told! { Refused {
+    Nobody => "mesh.nobody", "hold the lists of peers of all senders against each other";
+    Full => "mesh.full", "see whether that sender is away or its link too slow";
+} }
+
 /// Counts since the process began.
 #[derive(Debug, Default, Clone, Copy, PartialEq, Eq, Serialize)]
 pub struct Counts {
--- a/src/net/config.rs
+++ b/src/net/config.rs
@@ -17,6 +17,7 @@
 use myrtleyard::status;
 use myrtleyard::takeover;
 use myrtleyard::takeover::lots::Memory;
+use myrtleyard::told;
 use serde::Deserialize;
 use serde_json::Value;
 
@@ -137,11 +138,73 @@
     settings: Value,
 }
 
-fn variable(name: &str) -> Result<Option<String>, String> {
+/// Why there is no configuration, or none that is taken instead of the one in force.
+#[derive(Debug, thiserror::Error)]
+pub enum Wrong {
+    /// A variable of the environment that is not text.
+    #[error("{name}: {why}")]
+    Variable {
+        /// Its name.
+        name: &'static str,
+        /// What is wrong with it.
+        why: std::env::VarError,
+    },
+    /// A variable that is needed.
+    #[error("{0} is not set")]
+    Unset(&'static str),
+    /// `NODE_LISTEN_FD` is no number of one.
+    #[error("NODE_LISTEN_FD={0}: no descriptor that can be listened on")]
+    Descriptor(String),
+    /// A variable that is no address.
+    #[error("{name}={text}: {why}")]
+    Address {
+        /// Its name.
+        name: &'static str,
+        /// What it holds.
+        text: String,
+        /// What is wrong with it.
+        why: std::net::AddrParseError,
+    },
+    /// The file can't be had.
+    #[error("{path}: {why}")]
+    File {
+        /// Where it should be.
+        path: String,
+        /// Why not.
+        why: std::io::Error,
+    },
+    /// The document has faults.
+    #[error("{path}: {}", joined(faults))]
+    Faults {
+        /// Where it lies.
+        path: String,
+        /// All of them.
+        faults: Vec<Fault>,
+    },
+    /// It was not read to its end.
+    #[error("{0}")]
+    Stopped(#[from] tokio::task::JoinError),
+}
+
+told! { Wrong {
+    Variable => "config.variable", "set the variable to text in UTF-8";
+    Unset => "config.unset", "set the variable, as docs/configuration.md has it";
+    Descriptor => "config.descriptor", "set it to a number over 2 that the process inherits, or unset it";
+    Address => "config.address", "set it to IP:PORT, or unset it so that the file's holds";
+    File => "config.file", "see that NODE_CONFIG names the file and that the sender may read it";
+    Faults => "config.faults", "mend each key that is named; try the file with --check before it is taken";
+    Stopped => "config.stopped", "send SIGHUP again; if it stays so, tell the developers";
+} }
+
+fn joined(faults: &[Fault]) -> String {
+    faults.iter().map(Fault::to_string).collect::<Vec<_>>().join("; ")
+}
+
+fn variable(name: &'static str) -> Result<Option<String>, Wrong> {
     match std::env::var(name) {
         Ok(text) => Ok(Some(text)),
         Err(std::env::VarError::NotPresent) => Ok(None),
-        Err(e) => Err(format!("{name}: {e}")),
+        Err(why) => Err(Wrong::Variable { name, why }),
     }
 }
 
@@ -149,16 +212,16 @@
 ///
 /// # Errors
 /// Fails when it is no number of one.
-pub fn listening() -> Result<Option<RawFd>, String> {
+pub fn listening() -> Result<Option<RawFd>, Wrong> {
     let parse = |text: String| {
         let number = text.parse().ok().filter(|fd| *fd > 2);
-        number.ok_or(format!("NODE_LISTEN_FD={text}: no descriptor that can be listened on"))
+        number.ok_or(Wrong::Descriptor(text))
     };
     variable("NODE_LISTEN_FD")?.map(parse).transpose()
 }
 
-fn address(name: &str) -> Result<Option<SocketAddr>, String> {
-    let parse = |text: String| text.parse().map_err(|e| format!("{name}={text}: {e}"));
+fn address(name: &'static str) -> Result<Option<SocketAddr>, Wrong> {
+    let parse = |text: String| text.parse().map_err(|why| Wrong::Address { name, text, why });
     variable(name)?.map(parse).transpose()
 }
 
@@ -166,8 +229,8 @@
 ///
 /// # Errors
 /// Fails, in one line, when something needed is missing or cannot be read.
-pub fn read() -> Result<Config, String> {
-    let state = variable("NODE_STATE")?.ok_or("NODE_STATE is not set")?;
+pub fn read() -> Result<Config, Wrong> {
+    let state = variable("NODE_STATE")?.ok_or(Wrong::Unset("NODE_STATE"))?;
     let config = file(None)?;
     Ok(Config {
         name: variable("NODE_NAME")?.unwrap_or(config.name),
@@ -183,21 +246,17 @@
 ///
 /// # Errors
 /// Fails, in one line, when the file cannot be read, or lacks a key of the document that is in force.
-pub fn reread(in_force: &Value) -> Result<Config, String> {
+pub fn reread(in_force: &Value) -> Result<Config, Wrong> {
     file(Some(in_force))
 }
 
-fn file(in_force: Option<&Value>) -> Result<Config, String> {
-    let path = variable("NODE_CONFIG")?.ok_or("NODE_CONFIG is not set")?;
-    let text = std::fs::read(&path).map_err(|e| format!("{path}: {e}"))?;
-    parse(&text, in_force).map_err(|e| format!("{path}: {e}"))
-}
-
-fn parse(text: &[u8], in_force: Option<&Value>) -> Result<Config, String> {
-    check(text, in_force).map_err(|faults| {
-        let faults: Vec<String> = faults.iter().map(Fault::to_string).collect();
-        faults.join("; ")
-    })
+fn file(in_force: Option<&Value>) -> Result<Config, Wrong> {
+    let path = variable("NODE_CONFIG")?.ok_or(Wrong::Unset("NODE_CONFIG"))?;
+    let text = match std::fs::read(&path) {
+        Ok(text) => text,
+        Err(why) => return Err(Wrong::File { path, why }),
+    };
+    check(&text, in_force).map_err(|faults| Wrong::Faults { path, faults })
 }
 
 /// Reads a configuration, and holds it against the one in force if there is one. Start, SIGHUP, the operators'
@@ -316,6 +375,10 @@
     use super::super::names::following;
     use super::*;
 
+    fn parsed(text: &[u8], in_force: Option<&Value>) -> Result<Config, Wrong> {
+        check(text, in_force).map_err(|faults| Wrong::Faults { path: "a file".to_owned(), faults })
+    }
+
     fn document() -> Value {
         json!({
             "name": "n1", "listen": "127.0.0.1:1", "discovery": "127.0.0.1:2", "seed": "1",
@@ -332,12 +395,12 @@
 
     /// Guards the settings in force against files that are cut off, or say what can't be meant.
     #[test]
-    fn a_broken_file_is_turned_down_whole() -> Result<(), String> {
+    fn a_broken_file_is_turned_down_whole() -> Result<(), Box<dyn std::error::Error>> {
         let whole = document();
         let text = whole.to_string();
-        parse(text.as_bytes(), Some(&whole))?;
+        parsed(text.as_bytes(), Some(&whole))?;
         for end in 0..text.len() {
-            assert!(parse(&text.as_bytes()[..end], Some(&whole)).is_err(), "cut off at {end}");
+            assert!(parsed(&text.as_bytes()[..end], Some(&whole)).is_err(), "cut off at {end}");
         }
         for (place, key) in [
             ("", "discovery"),
@@ -351,13 +414,13 @@
         ] {
             let mut broken = whole.clone();
             let found = broken.pointer_mut(place).and_then(Value::as_object_mut).and_then(|o| o.remove(key));
-            assert!(found.is_some() && parse(broken.to_string().as_bytes(), Some(&whole)).is_err(), "{key}");
+            assert!(found.is_some() && parsed(broken.to_string().as_bytes(), Some(&whole)).is_err(), "{key}");
         }
         for place in ["/settings/limits/try_limit", "/settings/classes/1/hard_limit_us"] {
             for figure in [json!(0), json!(-3), json!("6"), Value::Null] {
                 let mut broken = whole.clone();
                 broken.pointer_mut(place).map(|value| *value = figure).ok_or(place)?;
-                assert!(parse(broken.to_string().as_bytes(), Some(&whole)).is_err(), "{broken}");
+                assert!(parsed(broken.to_string().as_bytes(), Some(&whole)).is_err(), "{broken}");
             }
         }
         Ok(())
@@ -365,18 +428,18 @@
 
     /// Guards what is under way: a class that it came with keeps its position and its meaning.
     #[test]
-    fn a_class_keeps_its_position_whatever_comes_and_goes() -> Result<(), String> {
-        let first = parse(document().to_string().as_bytes(), None)?;
+    fn a_class_keeps_its_position_whatever_comes_and_goes() -> Result<(), Box<dyn std::error::Error>> {
+        let first = parsed(document().to_string().as_bytes(), None)?;
         let mut changed = document();
         changed["settings"]["classes"][0]["effect"] = json!("once");
         changed["settings"]["classes"][1]["name"] = json!("bill");
-        let second = parse(changed.to_string().as_bytes(), Some(&first.document))?;
+        let second = parsed(changed.to_string().as_bytes(), Some(&first.document))?;
         let (settings, names) = following((second.settings, second.names), &first.settings, &first.names);
         assert_eq!(settings.classes[..2], first.settings.classes[..]);
         assert_eq!(settings.classes[2].effect, Effect::Once);
         assert_eq!(["note", "order", "bill"].map(|name| names.class(name)), [Some(2), None, Some(3)]);
         // What comes back as it was has its old position.
-        let third = parse(document().to_string().as_bytes(), None)?;
+        let third = parsed(document().to_string().as_bytes(), None)?;
         let (settings, names) = following((third.settings, third.names), &settings, &names);
         assert_eq!(settings.classes.len(), 4);
         assert_eq!(["note", "order", "bill"].map(|name| names.class(name)), [Some(0), Some(1), None]);
--- a/src/net/control.rs
+++ b/src/net/control.rs
@@ -3,9 +3,12 @@
 
 use hyper::StatusCode;
 use myrtleyard::interface::Micros;
+use myrtleyard::told::Told;
 use serde::{Deserialize, Serialize};
 use serde_json::json;
 
+use super::refusals::NoCall;
+
 /// Something for the driver to do or tell.
 #[derive(Debug)]
 pub enum Ask {
@@ -87,9 +90,13 @@
         Self::new(status, &json!({"code": code, "error": why, "remedy": remedy}))
     }
 
-    /// A no, in one line.
-    pub fn no(status: StatusCode, why: impl ToString) -> Self {
-        let why = why.to_string().replace(['\n', '\r'], " ");
-        Self::new(status, &json!({"error": why}))
+    /// A no, as its error tells it.
+    pub fn told(status: StatusCode, why: &impl Told) -> Self {
+        Self::typed(status, why.code(), why, why.remedy())
+    }
+
+    /// A call that is not answered with what was asked for.
+    pub fn no(why: &NoCall) -> Self {
+        Self::told(why.status(), why)
     }
 }
--- a/src/net/driver.rs
+++ b/src/net/driver.rs
@@ -3,7 +3,7 @@
 
 mod covered;
 mod draining;
-mod estimating;
+pub mod estimating;
 mod indexed;
 mod starting;
 
@@ -19,6 +19,7 @@
 use myrtleyard::start::pace::Backlog;
 use myrtleyard::status::State;
 use myrtleyard::takeover::lots::Fact;
+use myrtleyard::told::Told;
 use tokio::net::{TcpListener, UnixStream};
 use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel};
 use tokio::sync::{oneshot, watch};
@@ -37,6 +38,7 @@
 use super::parts::{self, Parts};
 use super::peers::Peers;
 use super::platform::{self, Notice};
+use super::refusals::NoStart;
 use covered::Covered;
 
 use super::{AttemptOver, Clock, Inbound, STOP_WITHIN, Standing};
@@ -130,7 +132,7 @@
     in_force: InForce,
     inbound: UnboundedSender<Inbound>,
     mut events: UnboundedReceiver<Inbound>,
-) -> Result<(), String> {
+) -> Result<(), NoStart> {
     let (standing, stand) = watch::channel(Standing::Starting);
     let figures = Rc::new(Figures::default());
     figures.name(&config.names);
@@ -138,8 +140,8 @@
     let mut called_at = String::new();
     if let Some(address) = config.mgmt {
         own_sockets += mgmt::PLACES;
-        let listener = TcpListener::bind(address).await.map_err(|e| format!("mgmt {address}: {e}"))?;
-        let bound = listener.local_addr().map_err(|e| format!("mgmt: {e}"))?;
+        let listener = TcpListener::bind(address).await.map_err(|why| NoStart::Mgmt { address, why })?;
+        let bound = listener.local_addr().map_err(|why| NoStart::Mgmt { address, why })?;
         called_at = format!(", operators call at {bound}");
         tokio::task::spawn_local(
             Rc::new(Mgmt::new(stand.clone(), figures.clone(), in_force, inbound.clone())).listen(listener),
@@ -150,15 +152,15 @@
         true => handover::claim(&folder).await.map(|(claim, before)| (Some(claim), before)),
         false => Ok((None, None)),
     }
-    .map_err(|e| format!("{}: {e}", folder.display()))?;
+    .map_err(|why| NoStart::Folder { folder: folder.clone(), why })?;
     let clock = match &predecessor {
         Some(predecessor) => Clock::new().from(predecessor.knowledge.now),
         None => Clock::new(),
     };
     let disk = config.disk - Parts::room(&config);
     let journal =
-        Journal::open(&folder, disk).map_err(|e| format!("journal in {}: {e}", folder.display()))?;
-    let peers = Peers::open(&config, inbound.clone()).await.map_err(|e| format!("peer_listen: {e}"))?;
+        Journal::open(&folder, disk).map_err(|why| NoStart::Journal { folder: folder.clone(), why })?;
+    let peers = Peers::open(&config, inbound.clone()).await.map_err(NoStart::Peers)?;
     let (notices, owed) = unbounded_channel();
     let wanted = Rc::new(platform::Wanted::default());
     let sides = config.sockets.saturating_sub(own_sockets) / 2;
@@ -215,8 +217,8 @@
         Some(listener) => TcpListener::from_std(listener),
         None => TcpListener::bind(config.listen).await,
     };
-    let listener = listener.map_err(|e| format!("listen on {}: {e}", config.listen))?;
-    let address = listener.local_addr().map_err(|e| format!("listen: {e}"))?;
+    let listener = listener.map_err(|why| NoStart::Listen { address: config.listen, why })?;
+    let address = listener.local_addr().map_err(|why| NoStart::Listen { address: config.listen, why })?;
     driver.standing.send_replace(Standing::InService);
     let shared = config.start.as_ref().is_some_and(|section| section.source == Source::Service);
     let following = platform::Following::new(&driver.settings, shared, driver.index, config.seed);
@@ -510,7 +512,11 @@
             }
             Inbound::Reloaded(Err(e)) => {
                 self.figures.reloaded(false);
-                tracing::warn!("the configuration is not reloaded: {e}");
+                tracing::warn!(
+                    code = e.code(),
+                    remedy = e.remedy(),
+                    "the configuration is not reloaded: {e}"
+                );
             }
             Inbound::Service(wanted, done) => {
                 self.service(wanted, None, said);
--- a/src/net/driver/covered.rs
+++ b/src/net/driver/covered.rs
@@ -13,6 +13,7 @@
 use super::super::control::Reply;
 use super::super::journal::{self, GivenUp, Live, Record, Taken, taken_on};
 use super::super::parts::Part;
+use super::super::refusals::NoCall;
 use super::{Driver, End, NO_ROOM_AGAIN};
 
 /// Messages that are adopted in a turn at most: a turn stays short, and what the sender's own clients bring gets in
@@ -453,8 +454,7 @@
     /// How covers stand, for operators.
     pub(super) fn takeover_report(&self) -> Reply {
         let Some(covering) = &self.parts.covering else {
-            let why = "nothing is covered: the configuration has no section \"takeover\"";
-            return Reply::no(hyper::StatusCode::NOT_FOUND, why);
+            return Reply::no(&NoCall::TakeoverOff);
         };
         let mut report = covering.report(self.clock.now());
         let covered = self.journal.live().values().filter(|live| live.covered.is_some()).count();
--- a/src/net/driver/draining.rs
+++ b/src/net/driver/draining.rs
@@ -6,6 +6,7 @@
 use hyper::StatusCode;
 use myrtleyard::drain::{Left, Listed, Marks, Refusal, State};
 use myrtleyard::interface::*;
+use myrtleyard::told::Told;
 use serde_json::{Value, json};
 
 use super::super::Standing;
@@ -13,11 +14,11 @@
 use super::super::listing::{Known, Shape};
 use super::super::parts::Part;
 use super::super::parts::draining::Draining;
+use super::super::refusals::NoCall;
 use super::{Drain, Driver};
 
 fn not_on() -> Reply {
-    let why = "endpoints can't be drained here: the configuration has no section \"draining\"";
-    Reply::no(StatusCode::NOT_FOUND, why)
+    Reply::no(&NoCall::DrainingOff)
 }
 
 impl Driver {
@@ -63,7 +64,7 @@
             Ask::OutOfService(within) => match self.service(false, within, said) {
                 true => Reply::yes(&self.drain_report()),
                 // A process that is on its way out does not come back.
-                false => Reply::no(StatusCode::CONFLICT, self.standing.borrow().said().trim()),
+                false => Reply::no(&NoCall::Leaving(self.standing.borrow().said().trim())),
             },
             Ask::DrainEndpoints(Endpoints { names, force }) => {
                 let Some(marks) = self.marks() else { return not_on() };
@@ -77,7 +78,8 @@
                             Refusal::Last(_) | Refusal::TooMany(_) => StatusCode::CONFLICT,
                         };
                         let destinations = if let Refusal::Last(last) = &why { &last[..] } else { &[] };
-                        let body = json!({"error": why.to_string(), "destinations": destinations});
+                        let body = json!({"code": why.code(), "error": why.to_string(), "remedy": why.remedy(),
+                                           "destinations": destinations});
                         return Reply::new(status, &body);
                     }
                 };
@@ -98,8 +100,7 @@
         let changed: BTreeSet<String> = self.names_listed().filter(|name| differs(name)).collect();
         if *before != marks {
             if let Some(Err(e)) = self.parts.draining.as_mut().map(|draining| draining.keep(marks)) {
-                let why = format!("the marks can't be written down, nothing is changed: {e}");
-                return Reply::no(StatusCode::INSUFFICIENT_STORAGE, why);
+                return Reply::no(&NoCall::Marks(e));
             }
             said.push(self.relisted(|name| changed.contains(name)));
         }
@@ -113,8 +114,7 @@
     /// The view of the fleet, with those who are not of it counted.
     fn members(&self) -> Reply {
         let Some(view) = &self.parts.view else {
-            let why = "there is no view of the fleet: the configuration has no section \"membership\"";
-            return Reply::no(StatusCode::NOT_FOUND, why);
+            return Reply::no(&NoCall::MembershipOff);
         };
         let mut report = view.report(self.clock.now());
         report["strangers"] = json!(self.peers.as_ref().map(super::Peers::strangers));
--- a/src/net/driver/estimating.rs
+++ b/src/net/driver/estimating.rs
@@ -5,6 +5,7 @@
 use myrtleyard::estimate::sending::{self, NoRun, Run};
 use myrtleyard::interface::{DestinationId, Outlook};
 use myrtleyard::status::Query;
+use myrtleyard::told;
 use serde::Deserialize;
 use serde_json::json;
 
@@ -24,7 +25,7 @@
 
 /// Why there is no estimate.
 #[derive(Debug, thiserror::Error)]
-enum Why {
+pub enum Why {
     #[error("nothing is estimated here: the configuration has no section \"status\"")]
     Off,
     #[error("the body can't be read: {0}")]
@@ -37,37 +38,21 @@
     Tenant(String),
 }
 
-impl Why {
-    fn code(&self) -> &'static str {
-        match self {
-            Self::Off => "estimate.off",
-            Self::Body(_) => "estimate.body",
-            Self::Query(why) => why.code(),
-            Self::Run(why) => why.code(),
-            Self::Tenant(_) => "estimate.tenant",
-        }
-    }
-
-    fn remedy(&self) -> &'static str {
-        match self {
-            Self::Off => {
-                "put the sections \"membership\" and \"status\" into the configuration and start it anew"
-            }
-            Self::Body(_) => {
-                "send {\"query\": {...}} or {\"run\": {...}} with the fields of docs/estimate.md"
-            }
-            Self::Query(why) => why.remedy(),
-            Self::Run(why) => why.remedy(),
-            Self::Tenant(_) => "name one of settings.realms",
-        }
-    }
+told! { Why {
+    Off => "estimate.off", "put the sections \"membership\" and \"status\" into the configuration and start it anew";
+    Body => "estimate.body", "send {\"query\": {...}} or {\"run\": {...}} with the fields of docs/estimate.md";
+    Tenant => "estimate.tenant", "name one of settings.realms";
+    ..Query;
+    ..Run;
+} }
 
+impl Why {
     fn reply(&self) -> Reply {
         let status = match self {
             Self::Off | Self::Run(NoRun::Nowhere(_)) => StatusCode::NOT_FOUND,
             _ => StatusCode::BAD_REQUEST,
         };
-        Reply::new(status, &json!({"code": self.code(), "error": self.to_string(), "remedy": self.remedy()}))
+        Reply::told(status, self)
     }
 }
 
--- a/src/net/driver/starting.rs
+++ b/src/net/driver/starting.rs
@@ -3,13 +3,13 @@
 
 use std::collections::BTreeMap;
 
-use hyper::StatusCode;
 use myrtleyard::interface::*;
 
 use super::super::control::Reply;
 use super::super::listing::{Listing, Shape};
 use super::super::parts::Part;
 use super::super::parts::starting::named;
+use super::super::refusals::NoCall;
 use super::Driver;
 
 impl Driver {
@@ -134,8 +134,7 @@
     /// How far this process has started, for operators.
     pub(super) fn start_report(&self) -> Reply {
         let Some(starting) = &self.parts.starting else {
-            let why = "starts are not told of: the configuration has no section \"start\"";
-            return Reply::no(StatusCode::NOT_FOUND, why);
+            return Reply::no(&NoCall::StartOff);
         };
         Reply::yes(&starting.report(self.clock.now()))
     }
--- a/src/net/handover.rs
+++ b/src/net/handover.rs
@@ -11,7 +11,6 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use hyper::StatusCode;
 use myrtleyard::interface::{EndpointId, Event, MessageId, Micros, Outcome, Settings};
 use myrtleyard::policy::Policy;
 use serde::de::DeserializeOwned;
@@ -30,6 +29,7 @@
 use super::journal::Taken;
 use super::listing::Known;
 use super::names::Names;
+use super::refusals::NoCall;
 use super::{AttemptOver, Clock, Inbound, STOP_WITHIN, Standing};
 
 /// Held by the process that the folder belongs to.
@@ -350,7 +350,7 @@
                     continue;
                 }
                 Inbound::Control(_, reply) | Inbound::StatusQuery(_, _, reply) => {
-                    let _ = reply.send(Reply::no(StatusCode::CONFLICT, "handed over"));
+                    let _ = reply.send(Reply::no(&NoCall::HandedOver));
                     continue;
                 }
                 // The new process's matters: it has a watch, notices and a configuration of its own.
--- a/src/net/log.rs
+++ b/src/net/log.rs
@@ -8,6 +8,7 @@
 use std::sync::Mutex;
 use std::time::{Duration, Instant};
 
+use myrtleyard::told;
 use tracing::callsite::Identifier;
 use tracing::{Event, Subscriber};
 use tracing_subscriber::fmt::MakeWriter;
@@ -19,18 +20,43 @@
 const MOST: u32 = 20;
 const WINDOW: Duration = Duration::from_secs(1);
 
+/// Why there is no log.
+#[derive(Debug, thiserror::Error)]
+pub enum NoLog {
+    /// `NODE_LOG` is no filter.
+    #[error("NODE_LOG={level}: {why}")]
+    Level {
+        /// What it holds.
+        level: String,
+        /// What is wrong with it.
+        why: tracing_subscriber::filter::ParseError,
+    },
+    /// `NODE_LOG_FORM` is no form.
+    #[error("NODE_LOG_FORM={0}: text or json is expected")]
+    Form(String),
+    /// There is one in this process.
+    #[error("log: {0}")]
+    Twice(#[from] tracing_subscriber::util::TryInitError),
+}
+
+told! { NoLog {
+    Level => "log.level", "set NODE_LOG to error, warn, info, debug or trace, or unset it";
+    Form => "log.form", "set NODE_LOG_FORM to text or json, or unset it";
+    Twice => "log.twice", "tell the developers";
+} }
+
 /// Begins the log of a sender of this name.
 ///
 /// # Errors
 /// Fails, in one line, when the environment says what can't be meant.
-pub fn start(name: &str) -> Result<(), String> {
+pub fn start(name: &str) -> Result<(), NoLog> {
     let level = std::env::var("NODE_LOG").unwrap_or_else(|_| "info".to_owned());
-    let filter = EnvFilter::try_new(&level).map_err(|e| format!("NODE_LOG={level}: {e}"))?;
+    let filter = EnvFilter::try_new(&level).map_err(|why| NoLog::Level { level, why })?;
     let form = std::env::var("NODE_LOG_FORM").unwrap_or_else(|_| "text".to_owned());
     let json = match form.as_str() {
         "text" => false,
         "json" => true,
-        _ => return Err(format!("NODE_LOG_FORM={form}: text or json is expected")),
+        _ => return Err(NoLog::Form(form)),
     };
     let log = Registry::default().with(filter).with(Bounded::default());
     let writer = Named { name: name.to_owned(), json };
@@ -40,7 +66,7 @@
             .try_init(),
         false => log.with(tracing_subscriber::fmt::layer().with_ansi(false).with_writer(writer)).try_init(),
     };
-    started.map_err(|e| format!("log: {e}"))
+    Ok(started?)
 }
 
 /// Writes to standard error, with the sender's name in each line.
--- a/src/net/mgmt.rs
+++ b/src/net/mgmt.rs
@@ -17,6 +17,7 @@
 use myrtleyard::check;
 use myrtleyard::interface::Micros;
 use myrtleyard::status::Query;
+use myrtleyard::told::Told;
 use percent_encoding::percent_decode_str;
 use serde::de::DeserializeOwned;
 use serde_json::json;
@@ -28,6 +29,7 @@
 use super::control::{Ask, Reply, StatusCall};
 use super::figures::Figures;
 use super::intake::{SESSION_TOKEN, closing, plain, readiness};
+use super::refusals::NoCall;
 use super::{Inbound, Standing};
 
 /// Callers at a time.
@@ -119,7 +121,7 @@
             "/control/out-of-service" if post => match within(request.uri().query()) {
                 Ok(None) => self.service(false).await,
                 Ok(within) => self.ask(Ask::OutOfService(within)).await,
-                Err(why) => answered(Reply::no(StatusCode::BAD_REQUEST, why)),
+                Err(why) => answered(Reply::no(&why)),
             },
             "/control/in-service" if post => self.service(true).await,
             "/control/drain" if get => self.ask(Ask::Drain).await,
@@ -137,7 +139,7 @@
                 match whole(request, QUERY_BODY).await {
                     Ok(body) => match serde_json::from_slice(&body) {
                         Ok(query) => self.status(StatusCall { query, token, route }, begun).await,
-                        Err(e) => answered(unreadable(&e)),
+                        Err(e) => answered(Reply::no(&NoCall::Query(e))),
                     },
                     Err(no) => answered(no),
                 }
@@ -147,7 +149,7 @@
                     let token = token(&request);
                     self.status(StatusCall { query, token, route }, begun).await
                 }
-                None => answered(no_message()),
+                None => answered(Reply::no(&NoCall::Message)),
             },
             "/control/start" if get => self.ask(Ask::Start).await,
             "/control/endpoints/drain" if post => {
@@ -187,23 +189,23 @@
     /// What the driver makes of it. A process that has not started yet has nobody to ask.
     async fn ask(&self, ask: Ask) -> Response<Full<Bytes>> {
         if *self.standing.borrow() == Standing::Starting {
-            return answered(Reply::no(StatusCode::SERVICE_UNAVAILABLE, "starting"));
+            return answered(Reply::no(&NoCall::Starting));
         }
         let (reply, replied) = oneshot::channel();
         let _ = self.inbound.send(Inbound::Control(ask, reply));
-        let gone = || Reply::no(StatusCode::SERVICE_UNAVAILABLE, "stopping");
+        let gone = || Reply::no(&NoCall::Stopping);
         answered(replied.await.unwrap_or_else(|_| gone()))
     }
 
     /// What the tier knows of some messages, with what is left of the time for the call.
     async fn status(&self, call: StatusCall, begun: Instant) -> Response<Full<Bytes>> {
         if *self.standing.borrow() == Standing::Starting {
-            return answered(Reply::no(StatusCode::SERVICE_UNAVAILABLE, "starting"));
+            return answered(Reply::no(&NoCall::Starting));
         }
         let within = ANSWER_WITHIN.saturating_sub(begun.elapsed()).as_micros() as Micros;
         let (reply, replied) = oneshot::channel();
         let _ = self.inbound.send(Inbound::StatusQuery(Box::new(call), within, reply));
-        let gone = || Reply::no(StatusCode::SERVICE_UNAVAILABLE, "stopping");
+        let gone = || Reply::no(&NoCall::Stopping);
         answered(replied.await.unwrap_or_else(|_| gone()))
     }
 
@@ -211,12 +213,12 @@
     async fn ask_with(
         &self,
         request: Request<Incoming>,
-        read: impl FnOnce(&[u8]) -> Result<Ask, String>,
+        read: impl FnOnce(&[u8]) -> Result<Ask, NoCall>,
     ) -> Response<Full<Bytes>> {
         match whole(request, SMALL_BODY).await {
             Ok(body) => match read(&body) {
                 Ok(ask) => self.ask(ask).await,
-                Err(why) => answered(Reply::no(StatusCode::BAD_REQUEST, why)),
+                Err(why) => answered(Reply::no(&why)),
             },
             Err(no) => answered(no),
         }
@@ -236,9 +238,12 @@
         match checked.await {
             Ok(Ok(changes)) => Reply::yes(&json!({"valid": true, "changes": changes})),
             Ok(Err(faults)) => {
-                Reply::new(StatusCode::BAD_REQUEST, &json!({"valid": false, "faults": faults}))
+                let why = NoCall::Faults(faults.len());
+                let body = json!({"valid": false, "faults": faults, "code": why.code(),
+                                  "error": why.to_string(), "remedy": why.remedy()});
+                Reply::new(why.status(), &body)
             }
-            Err(e) => Reply::no(StatusCode::INTERNAL_SERVER_ERROR, e),
+            Err(e) => Reply::no(&NoCall::Check(e)),
         }
     }
 }
@@ -258,39 +263,26 @@
     Some((serde_json::from_value(json!({"tenant": tenant, "ids": [id]})).ok()?, route))
 }
 
-fn no_message() -> Reply {
-    let why = "the path names no message, or the query is another than tenant=NAME and route=1";
-    let remedy = "ask for /control/status/message/ID?tenant=NAME, both percent-encoded";
-    Reply::typed(StatusCode::BAD_REQUEST, "status-message", why, remedy)
-}
-
-fn unreadable(why: &serde_json::Error) -> Reply {
-    let remedy = "send a query as docs/status.md has it";
-    Reply::typed(StatusCode::BAD_REQUEST, "status-query", format!("the query can't be read: {why}"), remedy)
-}
-
 /// A call's body, if it comes whole, in time, and is no longer than that.
 async fn whole(request: Request<Incoming>, most: usize) -> Result<Bytes, Reply> {
     match timeout(BODY_WITHIN, Limited::new(request.into_body(), most).collect()).await {
         Ok(Ok(body)) => Ok(body.to_bytes()),
-        Err(_) => Err(Reply::no(StatusCode::REQUEST_TIMEOUT, "the body did not come whole in time")),
-        Ok(Err(e)) if e.is::<LengthLimitError>() => {
-            Err(Reply::no(StatusCode::PAYLOAD_TOO_LARGE, format!("the body is over {most} bytes")))
-        }
-        Ok(Err(_)) => Err(Reply::no(StatusCode::BAD_REQUEST, "the body broke off")),
+        Err(_) => Err(Reply::no(&NoCall::BodyLate)),
+        Ok(Err(e)) if e.is::<LengthLimitError>() => Err(Reply::no(&NoCall::BodyLong(most))),
+        Ok(Err(_)) => Err(Reply::no(&NoCall::BodyCut)),
     }
 }
 
 /// The time that a drain is given: none, or whole milliseconds over 0.
-fn within(query: Option<&str>) -> Result<Option<Micros>, String> {
+fn within(query: Option<&str>) -> Result<Option<Micros>, NoCall> {
     let Some(query) = query else { return Ok(None) };
     let ms = query.strip_prefix("within_ms=").and_then(|ms| ms.parse::<u32>().ok()).filter(|ms| *ms > 0);
-    let ms = ms.ok_or("?within_ms=N with N from 1 to 4294967295 is expected")?;
+    let ms = ms.ok_or(NoCall::Within)?;
     Ok(Some(Micros::from(ms) * 1000))
 }
 
-fn read<T: DeserializeOwned>(body: &[u8]) -> Result<T, String> {
-    serde_json::from_slice(body).map_err(|e| format!("the body can't be read: {e}"))
+fn read<T: DeserializeOwned>(body: &[u8]) -> Result<T, NoCall> {
+    Ok(serde_json::from_slice(body)?)
 }
 
 fn answered(reply: Reply) -> Response<Full<Bytes>> {
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -17,6 +17,7 @@
 pub mod parts;
 pub mod peers;
 pub mod platform;
+pub mod refusals;
 
 use std::time::{Instant, SystemTime, UNIX_EPOCH};
 
@@ -82,7 +83,7 @@
     /// It has something done here, or is gone.
     Ordered(Option<handover::Order>),
     /// The configuration was read again, or why it is turned down.
-    Reloaded(Result<Box<config::Config>, String>),
+    Reloaded(Result<Box<config::Config>, config::Wrong>),
     /// Operators want clients to go elsewhere, or to come again. They hear how it stands then.
     Service(bool, oneshot::Sender<Standing>),
     /// Operators ask for something else.
--- a/src/net/parts/draining.rs
+++ b/src/net/parts/draining.rs
@@ -4,8 +4,9 @@
 use std::io;
 use std::path::{Path, PathBuf};
 
-use myrtleyard::drain::{Mark, Marks};
+use myrtleyard::drain::{Mark, Marks, Unread};
 use myrtleyard::interface::{Listing, Micros};
+use myrtleyard::told::Told;
 use serde_json::{Value, json};
 
 use super::super::lasting;
@@ -22,11 +23,18 @@
     /// again.
     pub fn open(folder: &Path, most: usize) -> Self {
         let at = folder.join("drained");
-        let read = lasting::read(&at).map_err(|e| e.to_string());
-        let marks = match read.and_then(|text| text.map(|text| Marks::read(most, &text)).transpose()) {
-            Ok(marks) => marks.unwrap_or_else(|| Marks::new(most)),
+        let read = lasting::read(&at).map(|text| text.map(|text| Marks::read(most, &text)));
+        let marks = match read {
+            Ok(None) => Marks::new(most),
+            Ok(Some(Ok(marks))) => marks,
+            Ok(Some(Err(e))) => {
+                let code = e.code();
+                tracing::error!(code, "the marks on drained endpoints can't be read, none is marked: {e}");
+                Marks::new(most)
+            }
             Err(e) => {
-                tracing::error!("the marks on drained endpoints can't be read, none is marked: {e}");
+                let code = Unread::CODES[0];
+                tracing::error!(code, "the marks on drained endpoints can't be read, none is marked: {e}");
                 Marks::new(most)
             }
         };
--- a/src/net/parts/starting.rs
+++ b/src/net/parts/starting.rs
@@ -10,6 +10,7 @@
 use myrtleyard::membership::{Facts, State};
 use myrtleyard::start::kept::{EVERY, Kept, MOST_BYTES};
 use myrtleyard::start::{Begin, Failed, Named, Phase, Start};
+use myrtleyard::told::Told;
 use serde_json::{Value, json};
 use tokio::sync::Notify;
 
@@ -73,7 +74,8 @@
         let fit = kept.filter(|kept| match kept.fit(tier, config.known.index, now) {
             Ok(()) => true,
             Err(why) => {
-                tracing::warn!("the list of endpoints that was kept is not begun from: {why}");
+                let (code, remedy) = (why.code(), why.remedy());
+                tracing::warn!(code, remedy, "the list of endpoints that was kept is not begun from: {why}");
                 false
             }
         });
--- a/src/plans/limits.rs
+++ b/src/plans/limits.rs
@@ -9,6 +9,8 @@
 use super::token::{Token, Unreadable};
 use super::{Config, Level, Plan};
 use crate::interface::Micros;
+use crate::told;
+use crate::told::Told;
 
 /// Tenants whose rate and counts are kept at most.
 pub const MOST_TENANTS: usize = 1_024;
@@ -48,25 +50,21 @@
 impl Denied {
     /// A stable name.
     pub fn code(&self) -> &'static str {
-        match self {
-            Self::NoSession { .. } => "plan_no_session",
-            Self::Token(unreadable) => unreadable.code(),
-            Self::Rate { .. } => "plan_rate",
-        }
+        Told::code(self)
     }
 
     /// What an operator can do.
     pub fn remedy(&self) -> &'static str {
-        match self {
-            Self::NoSession { .. } => {
-                "read without a token, or give the tenant a plan with level session and send SIGHUP"
-            }
-            Self::Token(unreadable) => unreadable.remedy(),
-            Self::Rate { .. } => "have the tenant read less often, or raise reads_per_s and send SIGHUP",
-        }
+        Told::remedy(self)
     }
 }
 
+told! { Denied {
+    NoSession => "plan_no_session", "read without a token, or give the tenant a plan with level session and send SIGHUP";
+    Rate => "plan_rate", "have the tenant read less often, or raise reads_per_s and send SIGHUP";
+    ..Token;
+} }
+
 /// Counts of one tenant's reads at one level, since the process began.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize)]
 pub struct Counts {
--- a/src/plans/token.rs
+++ b/src/plans/token.rs
@@ -12,6 +12,8 @@
 use serde::Serialize;
 
 use crate::status::{Life, LogId, Rank};
+use crate::told;
+use crate::told::Told;
 
 /// Logs that a token names at most.
 pub const MOST_LOGS: usize = 128;
@@ -60,29 +62,24 @@
 impl Unreadable {
     /// A stable name.
     pub fn code(self) -> &'static str {
-        match self {
-            Self::Long(_) => "token_long",
-            Self::Text => "token_text",
-            Self::Cut { .. } => "token_cut",
-            Self::Version(_) => "token_version",
-            Self::Foreign => "token_foreign",
-            Self::Spoilt => "token_spoilt",
-        }
+        Told::code(&self)
     }
 
     /// What an operator can do.
     pub fn remedy(self) -> &'static str {
-        match self {
-            Self::Long(_) | Self::Cut { .. } => {
-                "see whether something between the client and the sender shortens or joins headers"
-            }
-            Self::Text | Self::Spoilt => "have the client send the token as it got it",
-            Self::Version(_) => "finish the roll-out, so that all senders read it",
-            Self::Foreign => "send the client to its own tier, or have it begin a new session here",
-        }
+        Told::remedy(&self)
     }
 }
 
+told! { Unreadable {
+    Long => "token_long", "see whether something between the client and the sender shortens or joins headers";
+    Text => "token_text", "have the client send the token as it got it";
+    Cut => "token_cut", "see whether something between the client and the sender shortens or joins headers";
+    Version => "token_version", "finish the roll-out, so that all senders read it";
+    Foreign => "token_foreign", "send the client to its own tier, or have it begin a new session here";
+    Spoilt => "token_spoilt", "have the client send the token as it got it";
+} }
+
 /// What a session must not be shown less than.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Hash, Serialize)]
 pub struct Token {
--- a/src/start/kept.rs
+++ b/src/start/kept.rs
@@ -4,6 +4,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::interface::Micros;
+use crate::told;
 
 /// A longer list is not kept, bytes.
 pub const MOST_BYTES: usize = 96 * 1024;
@@ -45,6 +46,12 @@
     Behind,
 }
 
+told! { Unfit {
+    Foreign => "start.kept-foreign", "look whether this sender has the folder of another tier's";
+    Old => "start.kept-old", "look at the machine's clock, if the process was not away for so long";
+    Behind => "start.kept-behind", "nothing: the configuration's list is taken";
+} }
+
 impl<T> Kept<T> {
     /// Whether a process that starts now, with that version in its configuration, may begin from it.
     ///
