--- a/tests/conformance/design.rs
+++ b/tests/conformance/design.rs
@@ -218,4 +218,18 @@
         Warm, [Serve(20), Take(1, ONCE), Pass(20), Take(1, SAFE), Pass(20), EndNewest(Delivered),
             End(1, TimedOut), Each(1, Delivered)],
         [Take(20, SAFE)] => [Out(6)];
+    "open to closed: what has little time left goes right after",
+        Warm, [Serve(20), Take(6, ONCE), End(5, Error), End(1, Delivered)], [Brief(SAFE, 1_500)]
+        => [Sent(1, 1), Refused(0)];
+    "half-open to closed: by a late success, with the trial forgotten",
+        Warm, [Serve(20), Take(6, ONCE), End(5, Error), Take(1, ONCE), Pass(2_010), End(1, Delivered),
+            Each(5, Error)],
+        [Take(1, SAFE), Pass(2_010)] => [Sent(1, 1)];
+    "slowness: time-outs with answers since are no outage",
+        Cold, [Serve(80), Take(2, ONCE), Pass(20), Take(1, SAFE), EndNewest(Delivered), Pass(2_000),
+            End(2, TimedOut)],
+        [Take(4, SAFE)] => [Sent(4, 4)];
+    "backlog: one failure between successes is no outage",
+        Cold, [Serve(80), Each(1, Error), Pass(1_000), Each(1, Delivered), Pass(1_000)], [Take(6, SAFE)]
+        => [Sent(6, 6)];
 };
