Decide, charge and correct reads by plan before and after they run

The estimator decided and charged, and reads by plan routed, but nothing joined them: `queries_per_min`, `shards` and `bytes_per_min` of a plan were not held, and routing's costs were constants.

Design: `estimate::charged` (sans I/O) has a read's decision, charge, bound and what it read; the reading part carries out what was decided, has a read wait for the first piece of its tenant's budget within `wait_ms`, and corrects the charge however a read ends. Not taken: charging inside the index's scan, since a read by plan is several questions at several senders, and what it read there is known only from their answers. A read past its bound is cut between answers, not within one. The rule of time does not refuse such reads: they end at their deadline, and what is refused would never be seen to be fast again.

Beside it: by ids a shard counted anew with each change of span, and entries out of the range were read, so that answers went beyond the predicted most; narrowing a query without `from` halved all time, and never came near the newest messages.

--- a/src/estimate/decide.rs
+++ b/src/estimate/decide.rs
@@ -92,21 +92,24 @@
     let mut too_early = query.from;
     let mut late = query.to.min(limits.unix);
     let mut found = None;
+    let mut back = Some(1_000_000);
     for _ in 0..MOST_TRIES {
         // Steps of under a millisecond leave nothing more in.
         if late.saturating_sub(too_early) < 1_000 {
             break;
         }
-        // Most of all time holds nothing: from the end back in growing steps until it is too much.
-        let from = match found {
-            None if late == query.to.min(limits.unix) => late.saturating_sub(1_000_000).max(too_early),
-            _ => too_early + (late - too_early) / 2,
+        // Most of all time holds nothing: from the end back in growing steps until it is too much. Halving all time from
+        // the start would use up all tries before it comes near the newest messages.
+        let from = match back {
+            Some(back) => late.saturating_sub(back).max(too_early),
+            None => too_early + (late - too_early) / 2,
         };
         let estimate = predict(&Query { from, ..query.clone() });
         if limits.against(&estimate).is_none() {
             (late, found) = (from, Some((from, estimate)));
+            back = back.map(|back: Micros| back.saturating_mul(4));
         } else {
-            too_early = from;
+            (too_early, back) = (from, None);
         }
     }
     found.filter(|(_, estimate)| estimate.prediction.entries.most > 0)
@@ -126,11 +129,13 @@
 pub enum Cut {
     /// In shards.
     #[error(
-        "cut after {0} shards, as many as were predicted at most; ask for a shorter time or fewer states"
+        "cut after {0} shards: no more were predicted, or the plan allows no more; ask for a shorter time or fewer ids"
     )]
     Shards(u64),
     /// In bytes.
-    #[error("cut after {0} bytes, as many as were predicted at most; ask for a shorter time or fewer states")]
+    #[error(
+        "cut after {0} bytes: no more were predicted, or the plan allows no more; ask for a shorter time or fewer ids"
+    )]
     Bytes(u64),
 }
 
@@ -174,7 +179,14 @@
         Ok(())
     }
 
-    /// It has ended: what was not touched is given back.
+    /// A part of it has read so much elsewhere, where it was not asked before: all of it is charged in the end.
+    pub fn took(&mut self, shards: u64, bytes: u64) {
+        self.shards = self.shards.saturating_add(shards);
+        self.bytes = self.bytes.saturating_add(bytes);
+    }
+
+    /// It has ended: what was not touched is given back, and what it took beyond its charge is taken, as far as there is
+    /// any.
     pub fn end(self, budgets: &mut Budgets, now: Micros) -> (u64, u64) {
         budgets.settle(now, self.charge, Cost { queries: 1, bytes: self.bytes });
         (self.shards, self.bytes)
--- a/src/estimate/estimator.rs
+++ b/src/estimate/estimator.rs
@@ -141,6 +141,10 @@
     pub refused: u64,
     /// Went past their bound.
     pub cut: u64,
+    /// Bytes that queries were charged when they began.
+    pub charged: u64,
+    /// Bytes that they had read when they ended.
+    pub read: u64,
 }
 
 impl Estimator {
@@ -282,7 +286,8 @@
         Told { prediction: estimate.prediction, decision, held }
     }
 
-    /// Decides a query that is to run now, and charges it. It runs as the decision says if [`Running`] comes along.
+    /// Decides a query that is to run now, and charges it. It runs as the decision says if [`Running`] comes along. One
+    /// that is for later may be tried again soon; [`Estimator::put_off`] counts it once it is told so.
     pub fn begin(
         &mut self,
         now: Micros,
@@ -309,10 +314,10 @@
             Ok(running) => {
                 let narrowed = matches!(decided.decision, Decision::Narrowed { .. });
                 *(if narrowed { &mut self.counts.narrowed } else { &mut self.counts.run }) += 1;
+                self.counts.charged = self.counts.charged.saturating_add(cost.bytes);
                 (decided, Some(running))
             }
             Err(Short { after, reason }) => {
-                self.counts.later += 1;
                 decided.decision = Decision::Later { after, reason };
                 (decided, None)
             }
@@ -321,13 +326,24 @@
 
     /// A query has ended, whole or cut: its charge is corrected, and what it touched is learned if it was whole.
     pub fn end(&mut self, now: Micros, decided: &Decided, running: Running, touched: Result<Touched, Cut>) {
-        running.end(&mut self.budgets, now);
+        self.settle(now, running);
         match touched {
             Ok(touched) => self.learned.learn(&decided.estimate.basis, &touched),
             Err(_) => self.counts.cut += 1,
         }
     }
 
+    /// A query has ended with less than all: its charge is corrected, and nothing is learned.
+    pub fn settle(&mut self, now: Micros, running: Running) {
+        let (_, bytes) = running.end(&mut self.budgets, now);
+        self.counts.read = self.counts.read.saturating_add(bytes);
+    }
+
+    /// Somebody was told to ask again later.
+    pub fn put_off(&mut self) {
+        self.counts.later += 1;
+    }
+
     /// What reading a log at a sender costs, microseconds: what its part of an answer took of late, and what is added for
     /// one that is suspected, cut off or starting. Reads by plan go to the least.
     pub fn price(&self, now: Micros, server: Rank) -> Micros {
--- a/src/estimate/lend.rs
+++ b/src/estimate/lend.rs
@@ -360,11 +360,19 @@
         Ok(charge)
     }
 
-    /// A query that was charged has ended: what it did not use goes back to its pieces, as far as they live.
+    /// A query that was charged has ended: what it did not use goes back to its pieces, as far as they live; what it used
+    /// beyond its charge is taken out of those that are here.
     pub fn settle(&mut self, now: Micros, charge: Charge, used: Cost) {
         let Some(purse) = self.purses.get_mut(&charge.tenant) else { return };
         let all = charge.taken.iter().fold(Cost::default(), |sum, (_, taken)| sum.plus(*taken));
         let mut over = all.less(used);
+        // What it took beyond its charge is the next ones' loss, as far as anything is here.
+        let mut more = used.less(all);
+        purse.used = purse.used.plus(more);
+        for piece in purse.pieces.iter_mut().filter(|piece| now < piece.until) {
+            let taken = piece.left.least(more);
+            (piece.left, more) = (piece.left.less(taken), more.less(taken));
+        }
         purse.used = purse.used.less(over);
         for (serial, taken) in charge.taken {
             let back = taken.least(over);
--- a/src/estimate/mod.rs
+++ b/src/estimate/mod.rs
@@ -5,6 +5,7 @@
 //! A prediction is made from summaries that shards' owners make of themselves. It never says that a shard is not touched
 //! which holds a row within what its summary covers.
 
+pub mod charged;
 pub mod decide;
 pub mod estimator;
 pub mod known;
--- a/src/net/control.rs
+++ b/src/net/control.rs
@@ -44,6 +44,8 @@
     pub token: Option<String>,
     /// Routes and reasons are wanted in the answer.
     pub route: bool,
+    /// What it was predicted to cost, and what was decided, is wanted in the answer.
+    pub estimate: bool,
 }
 
 /// Endpoints that are named in a call.
--- a/src/net/driver/indexed.rs
+++ b/src/net/driver/indexed.rs
@@ -79,12 +79,12 @@
     pub(super) fn ask_status(&mut self, call: StatusCall, within: Micros, reply: oneshot::Sender<Reply>) {
         let now = self.clock.now();
         let facts = self.parts.view.as_ref().map(|view| view.facts(now));
-        match (&mut self.parts.indexing, &mut self.parts.reading) {
-            (Some(indexing), Some(reading)) if reading.is_on() => {
-                reading.begin(call, (now, within), reply, (indexing, facts.as_ref()));
+        let estimating = self.parts.estimating.as_mut();
+        match (&mut self.parts.indexing, &mut self.parts.reading, estimating) {
+            (Some(indexing), Some(reading), Some(estimating)) if reading.is_on() => {
+                reading.begin(call, (now, within), reply, (indexing, facts.as_ref(), estimating));
             }
-            (Some(indexing), _) => {
-                let estimating = self.parts.estimating.as_mut();
+            (Some(indexing), _, estimating) => {
                 let basis = estimating.as_ref().map(|part| part.core.predict(now, &call.query).basis);
                 let number = indexing.ask(call.query, within, now, reply);
                 if let (Some(part), Some(number), Some(basis)) = (estimating, number, basis) {
@@ -92,7 +92,7 @@
                 }
             }
             // Who does not wait any more has gone.
-            (None, _) => drop(reply.send(not_on())),
+            (None, ..) => drop(reply.send(not_on())),
         }
     }
 
--- a/src/net/mgmt.rs
+++ b/src/net/mgmt.rs
@@ -133,19 +133,22 @@
             "/control/status" if get => self.ask(Ask::Status).await,
             "/control/plans" if get => self.ask(Ask::Plans).await,
             "/control/status/query" if post => {
-                let (token, route) = (token(&request), request.uri().query() == Some("route=1"));
+                let token = token(&request);
+                let wants =
+                    |what| request.uri().query().is_some_and(|q| q.split('&').any(|pair| pair == what));
+                let (route, estimate) = (wants("route=1"), wants("estimate=1"));
                 match whole(request, QUERY_BODY).await {
                     Ok(body) => match serde_json::from_slice(&body) {
-                        Ok(query) => self.status(StatusCall { query, token, route }, begun).await,
+                        Ok(query) => self.status(StatusCall { query, token, route, estimate }, begun).await,
                         Err(e) => answered(unreadable(&e)),
                     },
                     Err(no) => answered(no),
                 }
             }
             path if get && path.starts_with(MESSAGE) => match one_message(path, request.uri().query()) {
-                Some((query, route)) => {
+                Some((query, (route, estimate))) => {
                     let token = token(&request);
-                    self.status(StatusCall { query, token, route }, begun).await
+                    self.status(StatusCall { query, token, route, estimate }, begun).await
                 }
                 None => answered(no_message()),
             },
@@ -244,22 +247,23 @@
 }
 
 /// A query of a single message, by its id in the path and its tenant: none is the one of messages without any.
-fn one_message(path: &str, query: Option<&str>) -> Option<(Query, bool)> {
+fn one_message(path: &str, query: Option<&str>) -> Option<(Query, (bool, bool))> {
     let text = |text: &str| percent_decode_str(text).decode_utf8().ok().map(|text| text.into_owned());
     let id = text(path.strip_prefix(MESSAGE)?).filter(|id| !id.is_empty())?;
-    let (mut tenant, mut route) = (String::new(), false);
+    let (mut tenant, mut route, mut estimate) = (String::new(), false, false);
     for pair in query.into_iter().flat_map(|query| query.split('&')) {
         match pair.split_once('=')? {
             ("tenant", name) => tenant = text(name)?,
             ("route", "1") => route = true,
+            ("estimate", "1") => estimate = true,
             _ => return None,
         }
     }
-    Some((serde_json::from_value(json!({"tenant": tenant, "ids": [id]})).ok()?, route))
+    Some((serde_json::from_value(json!({"tenant": tenant, "ids": [id]})).ok()?, (route, estimate)))
 }
 
 fn no_message() -> Reply {
-    let why = "the path names no message, or the query is another than tenant=NAME and route=1";
+    let why = "the path names no message, or the query is another than tenant=NAME, route=1 and estimate=1";
     let remedy = "ask for /control/status/message/ID?tenant=NAME, both percent-encoded";
     Reply::typed(StatusCode::BAD_REQUEST, "status-message", why, remedy)
 }
--- a/src/net/parts/estimating.rs
+++ b/src/net/parts/estimating.rs
@@ -69,6 +69,11 @@
         }
     }
 
+    /// Has the part called at once: a budget was asked for.
+    pub fn wake(&mut self, now: Micros) {
+        self.due = now;
+    }
+
     /// It was answered. A partial answer tells nothing of what a whole one takes.
     fn answered(&mut self, number: u64, answer: &Answer) {
         let Some(basis) = self.under_way.remove(&number).filter(|_| !answer.partial) else { return };
--- a/src/net/parts/mod.rs
+++ b/src/net/parts/mod.rs
@@ -155,11 +155,13 @@
         for part in self.each().filter(|part| part.due().is_some_and(|due| due <= now)) {
             part.tick(now, out);
         }
-        if let (Some(indexing), Some(reading)) = (&mut self.indexing, &mut self.reading) {
+        let index = (&mut self.indexing, &mut self.estimating);
+        if let ((Some(indexing), Some(estimating)), Some(reading)) = (index, &mut self.reading) {
             let answers = indexing.answers();
             if !answers.is_empty() || reading.due().is_some_and(|due| due <= now) {
                 let facts = self.view.as_ref().map(|view| view.facts(now));
-                reading.go_on(now, answers, (indexing, facts.as_ref()));
+                reading.look(now, (&mut *indexing, facts.as_ref(), &mut *estimating));
+                reading.go_on(now, answers, (indexing, facts.as_ref(), estimating));
             }
         }
     }
--- a/src/net/parts/reading.rs
+++ b/src/net/parts/reading.rs
@@ -5,13 +5,17 @@
 use std::rc::Rc;
 
 use hyper::StatusCode;
+use myrtleyard::estimate::charged::Charged;
+use myrtleyard::estimate::decide::{Cut, Decided};
+use myrtleyard::estimate::lend::ASK_EVERY;
+use myrtleyard::estimate::{Decision, Reason};
 use myrtleyard::interface::Micros;
 use myrtleyard::membership::{Facts, tier_of};
 use myrtleyard::plans::limits::{Denied, Plans, Tally};
 use myrtleyard::plans::route::{Holder, Log, MOST_HOLDERS, Need, Role, Route, Stated, World};
 use myrtleyard::plans::session::{Ask, Ended, Outcome, Read, Verdict};
 use myrtleyard::plans::token::Token;
-use myrtleyard::plans::{Level, limits};
+use myrtleyard::plans::{Level, Otherwise, Plan, limits};
 use myrtleyard::status::query::{Answer, Missing, Refused, Routes, Told, Touched, Why};
 use myrtleyard::status::shards::key_of;
 use myrtleyard::status::{Entry, Life, LogId, Positions, Query, Rank, Reached};
@@ -22,16 +26,18 @@
 use super::super::control::{Reply, StatusCall};
 use super::super::journal::Taken;
 use super::Part;
+use super::estimating::Estimating;
 use super::indexing::{Indexing, refused};
 
 /// Reads under way at most.
 const MOST_READS: usize = 64;
 /// The index answers so long before a question's time is up, so that its answer is there by then, microseconds.
 const MARGIN: Micros = 30_000;
-/// Reading costs so much where an estimate does not say: here, in this zone, elsewhere.
-const COSTS: (u64, u64, u64) = (0, 1, 4);
-/// And so much more at a sender that has not been chosen to keep the log.
-const NOT_CHOSEN: u64 = 8;
+/// Reading costs so much more at a sender that has not been chosen to keep the log, microseconds: what a detour takes
+/// if it does not answer in time.
+const NOT_CHOSEN: Micros = 150_000;
+/// A read that waits for a piece of its tenant's budget looks for it so often, microseconds.
+const LOOK_EVERY: Micros = 20_000;
 /// Senders that may have kept a log and are considered, besides its owner: whoever is chosen while more of these are
 /// away is not asked.
 const KEEPERS: usize = MOST_HOLDERS - 1;
@@ -41,8 +47,20 @@
 /// Rows of one answer of the index, with what it says of itself.
 type Rows = Rc<Answer>;
 
-/// What else a part of the sender is asked with: the index, and how the view stands.
-type Around<'a> = (&'a mut Indexing, Option<&'a Facts>);
+/// What else a part of the sender is asked with: the index, how the view stands, and the estimates.
+type Around<'a> = (&'a mut Indexing, Option<&'a Facts>, &'a mut Estimating);
+
+/// A read that its plan lets begin, and that waits for its tenant's budget.
+struct Asked {
+    query: Query,
+    plan: Plan,
+    token: Token,
+    /// Routes are wanted, and the estimate.
+    shows: (bool, bool),
+    begun: Micros,
+    within: Micros,
+    reply: oneshot::Sender<Reply>,
+}
 
 /// A read under way.
 struct Under {
@@ -51,7 +69,9 @@
     plan: String,
     token: Token,
     logs: Vec<LogId>,
-    route: bool,
+    shows: (bool, bool),
+    charged: Charged,
+    cut: Option<Cut>,
     begun: Micros,
     reply: oneshot::Sender<Reply>,
     told: Vec<Told>,
@@ -76,6 +96,9 @@
     next: u64,
     under: BTreeMap<u64, Under>,
     out: BTreeMap<u64, Out>,
+    /// Reads that wait for a piece of their tenant's budget, [`MOST_READS`] with those under way, and when they look again.
+    waiting: Vec<Asked>,
+    look_at: Micros,
 }
 
 impl Reading {
@@ -87,7 +110,8 @@
         let tier = config.membership.as_ref().map_or(0, |membership| tier_of(&membership.tier));
         let (under, out) = (BTreeMap::new(), BTreeMap::new());
         let size = config.peers.len();
-        Some(Self { plans: Plans::new(section), on: true, own, size, tier, next: 0, under, out })
+        let (plans, waiting) = (Plans::new(section), Vec::new());
+        Some(Self { plans, on: true, own, size, tier, next: 0, under, out, waiting, look_at: 0 })
     }
 
     /// The configuration has changed.
@@ -121,7 +145,7 @@
         reply: oneshot::Sender<Reply>,
         around: Around<'_>,
     ) {
-        let StatusCall { query, token, route } = call;
+        let StatusCall { query, token, route, estimate } = call;
         let admitted = self.plans.admit(&query.tenant, token.as_deref(), self.tier, now);
         let (plan, token) = match admitted {
             Ok(admitted) => admitted,
@@ -131,21 +155,90 @@
                 return drop(reply.send(denial(&denied)));
             }
         };
-        if self.under.len() >= MOST_READS {
+        if self.under.len() + self.waiting.len() >= MOST_READS {
             return drop(reply.send(refused(&Refused::Busy)));
         }
+        let shows = (route, route || estimate);
+        let asked = Asked { query, plan, token, shows, begun: now, within, reply };
+        self.take_on(asked, now, around);
+    }
+
+    /// Says that a read is not run.
+    fn deny(&mut self, asked: Asked, denied: &Denied) {
+        let (tenant, code) = (&asked.query.tenant, denied.code());
+        tracing::info!(tenant, code, "a read is denied");
+        self.plans.denied(tenant);
+        // Who does not wait any more has gone.
+        let _ = asked.reply.send(denial(denied));
+    }
+
+    /// Begins a read as its estimate and its tenant's budget let it, or has it wait for a piece of the budget that was
+    /// asked for.
+    fn take_on(&mut self, mut asked: Asked, now: Micros, around: Around<'_>) {
+        let name = self.plans.of(&asked.query.tenant).0.to_owned();
+        let estimating = around.2;
+        let begun = Charged::begin(&mut estimating.core, now, &asked.query);
+        // What budgets have to say goes out now.
+        estimating.wake(now);
+        let charged = match begun {
+            Ok(charged) => charged,
+            Err(decided) => {
+                if let Decision::Later { after, .. } = decided.decision {
+                    let until = asked.begun + asked.within.min(Micros::from(asked.plan.wait_ms) * 1000);
+                    let comes = after <= ASK_EVERY || now.saturating_add(after) <= until;
+                    if now < until && comes && !asked.reply.is_closed() {
+                        self.look_at = now + LOOK_EVERY;
+                        self.waiting.push(asked);
+                        return;
+                    }
+                    estimating.core.put_off();
+                }
+                let denied = denied(name, &asked.plan, &decided);
+                return self.deny(asked, &denied);
+            }
+        };
+        if let Decision::Narrowed { from, reason } = charged.decided.decision {
+            let seen = asked.token.overflowed() || asked.token.logs().next().is_some();
+            if seen && asked.plan.otherwise == Otherwise::Refuse {
+                // What its session has seen must not be left out.
+                let estimate = estimating.core.predict(now, &asked.query);
+                let whole = Decided { decision: Decision::Refused { reason }, estimate };
+                let denied = denied(name, &asked.plan, &whole);
+                charged.end(&mut estimating.core, now, Ok(None));
+                return self.deny(asked, &denied);
+            }
+            asked.query.from = from;
+        }
+        let Asked { query, plan, token, shows, begun, within, reply } = asked;
+        let within = within.saturating_sub(now.saturating_sub(begun));
+        let around = (around.0, around.1, estimating);
         let logs = self.logs(&token, around.0, now);
         let core = match Read::begin(&plan, token.clone(), logs.iter().copied(), now, within) {
             Ok(core) => core,
             Err(wide) => {
+                charged.end(&mut around.2.core, now, Ok(None));
                 let remedy = "ask for ids, or for less time";
                 return drop(reply.send(Reply::typed(StatusCode::BAD_REQUEST, "read_wide", wide, remedy)));
             }
         };
-        let plan = self.plans.of(&query.tenant).0.to_owned();
+        let plan = name;
         let (told, touched, missing) = (Vec::new(), Vec::new(), Vec::new());
-        let under =
-            Under { core, query, plan, token, logs, route, begun: now, reply, told, touched, missing };
+        let cut = None;
+        let under = Under {
+            core,
+            query,
+            plan,
+            token,
+            logs,
+            shows,
+            charged,
+            cut,
+            begun,
+            reply,
+            told,
+            touched,
+            missing,
+        };
         self.next += 1;
         self.under.insert(self.next, under);
         self.go_on(now, Vec::new(), around);
@@ -174,7 +267,8 @@
     }
 
     /// Goes on with all reads: answers of the index are checked, and what is open is asked for.
-    pub fn go_on(&mut self, now: Micros, answers: Vec<(u64, Answer)>, (indexing, facts): Around<'_>) {
+    pub fn go_on(&mut self, now: Micros, answers: Vec<(u64, Answer)>, around: Around<'_>) {
+        let (indexing, facts, estimating) = around;
         for (number, answer) in answers {
             self.answered(number, answer);
         }
@@ -182,36 +276,47 @@
         for number in numbers {
             let Some(under) = self.under.get_mut(&number) else { continue };
             let (logs, here) = holders(&under.logs, self.own, indexing, now);
-            let near = |rank: Rank| {
-                facts.and_then(|facts| facts.members.get(usize::from(rank))).is_some_and(|fact| fact.near)
-            };
+            if let Err(cut) = under.charged.check()
+                && !under.core.is_over()
+            {
+                under.core.cut();
+                under.cut = Some(cut);
+            }
             let own = self.own;
             let owners: BTreeSet<Rank> = under.logs.iter().map(|log| log.owner).collect();
             let chosen: BTreeMap<Rank, Vec<Rank>> =
                 owners.into_iter().map(|owner| (owner, indexing.core.replicas_of(owner))).collect();
             let cost = |rank: Rank, log: LogId| {
                 let of = chosen.get(&log.owner).is_some_and(|of| of.contains(&rank)) || rank == log.owner;
-                match rank {
-                    _ if rank == own => COSTS.0,
-                    _ if near(rank) => COSTS.1 + if of { 0 } else { NOT_CHOSEN },
-                    _ => COSTS.2 + if of { 0 } else { NOT_CHOSEN },
-                }
+                let more = if of || rank == own { 0 } else { NOT_CHOSEN };
+                estimating.core.price(now, rank).saturating_add(more)
             };
             let world = World { own, here: &here, facts, logs: &logs, cost: &cost, busy: &|_| false };
             let asks = under.core.step(now, &world);
             if under.core.is_over() {
                 if let Some(under) = self.under.remove(&number) {
-                    self.end(under, now);
+                    self.end(under, now, estimating);
                 }
             } else if let Err(why) = self.ask(number, asks, now, indexing)
                 && let Some(under) = self.under.remove(&number)
             {
+                under.charged.end(&mut estimating.core, now, Ok(None));
                 // Who does not wait any more has gone.
                 let _ = under.reply.send(refused(&why));
             }
         }
     }
 
+    /// Looks whether the budget is there that reads wait for.
+    pub fn look(&mut self, now: Micros, (indexing, facts, estimating): Around<'_>) {
+        if now < self.look_at {
+            return;
+        }
+        for asked in std::mem::take(&mut self.waiting) {
+            self.take_on(asked, now, (&mut *indexing, facts, &mut *estimating));
+        }
+    }
+
     /// Asks the index, which knows owners: where two logs of one owner go to different senders, in two questions.
     fn ask(
         &mut self,
@@ -246,6 +351,7 @@
     fn answered(&mut self, number: u64, answer: Answer) {
         let Some(Out { read, logs }) = self.out.remove(&number) else { return };
         let Some(under) = self.under.get_mut(&read) else { return };
+        under.charged.touched(&answer.touched);
         let answer = Rc::new(answer);
         under.told.extend(answer.logs.iter().cloned());
         under.touched.extend(answer.touched.iter().cloned());
@@ -261,8 +367,9 @@
         }
     }
 
-    fn end(&mut self, under: Under, now: Micros) {
-        let Under { core, query, plan, token, route, begun, reply: to, told, touched, missing, .. } = under;
+    fn end(&mut self, under: Under, now: Micros, estimating: &mut Estimating) {
+        let Under { core, query, plan, token, shows, begun, reply: to, told, touched, missing, .. } = under;
+        let (charged, cut) = (under.charged, under.cut);
         let ended = core.ended();
         let (tenant, level, outcome) = (query.tenant.clone(), ended.level, ended.outcome);
         let tally = tally(&ended);
@@ -300,11 +407,25 @@
         if let Some(without) = &ended.without_lost {
             read["token_without_lost"] = json!(without.text(self.tier));
         }
-        if route {
+        let estimate = estimate(&charged);
+        let left_out = left_out(&charged.decided.decision);
+        if let Some(left_out) = &left_out {
+            read["left_out"] = left_out.clone();
+        }
+        if let Some(cut) = &cut {
+            read["cut"] = json!(cut.to_string());
+        }
+        if shows.0 {
             read["routes"] = routes(&ended);
         }
         let session = (level == Level::Session).then(|| ended.token.text(self.tier));
-        let mut reply = if outcome == Outcome::Refused {
+        let mut whole = Ok(None);
+        touched.iter().for_each(|link| estimating.core.learned.link(link.server, link.took_us));
+        let mut reply = if let (Some(cut), Outcome::Refused) = (cut, outcome) {
+            let (code, remedy) = ("plan_cut", "ask for ids or a shorter time, or in pieces");
+            let told = json!({"code": code, "error": cut.to_string(), "remedy": remedy, "read": read});
+            Reply::new(StatusCode::PAYLOAD_TOO_LARGE, &told)
+        } else if outcome == Outcome::Refused {
             refusal(&lost, &late, &read)
         } else {
             let oldest = ended.parts.iter().filter_map(|part| part.answer.as_ref());
@@ -312,10 +433,19 @@
             read["age_ms"] = json!(oldest.map(|oldest| now.saturating_sub(oldest) / 1000));
             let mut answer = put_together(&query, &ended, (told, touched, missing));
             answer.took_us = took_us;
+            // Whoever looks at nothing else has to see that there may be more.
+            answer.partial |= left_out.is_some();
+            if outcome == Outcome::Kept {
+                whole = Ok(Some((answer.rows.len() as u64, took_us)));
+            }
             let mut body = serde_json::to_value(&answer).unwrap_or_default();
             body["read"] = read;
+            if shows.1 {
+                body["estimate"] = estimate;
+            }
             Reply::yes(&body)
         };
+        charged.end(&mut estimating.core, now, cut.map_or(whole, Err));
         reply.token = session;
         // Who does not wait any more has gone.
         let _ = to.send(reply);
@@ -324,7 +454,8 @@
 
 impl Part for Reading {
     fn due(&self) -> Option<Micros> {
-        self.under.values().filter_map(|under| under.core.due()).min()
+        let looks = (!self.waiting.is_empty()).then_some(self.look_at);
+        self.under.values().filter_map(|under| under.core.due()).chain(looks).min()
     }
 
     fn report(&self, _now: Micros) -> Value {
@@ -337,11 +468,14 @@
             .in_force()
             .map(|(name, plan)| {
                 let plan = json!({"level": plan.level, "staleness_ms": plan.staleness_ms, "wait_ms": plan.wait_ms,
-                                  "or": plan.otherwise, "reads_per_s": plan.reads_per_s});
+                                  "or": plan.otherwise, "reads_per_s": plan.reads_per_s,
+                                  "queries_per_min": plan.queries_per_min, "shards": plan.shards,
+                                  "bytes_per_min": plan.bytes_per_min});
                 (name, plan)
             })
             .collect();
         json!({"plans": plans, "reads": counts.collect::<Vec<_>>(), "under_way": self.under.len(),
+               "waiting": self.waiting.len(),
                "bounds": {"reads": MOST_READS, "tenants": limits::MOST_TENANTS}})
     }
 }
@@ -439,11 +573,47 @@
 
 fn denial(denied: &Denied) -> Reply {
     let status = match denied {
-        Denied::NoSession { .. } => StatusCode::FORBIDDEN,
+        Denied::NoSession { .. } | Denied::Shards { .. } => StatusCode::FORBIDDEN,
         Denied::Token(_) => StatusCode::BAD_REQUEST,
-        Denied::Rate { .. } => StatusCode::TOO_MANY_REQUESTS,
+        Denied::Rate { .. } | Denied::Later { .. } => StatusCode::TOO_MANY_REQUESTS,
+        Denied::Bytes { .. } => StatusCode::PAYLOAD_TOO_LARGE,
     };
-    Reply::typed(status, denied.code(), denied, denied.remedy())
+    let mut told = json!({"code": denied.code(), "error": denied.to_string(), "remedy": denied.remedy()});
+    if let Some(again_ms) = denied.again_ms() {
+        told["again_ms"] = json!(again_ms);
+    }
+    Reply::new(status, &told)
+}
+
+/// Why a read does not run, or not as it was asked.
+fn denied(plan: String, of: &Plan, decided: &Decided) -> Denied {
+    let prediction = &decided.estimate.prediction;
+    match decided.decision {
+        Decision::Later { after, reason } => {
+            let what = if reason == Reason::Queries { "queries" } else { "bytes" };
+            Denied::Later { plan, what, after_ms: after.div_ceil(1000) }
+        }
+        Decision::Refused { reason: Reason::Shards } => {
+            Denied::Shards { plan, most: prediction.shards.most, allowed: of.shards }
+        }
+        _ => Denied::Bytes { plan, most: prediction.bytes.most, allowed: of.bytes_per_min },
+    }
+}
+
+/// What a read was made less by.
+fn left_out(decision: &Decision) -> Option<Value> {
+    match decision {
+        Decision::Narrowed { from, reason } => Some(json!({"before": from, "reason": reason})),
+        _ => None,
+    }
+}
+
+/// What a read was predicted to take, what was decided, and what it took.
+fn estimate(charged: &Charged) -> Value {
+    let (decided, (shards, bytes)) = (&charged.decided, charged.read());
+    let prediction = &decided.estimate.prediction;
+    json!({"shards": prediction.shards, "bytes": prediction.bytes, "bound": prediction.bound,
+           "decision": decided.decision, "read": {"shards": shards, "bytes": bytes}})
 }
 
 /// A read that would have shown less.
--- a/src/plans/limits.rs
+++ b/src/plans/limits.rs
@@ -43,6 +43,36 @@
         /// When there is room again, milliseconds.
         after_ms: u64,
     },
+    /// The tenant's budget of this minute is used up or lent elsewhere, at the whole fleet.
+    #[error("the {what} of this minute that plan {plan} allows are used up or lent; again in {after_ms} ms")]
+    Later {
+        /// The plan by its key in the section `plans`.
+        plan: String,
+        /// Queries or bytes.
+        what: &'static str,
+        /// When there may be room again, milliseconds.
+        after_ms: u64,
+    },
+    /// It may touch more shards than a read may.
+    #[error("the read may touch {most} shards, and plan {plan} allows {allowed}")]
+    Shards {
+        /// The plan by its key in the section `plans`.
+        plan: String,
+        /// What it may touch.
+        most: u64,
+        /// What it may.
+        allowed: u32,
+    },
+    /// It may read more bytes than a whole minute has.
+    #[error("the read may take {most} bytes, and plan {plan} allows {allowed} a minute")]
+    Bytes {
+        /// The plan by its key in the section `plans`.
+        plan: String,
+        /// What it may read.
+        most: u64,
+        /// What all reads of a minute may.
+        allowed: u64,
+    },
 }
 
 impl Denied {
@@ -52,6 +82,9 @@
             Self::NoSession { .. } => "plan_no_session",
             Self::Token(unreadable) => unreadable.code(),
             Self::Rate { .. } => "plan_rate",
+            Self::Later { .. } => "plan_later",
+            Self::Shards { .. } => "plan_shards",
+            Self::Bytes { .. } => "plan_bytes",
         }
     }
 
@@ -63,6 +96,19 @@
             }
             Self::Token(unreadable) => unreadable.remedy(),
             Self::Rate { .. } => "have the tenant read less often, or raise reads_per_s and send SIGHUP",
+            Self::Later { .. } => {
+                "wait for again_ms, or raise queries_per_min or bytes_per_min and send SIGHUP"
+            }
+            Self::Shards { .. } => "ask for ids or a shorter time, or raise shards and send SIGHUP",
+            Self::Bytes { .. } => "ask for ids or a shorter time, or raise bytes_per_min and send SIGHUP",
+        }
+    }
+
+    /// When it may be asked again, milliseconds; nothing if that alone does not help.
+    pub fn again_ms(&self) -> Option<u64> {
+        match self {
+            Self::Rate { after_ms, .. } | Self::Later { after_ms, .. } => Some(*after_ms),
+            _ => None,
         }
     }
 }
@@ -76,7 +122,7 @@
     pub less: u64,
     /// Refused, since it would have been less.
     pub refused: u64,
-    /// Not begun: no session in the plan, an unreadable token, or too many.
+    /// Not begun: no session in the plan, an unreadable token, too many, or too large.
     pub denied: u64,
     /// Logs read here.
     pub here: u64,
@@ -184,6 +230,12 @@
         Ok(())
     }
 
+    /// A read that was let begin is not run, by what it would cost.
+    pub fn denied(&mut self, tenant: &str) {
+        let level = self.of(tenant).1.level;
+        self.count(tenant, level).denied += 1;
+    }
+
     fn count(&mut self, tenant: &str, level: Level) -> &mut Counts {
         let key = (tenant.to_owned(), level);
         let known = self.counts.contains_key(&key) || self.counts.len() < MOST_TENANTS;
--- a/src/plans/route.rs
+++ b/src/plans/route.rs
@@ -176,6 +176,8 @@
     Often,
     /// The owner and all that may hold it have said that they have less.
     Gone,
+    /// The read has taken as much as it may.
+    Cut,
 }
 
 /// How a sender stands: the lesser, the better.
--- a/src/plans/session.rs
+++ b/src/plans/session.rs
@@ -313,6 +313,13 @@
         }
     }
 
+    /// It has read as much as it may: what is open counts as late.
+    pub fn cut(&mut self) {
+        for leg in self.legs.values_mut().filter(|leg| leg.verdict.is_none()) {
+            leg.ends(Verdict::Late, Hop { route: Route::Late, reason: Reason::Cut });
+        }
+    }
+
     /// What it has come to, once it is over.
     pub fn ended(self) -> Ended<R> {
         let kept = |leg: &Leg<R>| matches!(leg.verdict, Some(Verdict::Kept | Verdict::NotTouched));
--- a/src/status/query.rs
+++ b/src/status/query.rs
@@ -10,7 +10,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::log::Log;
-use super::shards::{Key, Table, key_of, size_of};
+use super::shards::{Key, Table, begins, key_of, size_of};
 use super::store::Store;
 use super::{Entry, LogId, MOST_IDS, MOST_ROWS, Query, Rank, Reached, State};
 use crate::interface::Micros;
@@ -250,8 +250,8 @@
     }
 }
 
-/// The log at hand, the place to go on from, and the span of the last entry.
-type At = (Holding, Option<(Micros, Key)>, Option<u32>);
+/// The log at hand, the place to go on from, and the spans of entries that were looked at.
+type At = (Holding, Option<(Micros, Key)>, BTreeSet<u32>);
 
 /// Reading some logs that are here, in slices.
 #[derive(Debug)]
@@ -291,26 +291,28 @@
                 // A log costs something even if it holds nothing.
                 *budget -= 1;
                 // What is claimed is what holds now, before anything of it is read.
-                self.at = here.holding(next, now).map(|holding| (holding, None, None));
+                self.at = here.holding(next, now).map(|holding| (holding, None, BTreeSet::new()));
                 (self.ids, self.here, self.last) = (0, 0, None);
                 continue;
             }
-            let Some((mut holding, from, mut span)) = self.at.take() else { continue };
+            let Some((mut holding, from, mut spans)) = self.at.take() else { continue };
             let Some(table) = here.table(holding.log) else { continue };
             let (shards, entries, bytes) = &mut holding.touched;
             let mut look = |entry: &Entry| {
                 *entries += 1;
                 *bytes += size_of(entry) as u64;
-                let now_in = u32::try_from(entry.taken_at / here.span.max(1)).unwrap_or(u32::MAX);
-                if span.replace(now_in) != Some(now_in) {
-                    *shards += 1;
-                }
+                // Ids come in any order of time.
+                let span = u32::try_from(entry.taken_at / here.span.max(1)).unwrap_or(u32::MAX);
+                *shards += u32::from(spans.insert(span));
             };
             if !self.query.ids.is_empty() {
                 while let Some(id) = self.query.ids.get(self.ids).filter(|_| *budget > 0) {
                     *budget -= 1;
                     self.ids += 1;
-                    if let Some(held) = table.get(&key_of(&self.query.tenant, id)) {
+                    let held = table.get(&key_of(&self.query.tenant, id));
+                    // When a message was taken on never changes: out of the range there is nothing to look at.
+                    let within = begins(&self.query)..self.query.to;
+                    if let Some(held) = held.filter(|held| within.contains(&held.entry.taken_at)) {
                         look(&held.entry);
                         if self.query.may_want(&held.entry) {
                             let entry = held.entry.clone();
@@ -319,7 +321,7 @@
                     }
                 }
                 if self.ids < self.query.ids.len() {
-                    self.at = Some((holding, from, span));
+                    self.at = Some((holding, from, spans));
                     return false;
                 }
                 self.logs.push(here.read(holding));
@@ -352,7 +354,7 @@
             }
             (self.here, self.last) = (count, last);
             if let Some(place) = place {
-                self.at = Some((holding, Some(place), span));
+                self.at = Some((holding, Some(place), spans));
                 return false;
             }
             self.logs.push(here.read(holding));
--- a/tests/estimate/main.rs
+++ b/tests/estimate/main.rs
@@ -6,6 +6,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
+use myrtleyard::estimate::charged::Charged;
 use myrtleyard::estimate::decide::{Cut, Limits, Running, decide};
 use myrtleyard::estimate::estimator::Estimator;
 use myrtleyard::estimate::known::{BUDGET, BURST, Catalogue, Known};
@@ -16,6 +17,7 @@
 use myrtleyard::estimate::{Decision, Doubt, Reason};
 use myrtleyard::membership::{Fact, Facts, Rank, State as Held};
 use myrtleyard::plans::Plan;
+use myrtleyard::status::query::Touched as Link;
 use myrtleyard::status::{Entry, Life, LogId, Query, ShardId, State, States};
 use proptest::prelude::*;
 
@@ -513,3 +515,50 @@
     assert!(!estimator.predict(5_000_000, &upto(back)).prediction.bound);
     assert!(estimator.predict(5_000_000, &upto(back - 10_000_000)).prediction.bound);
 }
+
+/// Guards against a bound that a detour breaks, against one that the tenth of ten reads breaks where nothing is bounded,
+/// and against what is read beyond a charge being nobody's.
+#[test]
+fn a_read_by_plan_is_held_to_its_bound_log_by_log_and_all_that_it_read_is_charged() {
+    let plans = [("default".to_owned(), Plan { shards: 20, ..Plan::default() })].into();
+    let mut estimator = Estimator::new(0, 1, 7, SPAN, plans, 1, 0);
+    estimator.look(facts(1));
+    let now = 200_000_000;
+    let mut charged = Charged::begin(&mut estimator, now, &query("a")).unwrap();
+    let most = charged.decided.estimate.prediction.bytes.most;
+    let before = estimator.budgets.left(now, "a");
+    let link = |life: u64, server, shards, bytes| Link {
+        server,
+        log: LogId { owner: 0, life: Life(life) },
+        shards,
+        entries: 1,
+        bytes,
+        wire_bytes: 0,
+        took_us: 0,
+    };
+    assert!(!charged.decided.estimate.prediction.bound);
+    charged.touched(&[link(1, 0, 18, most), link(1, 1, 18, 50)]);
+    assert_eq!(charged.check(), Ok(()), "one log at two senders");
+    charged.touched(&[link(2, 0, 3, 50)]);
+    assert_eq!(charged.check(), Err(Cut::Shards(21)));
+    let cut = charged.check().map(|()| None);
+    charged.end(&mut estimator, now, cut);
+    assert_eq!(estimator.budgets.left(now, "a"), Cost { bytes: before.bytes - 100, ..before });
+    assert_eq!((estimator.counts.cut, estimator.counts.read), (1, most + 100));
+    // One that failed before it read anything costs a query.
+    let failed = Charged::begin(&mut estimator, now, &query("a")).unwrap();
+    failed.end(&mut estimator, now, Ok(None));
+    assert_eq!(estimator.budgets.left(now, "a").bytes, before.bytes - 100);
+}
+
+/// Guards against a search through all time that ends before it comes near the newest messages.
+#[test]
+fn a_query_of_all_time_is_narrowed_to_as_much_as_fits() {
+    let index = full_of(1, 100, |_| "a".into());
+    let known = settled(&index);
+    let plan = Plan { shards: 3, ..Plan::default() };
+    let (limits, all) = (Limits { plan: &plan, within: 1 << 40, unix: NOW }, Query { to: NOW, ..query("a") });
+    let decided = decide(&all, limits, Ok(()), &mut |query| asked(&index, &known, query));
+    let Decision::Narrowed { from, reason } = decided.decision else { panic!("{decided:?}") };
+    assert_eq!((reason, decided.estimate.prediction.shards.most), (Reason::Shards, 3), "from {from}");
+}
--- /dev/null
+++ b/tests/node/charging.rs
@@ -0,0 +1,122 @@
+//! Reads by plan that are predicted, charged and corrected, at three real senders.
+
+use serde_json::{Value, json};
+
+use super::status::tier_with;
+use super::world::*;
+
+/// Of 16 queries a minute a new lender has two, and more by and by.
+const QUERIES: u64 = 16;
+
+fn tier(platform: &Platform, water: &Value) -> Vec<Node> {
+    let nodes = tier_with(platform, &[], |config| {
+        config["plans"] = json!({"water": water, "default": {"level": "any", "wait_ms": 800}});
+        config["status"] = json!({"room_mb": 2, "span_s": 2});
+    });
+    let members = |node: &Node| {
+        let report = node.call("GET", "/control/estimate").json();
+        report["owners"].as_array().is_some_and(|owners| owners.len() == 3)
+    };
+    wait_until(|| nodes.iter().all(members));
+    nodes
+}
+
+fn hand_in(node: &Node, id: &str, tenant: &str) {
+    let text = String::from_utf8(handing_in(id, "order", 9, 60_000)).unwrap();
+    let text = text.replace("Req-Kind", &format!("Req-Owner: {tenant}\r\nReq-Kind"));
+    assert_eq!(node.ask(text.as_bytes()).status(), 202);
+}
+
+fn read(node: &Node, query: &Value) -> (u16, Value) {
+    let told = node.post("/control/status/query?estimate=1", &query.to_string());
+    (told.status(), told.json())
+}
+
+fn sum(nodes: &[Node], figure: &str) -> u64 {
+    let of = |node: &Node| node.call("GET", "/control/estimate").json()["queries"][figure].as_u64().unwrap();
+    nodes.iter().map(of).sum()
+}
+
+/// Guards against a budget that is only told: what was lent over all senders is what is answered, and nobody else waits.
+#[test]
+fn a_tenant_over_its_queries_a_minute_is_told_later_at_every_sender_and_nobody_else_is() {
+    let platform = Platform::new();
+    let nodes = tier(&platform, &json!({"queries_per_min": QUERIES, "wait_ms": 300}));
+    let water = json!({"tenant": "water"});
+    let (mut answered, mut in_a_row, mut asked) = (0, 0, 0);
+    while in_a_row < 3 {
+        let (status, said) = read(&nodes[asked % 3], &water);
+        asked += 1;
+        if status == 200 {
+            assert_eq!(said["estimate"]["decision"]["do"], "run", "{said}");
+            (answered, in_a_row) = (answered + 1, 0);
+            continue;
+        }
+        assert_eq!((status, &said["code"]), (429, &json!("plan_later")), "{said}");
+        assert!(said["again_ms"].as_u64().is_some_and(|ms| ms > 0) && said.get("rows").is_none(), "{said}");
+        in_a_row += 1;
+    }
+    assert!((1..=QUERIES).contains(&answered), "{answered} answered");
+    assert_eq!((sum(&nodes, "run"), sum(&nodes, "later")), (answered, asked as u64 - answered));
+    for node in &nodes {
+        let (status, said) = read(node, &json!({"tenant": "light"}));
+        assert_eq!(status, 200, "{said}");
+    }
+    let report = nodes[0].call("GET", "/control/plans").json();
+    let reads = report["reads"].as_array().unwrap();
+    let of = |tenant: &str| reads.iter().find(|counts| counts["tenant"] == tenant).unwrap()["counts"].clone();
+    assert!(of("water")["denied"].as_u64() > Some(0) && of("light")["denied"] == 0, "{report}");
+}
+
+/// Guards against a read that is let in by nothing but its size after the fact, against charges that stay as they were
+/// predicted, and against a narrowed answer that passes for a whole one.
+#[test]
+fn a_read_over_its_shards_is_refused_or_narrowed_and_a_charge_is_corrected_to_what_was_read() {
+    let platform = Platform::new();
+    let nodes = tier(&platform, &json!({"shards": 2, "wait_ms": 800}));
+    let ids: Vec<String> = (0..9).map(|n| format!("m{n}")).collect();
+    for (n, id) in ids.iter().enumerate() {
+        hand_in(&nodes[n % 3], id, "water");
+        hand_in(&nodes[n % 3], &format!("l{n}"), "light");
+    }
+    let unix =
+        || std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH).unwrap().as_micros() as u64;
+    // The newest is in a shard of its own.
+    std::thread::sleep(std::time::Duration::from_secs(4));
+    hand_in(&nodes[0], "newest", "water");
+    let past = json!({"tenant": "water", "to": unix()});
+    let settled = |node: &Node| {
+        let body = json!({"query": past}).to_string();
+        node.post("/control/estimate", &body).json()["prediction"]["bound"] == json!(true)
+    };
+    wait_until(|| nodes.iter().all(settled));
+    // Whoever asks for ids gets all or nothing.
+    let (status, said) = read(&nodes[1], &json!({"tenant": "water", "ids": ids}));
+    assert_eq!((status, &said["code"]), (403, &json!("plan_shards")), "{said}");
+    assert!(["error", "remedy"].iter().all(|key| said[key].as_str().is_some_and(|s| s.len() > 10)), "{said}");
+    assert_eq!((sum(&nodes, "refused"), sum(&nodes, "charged")), (1, 0));
+    // Of a range of time the newest are there.
+    let (status, said) = read(&nodes[1], &past);
+    let left_out = &said["read"]["left_out"];
+    assert_eq!(
+        (status, &left_out["reason"], &said["partial"]),
+        (200, &json!("shards"), &json!(true)),
+        "{said}"
+    );
+    let rows = said["rows"].as_array().unwrap();
+    assert!(rows.len() < 10 && rows.last().is_some_and(|row| row["id"] == "newest"), "{said}");
+    assert!(rows.iter().all(|row| row["taken_at"].as_u64() >= left_out["before"].as_u64()), "{said}");
+    assert!(said["estimate"]["read"]["shards"].as_u64() <= Some(2), "{said}");
+    let before = ["charged", "read"].map(|figure| sum(&nodes, figure));
+    let (status, said) = read(&nodes[2], &json!({"tenant": "light"}));
+    assert_eq!((status, said["rows"].as_array().map(Vec::len)), (200, Some(9)), "{said}");
+    let touched = said["touched"].as_array().unwrap();
+    let bytes: u64 = touched.iter().map(|link| link["bytes"].as_u64().unwrap()).sum();
+    let most = said["estimate"]["bytes"]["most"].as_u64().unwrap();
+    assert_eq!(said["estimate"]["read"]["bytes"], json!(bytes), "{said}");
+    assert!(bytes > 0 && most > 0, "{said}");
+    assert_eq!(["charged", "read"].map(|figure| sum(&nodes, figure)), [before[0] + most, before[1] + bytes]);
+    // Nothing more is told without being asked for.
+    let told = nodes[2].post("/control/status/query", &json!({"tenant": "light"}).to_string()).json();
+    assert!(told.get("estimate").is_none() && told.get("read").is_some(), "{told}");
+}
--- a/tests/node/main.rs
+++ b/tests/node/main.rs
@@ -1,5 +1,6 @@
 //! The real program over loopback sockets: each promise, and each failure found, in small.
 
+mod charging;
 mod configuration;
 mod draining;
 mod estimating;
--- a/tests/status.rs
+++ b/tests/status.rs
@@ -316,6 +316,20 @@
     assert_eq!(answer.not_known, ["m000002", "x"]);
 }
 
+/// Guards predictions' bounds: a shard counts once, whatever the order of ids, and only what is in the range is read.
+#[test]
+fn by_ids_a_shard_counts_once_and_what_is_out_of_range_is_not_read() {
+    let ids: Vec<String> = [1, 2_001, 3, 2_003].iter().map(|n| format!("m{n:06}")).collect();
+    let asked = Query { ids, ..query(r#"{"tenant": "odd"}"#) };
+    let touched = |asked: Query| {
+        let (answer, _) = ask(3_000, asked, alone(), 2);
+        (answer.rows.len(), answer.touched[0].shards, answer.touched[0].entries)
+    };
+    assert_eq!(touched(asked.clone()), (4, 2, 4));
+    assert_eq!(touched(Query { from: 2_000, ..asked.clone() }), (2, 1, 2));
+    assert_eq!(touched(Query { to: 2_000, ..asked }), (2, 1, 2));
+}
+
 /// Guards against pages that leave something out or tell it twice.
 #[test]
 fn pages_hold_every_message_once() {
