Say that the tenant's queries are over as soon as one too many is answered

The test of the budget stopped only once nobody was answered any more, so that without a budget it would not have ended; the test of narrowing all time in virtual time passed without its change, and goes: the one at three senders fails without it.

Each of these was left out, and failed its test: queries not charged (17 answered of 16); what was read not taken over (charges 3,429 bytes, read 0; the same in virtual time); no wait for the first piece (nobody is answered, 429); steps back that do not grow (403 in place of narrowed); by ids out of the range read as well (4 entries in place of 2).

--- a/tests/estimate/main.rs
+++ b/tests/estimate/main.rs
@@ -550,15 +550,3 @@
     failed.end(&mut estimator, now, Ok(None));
     assert_eq!(estimator.budgets.left(now, "a").bytes, before.bytes - 100);
 }
-
-/// Guards against a search through all time that ends before it comes near the newest messages.
-#[test]
-fn a_query_of_all_time_is_narrowed_to_as_much_as_fits() {
-    let index = full_of(1, 100, |_| "a".into());
-    let known = settled(&index);
-    let plan = Plan { shards: 3, ..Plan::default() };
-    let (limits, all) = (Limits { plan: &plan, within: 1 << 40, unix: NOW }, Query { to: NOW, ..query("a") });
-    let decided = decide(&all, limits, Ok(()), &mut |query| asked(&index, &known, query));
-    let Decision::Narrowed { from, reason } = decided.decision else { panic!("{decided:?}") };
-    assert_eq!((reason, decided.estimate.prediction.shards.most), (Reason::Shards, 3), "from {from}");
-}
--- a/tests/node/charging.rs
+++ b/tests/node/charging.rs
@@ -50,13 +50,14 @@
         if status == 200 {
             assert_eq!(said["estimate"]["decision"]["do"], "run", "{said}");
             (answered, in_a_row) = (answered + 1, 0);
+            assert!(answered <= QUERIES, "{answered} answered");
             continue;
         }
         assert_eq!((status, &said["code"]), (429, &json!("plan_later")), "{said}");
         assert!(said["again_ms"].as_u64().is_some_and(|ms| ms > 0) && said.get("rows").is_none(), "{said}");
         in_a_row += 1;
     }
-    assert!((1..=QUERIES).contains(&answered), "{answered} answered");
+    assert!(answered > 0);
     assert_eq!((sum(&nodes, "run"), sum(&nodes, "later")), (answered, asked as u64 - answered));
     for node in &nodes {
         let (status, said) = read(node, &json!({"tenant": "light"}));
