--- a/src/net/refusals.rs
+++ b/src/net/refusals.rs
@@ -73,7 +73,7 @@
     Check(tokio::task::JoinError),
     #[error("the configuration has {0} faults")]
     Faults(usize),
-    #[error("the path names no message, or the query is another than tenant=NAME and route=1")]
+    #[error("the path names no message, or the query is another than tenant=NAME, route=1 and estimate=1")]
     Message,
     #[error("the query can't be read: {0}")]
     Query(serde_json::Error),
@@ -155,7 +155,7 @@
     /// Answers that have no error type of their own, by the file that makes them.
     const BARE: [(&str, &[&str]); 2] = [
         (include_str!("driver/indexed.rs"), &["status-off", "plans-off"]),
-        (include_str!("parts/reading.rs"), &["read_wide", "read_late", "read_lost"]),
+        (include_str!("parts/reading.rs"), &["read_wide", "read_late", "read_lost", "plan_cut"]),
     ];
 
     fn status() -> [&'static str; 3] {
--- a/src/plans/limits.rs
+++ b/src/plans/limits.rs
@@ -45,6 +45,36 @@
         /// When there is room again, milliseconds.
         after_ms: u64,
     },
+    /// The tenant's budget of this minute is used up or lent elsewhere, at the whole fleet.
+    #[error("the {what} of this minute that plan {plan} allows are used up or lent; again in {after_ms} ms")]
+    Later {
+        /// The plan by its key in the section `plans`.
+        plan: String,
+        /// Queries or bytes.
+        what: &'static str,
+        /// When there may be room again, milliseconds.
+        after_ms: u64,
+    },
+    /// It may touch more shards than a read may.
+    #[error("the read may touch {most} shards, and plan {plan} allows {allowed}")]
+    Shards {
+        /// The plan by its key in the section `plans`.
+        plan: String,
+        /// What it may touch.
+        most: u64,
+        /// What it may.
+        allowed: u32,
+    },
+    /// It may read more bytes than a whole minute has.
+    #[error("the read may take {most} bytes, and plan {plan} allows {allowed} a minute")]
+    Bytes {
+        /// The plan by its key in the section `plans`.
+        plan: String,
+        /// What it may read.
+        most: u64,
+        /// What all reads of a minute may.
+        allowed: u64,
+    },
 }
 
 impl Denied {
@@ -57,11 +87,22 @@
     pub fn remedy(&self) -> &'static str {
         Told::remedy(self)
     }
+
+    /// When it may be asked again, milliseconds; nothing if that alone does not help.
+    pub fn again_ms(&self) -> Option<u64> {
+        match self {
+            Self::Rate { after_ms, .. } | Self::Later { after_ms, .. } => Some(*after_ms),
+            _ => None,
+        }
+    }
 }
 
 told! { Denied {
     NoSession => "plan_no_session", "read without a token, or give the tenant a plan with level session and send SIGHUP";
     Rate => "plan_rate", "have the tenant read less often, or raise reads_per_s and send SIGHUP";
+    Later => "plan_later", "wait for again_ms, or raise queries_per_min or bytes_per_min and send SIGHUP";
+    Shards => "plan_shards", "ask for ids or a shorter time, or raise shards and send SIGHUP";
+    Bytes => "plan_bytes", "ask for ids or a shorter time, or raise bytes_per_min and send SIGHUP";
     ..Token;
 } }
 
@@ -74,7 +115,7 @@
     pub less: u64,
     /// Refused, since it would have been less.
     pub refused: u64,
-    /// Not begun: no session in the plan, an unreadable token, or too many.
+    /// Not begun: no session in the plan, an unreadable token, too many, or too large.
     pub denied: u64,
     /// Logs read here.
     pub here: u64,
@@ -182,6 +223,12 @@
         Ok(())
     }
 
+    /// A read that was let begin is not run, by what it would cost.
+    pub fn denied(&mut self, tenant: &str) {
+        let level = self.of(tenant).1.level;
+        self.count(tenant, level).denied += 1;
+    }
+
     fn count(&mut self, tenant: &str, level: Level) -> &mut Counts {
         let key = (tenant.to_owned(), level);
         let known = self.counts.contains_key(&key) || self.counts.len() < MOST_TENANTS;
