--- a/src/net/parts/indexing.rs
+++ b/src/net/parts/indexing.rs
@@ -23,8 +23,10 @@
 use super::super::journal::{GivenUp, Live, Taken};
 use super::{Out, Part};
 
-/// After a write that failed, the next try comes so long later.
+/// After a write that failed, the next try comes so long later, and twice as long after each one more,
 const AGAIN: Micros = 5_000_000;
+/// up to this: a try writes the whole log before somebody's 202.
+const AGAIN_AT_MOST: Micros = 300_000_000;
 /// A longer file is no segment, bytes.
 const LONGEST_SEGMENT: u64 = 64 << 20;
 
@@ -36,8 +38,8 @@
     folder: PathBuf,
     /// The segment that is written.
     open: Option<(u64, File)>,
-    /// Writing failed then.
-    failed: Option<Micros>,
+    /// Writing failed last then, and the pause after it.
+    failed: Option<(Micros, Micros)>,
     /// Those who wait for answers.
     waiting: BTreeMap<u64, oneshot::Sender<Reply>>,
     /// Answers of this turn, for estimates to be held against.
@@ -50,7 +52,11 @@
     folder.join(format!("status.{at}"))
 }
 
-/// Segments that are there, oldest first. What can't be read counts as empty, and makes for a new life.
+/// What stands for a segment that can't be read: a frame of nothing, which is no head. An empty one would pass for one
+/// that was begun and no more, and numbers that are in it would be given out again.
+const SPOILT: [u8; 8] = [0; 8];
+
+/// Segments that are there, oldest first. What can't be read counts as spoilt, and makes for a new life.
 fn segments(folder: &Path) -> io::Result<Vec<(u64, Vec<u8>)>> {
     let mut found = Vec::new();
     for file in fs::read_dir(folder)? {
@@ -58,8 +64,8 @@
         let at = file.file_name().to_str().and_then(|name| name.strip_prefix("status.")?.parse::<u64>().ok());
         let Some(at) = at else { continue };
         let readable = file.metadata().is_ok_and(|data| data.len() <= LONGEST_SEGMENT);
-        let bytes = if readable { fs::read(file.path()).unwrap_or_default() } else { Vec::new() };
-        found.push((at, bytes));
+        let bytes = if readable { fs::read(file.path()).ok() } else { None };
+        found.push((at, bytes.unwrap_or_else(|| SPOILT.to_vec())));
     }
     found.sort();
     Ok(found)
@@ -174,18 +180,25 @@
 
     /// Writes down what has changed. Nothing of it is told to anybody before.
     pub fn keep(&mut self, now: Micros) {
-        if self.failed.is_some_and(|at| now >= at + AGAIN) {
-            self.failed = None;
+        if self.core.is_unkept() && self.failed.is_none_or(|(at, pause)| now >= at + pause) {
             self.core.keep_again();
         }
         for step in self.core.write() {
             if let Err(e) = self.carry_out(&step) {
                 tracing::error!("the status index can't be written, and goes on in memory: {e}");
-                self.failed = Some(now);
+                let pause = match self.failed {
+                    // A folder that takes a little now and then is one that fails.
+                    Some((at, pause)) if now < at + pause + AGAIN_AT_MOST => (pause * 2).min(AGAIN_AT_MOST),
+                    _ => AGAIN,
+                };
+                self.failed = Some((now, pause));
                 self.open = None;
                 for step in self.core.not_written(now) {
-                    // What can't be removed either is told as an earlier life's.
-                    let _ = self.carry_out(&step);
+                    // After one that fails the others would leave a life that looks whole.
+                    if let Err(e) = self.carry_out(&step) {
+                        tracing::error!("what is there of the status index can't be taken away: {e}");
+                        return;
+                    }
                 }
                 return;
             }
@@ -205,6 +218,12 @@
                 Some((open, file)) if open == at => file.write_all(bytes),
                 _ => Err(io::Error::other("a segment that is not open")),
             },
+            Step::Empty(at) => {
+                match OpenOptions::new().write(true).truncate(true).open(segment(&self.folder, *at)) {
+                    Err(e) if e.kind() != io::ErrorKind::NotFound => Err(e),
+                    _ => Ok(()),
+                }
+            }
             Step::Remove(at) => match fs::remove_file(segment(&self.folder, *at)) {
                 Err(e) if e.kind() != io::ErrorKind::NotFound => Err(e),
                 _ => Ok(()),
@@ -302,3 +321,52 @@
         json!({"own": self.own, "kept": !self.core.is_unkept(), "index": self.core.report(now)})
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::super::super::config;
+    use super::*;
+
+    fn configured() -> Option<Config> {
+        let text = json!({
+            "name": "n1", "listen": "127.0.0.1:1", "discovery": "127.0.0.1:2", "seed": "1",
+            "limits": {"disk_mb": 3}, "peer_listen": "127.0.0.1:3",
+            "peers": ["127.0.0.1:3", "127.0.0.1:4"], "membership": {"tier": "x"}, "status": {},
+            "settings": {
+                "classes": [{"name": "order", "effect": "once", "on_time_us": 5, "hard_limit_us": 9}],
+                "family_info": {"calls_out": 8}, "period_us": 5, "limits": {"max_open": 100, "try_limit": 6},
+                "obligations": {"answer_slack_us": 1, "cold_share": 0.2, "warm_within_us": 1, "fall_multiple": 2,
+                                "overload_for_us": 3, "stop_sending_within_us": 2}}});
+        config::check(text.to_string().as_bytes(), None).ok()
+    }
+
+    /// Guards against numbers that are given out twice: what can't be read may hold any.
+    #[test]
+    fn a_segment_that_cant_be_read_makes_for_a_new_life() -> io::Result<()> {
+        let (Some(config), folder) = (configured(), tempfile::tempdir()?) else { panic!("the part is off") };
+        let open = || Indexing::open(&config, folder.path(), 1_000_000);
+        let Some(mut first) = open() else { panic!("the part is off") };
+        first.keep(1_000_000);
+        let life = first.core.own_log();
+        assert_eq!(open().map(|part| part.core.own_log()), Some(life));
+        // Nobody can read a folder as a file.
+        fs::create_dir(segment(folder.path(), 2))?;
+        assert!(open().is_some_and(|part| part.core.own_log() != life));
+        Ok(())
+    }
+
+    /// Guards clients' answers against a disk that stays full: each try writes the whole log.
+    #[test]
+    fn a_folder_that_stays_full_is_tried_ever_more_rarely() -> io::Result<()> {
+        let (Some(config), folder) = (configured(), tempfile::tempdir()?) else { panic!("the part is off") };
+        let gone = folder.path().join("gone");
+        let Some(mut part) = Indexing::open(&config, &gone, 0) else { panic!("the part is off") };
+        (0..1_000).for_each(|second| part.keep(second * 1_000_000));
+        // At 0, 5, 15, 35, 75, 155, 315, 615 and 915 s.
+        assert_eq!(part.core.counts.renewed, 9);
+        fs::create_dir(&gone)?;
+        (1_000..1_220).for_each(|second| part.keep(second * 1_000_000));
+        assert!(!part.core.is_unkept());
+        Ok(())
+    }
+}
--- a/src/status/folder.rs
+++ b/src/status/folder.rs
@@ -27,6 +27,8 @@
     Begin(u64, Vec<u8>),
     /// This is appended to that segment.
     Append(u64, Vec<u8>),
+    /// That segment holds nothing any more.
+    Empty(u64),
     /// That segment goes.
     Remove(u64),
 }
--- a/src/status/index.rs
+++ b/src/status/index.rs
@@ -111,6 +111,7 @@
         let next = old.iter().max().map_or(1, |last| last + 1);
         let mut replication = Replication::new(own, now);
         replication.choose(Vec::new(), log.id());
+        replication.begins(log.last());
         Self {
             own,
             replicas: config.replicas as usize,
@@ -244,13 +245,18 @@
     }
 
     /// The folder could not be written. The log goes on in memory, in a new life that no later process goes on with;
-    /// what is there of the one before must go too, as far as that can be: these segments.
+    /// what is there of the one before must go too, as far as that can be: these segments. A process that ends between
+    /// two of the steps leaves what no life goes on with: the oldest is empty before any other goes. After a step that
+    /// fails the others are to be left.
     pub fn not_written(&mut self, now: Micros) -> Vec<Step> {
-        let there: Vec<u64> = self.segments.numbers().chain(std::mem::take(&mut self.old)).collect();
+        let mut there: Vec<u64> = self.segments.numbers().chain(std::mem::take(&mut self.old)).collect();
+        there.sort_unstable();
+        there.dedup();
         self.old.clone_from(&there);
         self.unkept = true;
         self.renew(now);
-        there.into_iter().map(Step::Remove).collect()
+        let empty = there.iter().copied().map(Step::Empty);
+        empty.chain(there.iter().rev().copied().map(Step::Remove)).collect()
     }
 
     /// Whether the folder has nothing of this life.
--- a/src/status/query.rs
+++ b/src/status/query.rs
@@ -312,9 +312,14 @@
                     self.ids += 1;
                     if let Some(held) = table.get(&key_of(&self.query.tenant, id)) {
                         look(&held.entry);
-                        if self.query.may_want(&held.entry) {
-                            let entry = held.entry.clone();
-                            self.found.insert((entry.taken_at, key_of(&entry.tenant, &entry.id)), entry);
+                        // Whatever else is asked for: what is here is known. The filters come at the end.
+                        let entry = &held.entry;
+                        match self.found.get_mut(&(entry.taken_at, key_of(&entry.tenant, &entry.id))) {
+                            Some(known) => known.join(entry),
+                            None => {
+                                let place = (entry.taken_at, key_of(&entry.tenant, &entry.id));
+                                drop(self.found.insert(place, entry.clone()));
+                            }
                         }
                     }
                 }
@@ -377,6 +382,8 @@
     owners: Vec<Rank>,
     since: Micros,
     wire_bytes: u64,
+    /// They count once the last piece tells how far they go.
+    rows: Vec<Entry>,
 }
 
 /// A query that was asked here.
@@ -503,20 +510,21 @@
         let Some(running) = self.running.get_mut(&piece.number) else { return };
         let Some(out) = running.out.get_mut(&from) else { return };
         out.wire_bytes += wire_bytes;
-        for entry in piece.rows {
-            // Nobody's answer makes a row of another tenant's message.
-            if running.query.may_want(&entry) {
-                running.row(entry);
-            }
-        }
+        let query = &running.query;
+        // Nobody's answer makes a row of another tenant's message.
+        out.rows.extend(piece.rows.into_iter().filter(|entry| match query.ids.is_empty() {
+            true => query.may_want(entry),
+            false => query.tenant == entry.tenant && query.ids.contains(&entry.id),
+        }));
         let Some(end) = piece.end else { return };
-        let Some(Out { owners, since, wire_bytes }) = running.out.remove(&from) else { return };
+        let Some(Out { owners, since, wire_bytes, rows }) = running.out.remove(&from) else { return };
         if end.busy {
             // The next server is asked at once.
             let asked = running.owners.iter_mut().filter(|(owner, _)| owners.contains(owner));
             asked.for_each(|(_, wanted)| wanted.asked = Some(0));
             return;
         }
+        rows.into_iter().for_each(|entry| running.row(entry));
         running.read(from, &owners, end.logs, end.whole_upto, (wire_bytes, now.saturating_sub(since)));
     }
 
@@ -591,7 +599,9 @@
         for owner in owners {
             if let Some(wanted) = self.owners.get_mut(owner) {
                 wanted.answered = true;
-                wanted.reached |= logs.iter().any(|holding| holding.log.owner == *owner);
+                // A copy of which nothing was claimed yet is on its way, and tells of no position.
+                let told = |holding: &Holding| server == *owner || holding.reached.as_of > 0;
+                wanted.reached |= logs.iter().any(|holding| holding.log.owner == *owner && told(holding));
             }
         }
         for (n, holding) in logs.into_iter().enumerate() {
@@ -630,7 +640,7 @@
             let within = self.until.saturating_sub(now + MARGIN);
             let query = Query { states: Vec::new(), ..self.query.clone() };
             say.push((server, Say::Ask(SubQuery { number, query, owners: owners.clone(), within })));
-            self.out.insert(server, Out { owners, since: now, wire_bytes: 0 });
+            self.out.insert(server, Out { owners, since: now, wire_bytes: 0, rows: Vec::new() });
         }
     }
 
--- a/src/status/replicate.rs
+++ b/src/status/replicate.rs
@@ -7,7 +7,7 @@
 //! before that is sent too. A receiver that lost what it had, or whose channel broke, says how far it is, and the owner
 //! goes back there. A replica of a life that is over sends what it has to the owner of the life that followed.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use super::log::Log;
 use super::shards::{Table, size_of};
@@ -99,13 +99,24 @@
     hints: BTreeMap<Rank, Positions>,
     budget: u64,
     filled: Micros,
+    /// The own log's last number when this process, or its present life, began.
+    begun: u64,
+    /// Those who have said since how far they are with it.
+    heard: BTreeSet<Rank>,
 }
 
 impl Replication {
     /// Nobody yet.
     pub fn new(own: Rank, now: Micros) -> Self {
         let (pushes, hints) = (BTreeMap::new(), BTreeMap::new());
-        Self { own, pushes, chosen: Vec::new(), hints, budget: SAVED, filled: now }
+        let (begun, heard) = (0, BTreeSet::new());
+        Self { own, pushes, chosen: Vec::new(), hints, budget: SAVED, filled: now, begun, heard }
+    }
+
+    /// The own log goes on after that number in this process.
+    pub fn begins(&mut self, last: u64) {
+        self.begun = last;
+        self.heard.clear();
     }
 
     /// These keep the own log from now on.
@@ -120,6 +131,8 @@
     /// The own log is another one from now on.
     pub fn renewed(&mut self, log: LogId) {
         self.pushes.retain(|(_, id), _| id.owner != self.own);
+        // Nobody has anything of it before it is asked.
+        self.begins(0);
         self.choose(self.chosen.clone(), log);
     }
 
@@ -171,10 +184,16 @@
     }
 
     /// A receiver says how far it is. False if it has more of the own log than there is: then that life can't go on.
+    /// The first time it is held against what this process began with, since nothing is sent to whoever was not heard:
+    /// a folder that was put back to an older state has given out numbers again by then.
     #[must_use]
     pub fn answered(&mut self, from: Rank, have: &Have, log: &Log, now: Micros) -> bool {
-        if have.log == log.id() && have.cursor.max(have.reached.upto) > log.last() {
-            return false;
+        if have.log == log.id() {
+            let first = self.heard.insert(from);
+            let most = if first { self.begun } else { log.last() };
+            if have.cursor.max(have.reached.upto) > most {
+                return false;
+            }
         }
         self.hint(from, have.log, have.reached);
         if let Some(push) = self.pushes.get_mut(&(from, have.log)) {
--- a/tests/status.rs
+++ b/tests/status.rs
@@ -3,11 +3,15 @@
 use std::collections::BTreeMap;
 
 use myrtleyard::status::folder::{Segments, Step};
+use myrtleyard::status::index::{Index, Place};
 use myrtleyard::status::log::{Log, restore};
-use myrtleyard::status::query::{Answer, Here, LONGEST, LOOKED_A_TURN, Queries, Refused, Routes};
+use myrtleyard::status::query::{
+    Answer, Here, Holding, LONGEST, LOOKED_A_TURN, Piece, PieceEnd, Queries, Refused, Routes,
+};
+use myrtleyard::status::replicate::Replication;
 use myrtleyard::status::shards::{Table, key_of};
-use myrtleyard::status::store::{Batch, Store};
-use myrtleyard::status::{Change, Entry, Life, Query, Reached, State, States};
+use myrtleyard::status::store::{Batch, Have, Store};
+use myrtleyard::status::{Change, Entry, Life, LogId, Query, Reached, State, States};
 use proptest::prelude::*;
 
 fn entry(id: &str, tenant: &str, taken_at: u64, states: &[State]) -> Entry {
@@ -78,6 +82,7 @@
             match step {
                 Step::Begin(at, bytes) => assert!(self.0.insert(at, bytes).is_none()),
                 Step::Append(at, bytes) => self.0.get_mut(&at).unwrap().extend(bytes),
+                Step::Empty(at) => self.0.get_mut(&at).into_iter().for_each(Vec::clear),
                 Step::Remove(at) => drop(self.0.remove(&at)),
             }
         }
@@ -314,6 +319,10 @@
     let (answer, _) = ask(10, query(r#"{"tenant": "odd", "ids": ["m000001", "m000002", "x"]}"#), alone(), 2);
     assert_eq!(answer.rows.iter().map(|row| row.id.as_str()).collect::<Vec<_>>(), ["m000001"]);
     assert_eq!(answer.not_known, ["m000002", "x"]);
+    // A message that the filters leave out, or an earlier page had, is known.
+    let rest = r#"{"tenant": "odd", "ids": ["m000001", "x"], "classes": ["other"], "after": [5, "m"]}"#;
+    let (answer, _) = ask(10, query(rest), alone(), 2);
+    assert!(answer.rows.is_empty() && answer.not_known == ["x"]);
 }
 
 /// Guards against pages that leave something out or tell it twice.
@@ -344,3 +353,66 @@
     let refused = queries.ask(0, query(r#"{"tenant": "t", "limit": 1001}"#), alone(), LONGEST);
     assert_eq!(refused, Err(Refused::Limit(1_001)));
 }
+
+/// Guards against a life that goes on without what it has told: a process may end between any two removals.
+#[test]
+fn no_life_goes_on_with_a_part_of_a_folder_that_could_not_be_written() {
+    let config = serde_json::from_str("{}").unwrap();
+    let place = Place { own: 1, tier: 0, hosts: vec![0, 1] };
+    let mut index = Index::new(&config, place, Default::default(), vec![], (ROOM, 9), 3, 10);
+    let mut folder = Folder::default();
+    for n in 0..400 {
+        index.taken(entry(&format!("m{n}"), "t", n + 10, &[State::Delivered])).unwrap();
+        folder.carry_out(index.write());
+    }
+    assert!(folder.0.len() > 2 && restore(&folder.segments(), 9, 1_000).life.is_some());
+    for (n, step) in index.not_written(1_000).into_iter().enumerate() {
+        folder.carry_out(vec![step]);
+        assert_eq!(restore(&folder.segments(), 9, 1_000).life, None, "after step {n}");
+    }
+    assert!(folder.0.is_empty());
+}
+
+/// Guards against an older folder that was put back: what it gave out again may have passed what others have by then.
+#[test]
+fn whoever_has_more_than_a_process_began_with_has_of_another_one() {
+    let (log, ..) = filled(40);
+    let have = |upto| Have { log: log.id(), cursor: upto, reached: Reached { upto, as_of: 1 }, gap: false };
+    for (begun, first, goes_on) in [(20, 20, true), (20, 21, false), (40, 40, true)] {
+        let mut replication = Replication::new(1, 0);
+        replication.begins(begun);
+        replication.choose(vec![2], log.id());
+        assert_eq!(replication.answered(2, &have(first), &log, 5), goes_on, "{first} of {begun}");
+        assert!(replication.answered(2, &have(40), &log, 6) && !replication.answered(2, &have(41), &log, 7));
+    }
+}
+
+/// Guards against rows without the position that proves them, and against a copy that passes for whole before anything
+/// was claimed of it.
+#[test]
+fn rows_count_once_their_position_is_there() {
+    let log = Log::new(1, Life(7), 1 << 30, 1 << 40, 0);
+    let store = Store::new(1 << 20, 1 << 40);
+    let here = Here { log: &log, store: &store, span: 1_000 };
+    for (ended, as_of, server, whole) in
+        [(false, 50, 3, false), (true, 50, 3, true), (true, 0, 3, false), (true, 0, 2, true)]
+    {
+        let mut queries = Queries::new(1, 5);
+        let routes = Routes(BTreeMap::from([(2, vec![server])]));
+        let number = queries.ask(0, query(r#"{"tenant": "t"}"#), routes, LONGEST).unwrap();
+        queries.step(1, here);
+        let log = LogId { owner: 2, life: Life(4) };
+        let reached = Reached { upto: 1, as_of };
+        let holding = Holding { log, reached, known_since: 0, shown: 1, touched: (1, 1, 1) };
+        let end = PieceEnd { logs: vec![holding], whole_upto: None, busy: false };
+        let rows = vec![entry("m", "t", 9, &[State::Taken])];
+        queries.piece(2, server, Piece { number, rows, end: ended.then_some(end) }, 9);
+        queries.step(LONGEST, here);
+        let (_, answer) = queries.answers().pop().unwrap();
+        assert_eq!(
+            (answer.rows.len(), answer.partial),
+            (usize::from(ended), !whole),
+            "{ended} {as_of} {server}"
+        );
+    }
+}
--- a/tests/status_tier.rs
+++ b/tests/status_tier.rs
@@ -203,6 +203,7 @@
                 match step {
                     Step::Begin(at, bytes) => drop(sender.folder.insert(at, bytes)),
                     Step::Append(at, bytes) => sender.folder.get_mut(&at).unwrap().extend(bytes),
+                    Step::Empty(at) => sender.folder.entry(at).or_default().clear(),
                     Step::Remove(at) => drop(sender.folder.remove(&at)),
                 }
             }
