Count for the session what a later answer showed of a log that was read already

`answered` left before it raised `shown` where the log had its verdict, though rows of that answer may be shown with those of another log; `ended` saw it only beside an answer. It is raised first, and seen unless the read is refused. A copy without any claim yet is stated as nothing. Ids that sub-answers know are not told as unknown because a filter or an earlier page left their rows out.

--- a/src/net/parts/reading.rs
+++ b/src/net/parts/reading.rs
@@ -361,7 +361,12 @@
     if log.life == ANY_LIFE {
         // An owner tells of its present life first. What is shown counts for the logs themselves.
         let newest = of.iter().max_by_key(|told| told.reached.as_of).unwrap_or(first);
-        return (Stated::Has(if owner { first.reached } else { newest.reached }), 0);
+        return match owner {
+            true => (Stated::Has(first.reached), 0),
+            // Nothing was claimed of it yet.
+            false if newest.reached.as_of == 0 => (Stated::Nothing, 0),
+            false => (Stated::Has(newest.reached), 0),
+        };
     }
     match of.iter().find(|told| told.log == log) {
         // It got back what others kept of a life that is over: that may be enough, but it is not all.
@@ -369,6 +374,7 @@
             Need::Upto(_) if need.met(log, from, told.reached) => (Stated::Has(told.reached), told.shown),
             _ => (Stated::Over, told.shown),
         },
+        Some(told) if !owner && told.reached.as_of == 0 => (Stated::Nothing, told.shown),
         Some(told) => (Stated::Has(told.reached), told.shown),
         None if owner => (Stated::Over, 0),
         None => (Stated::Nothing, 0),
@@ -483,8 +489,11 @@
             None => drop(rows.insert(key_of(&entry.tenant, &entry.id), entry.clone())),
         }
     }
-    let known = |id: &&String| !rows.contains_key(&key_of(&query.tenant, id));
-    let not_known = query.ids.iter().filter(known).cloned().collect();
+    // An id that an answer does not name so is known there, if it is not a row for another reason.
+    let unknown: Vec<BTreeSet<&String>> =
+        answers.iter().map(|answer| answer.not_known.iter().collect()).collect();
+    let unknown = |id: &&String| unknown.iter().all(|unknown| unknown.contains(id));
+    let not_known = query.ids.iter().filter(unknown).cloned().collect();
     let mut next = answers.iter().filter_map(|answer| answer.next.clone()).min();
     let mut rows: Vec<Entry> = rows.into_values().filter(|entry| query.wants(entry)).collect();
     rows.sort_by(|a, b| (a.taken_at, &a.id).cmp(&(b.taken_at, &b.id)));
--- a/src/plans/session.rs
+++ b/src/plans/session.rs
@@ -278,7 +278,12 @@
         (shown, rows): (u64, R),
     ) {
         let asks = self.asks;
-        let Some(leg) = self.legs.get_mut(&log).filter(|leg| leg.verdict.is_none()) else { return };
+        let Some(leg) = self.legs.get_mut(&log) else { return };
+        // Whatever becomes of the answer here: its rows may be shown for another log that came with it.
+        leg.shown = leg.shown.max(shown);
+        if leg.verdict.is_some() {
+            return;
+        }
         leg.asked.take_if(|asked| asked.2 == number);
         if stated == Stated::Over && from == log.owner && leg.over.is_none() {
             // Others may have got more of it since they answered, but get nothing more from now on: they are asked
@@ -296,7 +301,6 @@
             return;
         }
         leg.said.insert(from, stated);
-        leg.shown = leg.shown.max(shown);
         let Stated::Has(told) = stated else { return };
         if reached.is_some() || leg.best.as_ref().is_none_or(|best| best.1.upto < told.upto) {
             leg.best = Some((from, told, rows));
@@ -329,13 +333,11 @@
         let mut parts = Vec::with_capacity(self.legs.len());
         for (log, leg) in self.legs {
             let answer = leg.best.filter(|_| outcome != Outcome::Refused);
-            if let Some((_, reached, _)) = answer
-                && leg.shown > 0
-                && self.level == Level::Session
-            {
+            if outcome != Outcome::Refused && leg.shown > 0 && self.level == Level::Session {
                 // All that it was shown, beyond what it asked for and beyond what the sender has without gaps. What was
                 // filtered out counts, since its absence was shown.
-                token.see(log, leg.shown.max(reached.upto));
+                let upto = answer.as_ref().map_or(0, |(_, reached, _)| reached.upto);
+                token.see(log, leg.shown.max(upto));
             }
             let verdict = leg.verdict.unwrap_or(Verdict::Late);
             parts.push(Part { log, need: leg.need, verdict, hops: leg.hops, answer });
--- a/tests/plans.rs
+++ b/tests/plans.rs
@@ -403,3 +403,17 @@
     // Who is at rest gives its place away.
     assert!(plans.admit("new", None, TIER, NOW + 10_000_000).is_ok());
 }
+
+/// Guards monotonic reads: rows of a log that has its answer already may be shown with those of another one.
+#[test]
+fn what_came_with_a_later_answer_counts_for_the_session() {
+    let log = LogId { owner: 1, life: Life(7) };
+    let plan = Plan { level: Level::Session, ..Plan::default() };
+    let Ok(mut read) = Read::begin(&plan, Token::default(), [log], NOW, ANSWER_WITHIN) else {
+        unreachable!("one log")
+    };
+    let has = |upto| Stated::Has(Reached { upto, as_of: NOW });
+    read.answered((1, 1), log, has(5), (5, 0u64));
+    read.answered((2, 2), log, has(9), (9, 0));
+    assert_eq!(read.ended().token.upto(log), Some(9));
+}
