Have all old messages go in before a handover, an end and a drain with a time, and none that is elsewhere

- At a handover calls that wait were given up before the last turn, which may keep back others: those were dropped, and ended as reset in the next process.
They are given up after it, and the successor waits if that turn could not be written.
- SIGTERM and a drain with a time left paced messages out of what the module judges by it.
- A paced message that another sender has by now could go in before that was written down.
- A name that was taken away stayed in the kept list for up to 10 s; it is written at once, and again if that failed.
- A hand-in said twice could be told a number that was not in the folder yet.

The kept list has a unit test; the others have none, since they need faults within one turn of a process.

--- a/src/net/driver.rs
+++ b/src/net/driver.rs
@@ -281,15 +281,19 @@
             return Ok(());
         }
         // What can't be written down yet can't be told either.
+        if driver.unwritten.is_empty() && driver.successor.is_some() {
+            let old = driver.resume_all();
+            if !old.is_empty() {
+                driver.turn(old);
+            }
+        }
+        // That turn may have had something to write, too: the next process waits until it is written.
         if driver.unwritten.is_empty()
             && let Some(stream) = driver.successor.take()
             && let Some(claim) = claim.take()
         {
+            // After the last turn: what it kept back ends as not made, which the next process hears.
             driver.give_waiting_up();
-            let old = driver.resume_all();
-            if !old.is_empty() {
-                driver.turn(old);
-            }
             for task in std::mem::take(&mut tasks) {
                 task.abort();
                 let _ = task.await;
@@ -529,6 +533,8 @@
                 tracing::info!(owed = self.journal.live().len(), "asked to end");
                 let now = self.clock.now();
                 self.with_parts(|parts, out| parts.serving(now, false, out));
+                // The module judges them by the time that is left, so that it has to know of them.
+                said.extend(self.resume_all());
                 said.push(Event::Stopping(at));
             }
         }
@@ -540,7 +546,11 @@
             // The client did not hear that it is taken on, and says it once more.
             match self.fresh.get_mut(number) {
                 Some(fresh) => fresh.answers.push(answer),
-                None => drop(answer.send(self.taken_answer(&taken))),
+                None => {
+                    // What was granted since the last turn may have a number that is not in the folder yet.
+                    self.index_kept();
+                    drop(answer.send(self.taken_answer(&taken)));
+                }
             }
             return;
         }
--- a/src/net/driver/draining.rs
+++ b/src/net/driver/draining.rs
@@ -43,6 +43,10 @@
             }
             let since = self.drain.map_or(now, |drain| drain.since);
             self.drain = (!wanted).then_some(Drain { since, by: until });
+            if until.is_some() {
+                // Those that wait for their turn have no more time than the others.
+                said.extend(self.resume_all());
+            }
             said.push(Event::Service { wanted, until });
         }
         true
--- a/src/net/driver/indexed.rs
+++ b/src/net/driver/indexed.rs
@@ -39,6 +39,14 @@
         }
     }
 
+    /// What the index has is in the folder: a number of it is about to be told.
+    pub(super) fn index_kept(&mut self) {
+        let now = self.clock.now();
+        if let Some(indexing) = &mut self.parts.indexing {
+            indexing.keep(now);
+        }
+    }
+
     /// A message that another sender took on then is this one's.
     pub(super) fn index_adopted(&mut self, taken: &Taken, since: Micros, epoch: u32, how: Option<GivenUp>) {
         let now = self.clock.now();
--- a/src/net/driver/starting.rs
+++ b/src/net/driver/starting.rs
@@ -114,6 +114,10 @@
             else {
                 continue;
             };
+            // What another sender has now is in the journal until that is written down.
+            if self.held.get(&live.taken.id) != Some(&number) {
+                continue;
+            }
             let class = self.names.borrow().class(&live.taken.class);
             if let Some(class) = class {
                 let (id, destination) = (&live.taken.id, live.taken.destination);
--- a/src/net/parts/starting.rs
+++ b/src/net/parts/starting.rs
@@ -2,6 +2,7 @@
 //! what operators are told. `myrtleyard::start` is the rest.
 
 use std::cell::RefCell;
+use std::collections::BTreeSet;
 use std::path::{Path, PathBuf};
 use std::rc::Rc;
 use std::time::Duration;
@@ -34,10 +35,17 @@
     kept_at: Option<Micros>,
     /// When the list was last written down, and whether it has changed since.
     written: (Micros, bool),
+    /// Names that are written down as active, with their destinations.
+    active: BTreeSet<(String, u16)>,
     /// This process has come through its start.
     through: bool,
 }
 
+/// Those that may be called, with their destinations.
+fn active(list: &[Listing]) -> BTreeSet<(String, u16)> {
+    named(list).filter(|named| named.2).map(|(name, group, _)| (name, group)).collect()
+}
+
 /// The entries of a list as others are told them.
 pub fn named(list: &[Listing]) -> impl Iterator<Item = Named> {
     list.iter().map(|listing| (listing.name.clone(), listing.group, listing.status == "active"))
@@ -69,6 +77,7 @@
                 None
             }
         };
+        let active = kept.as_ref().map(|kept| active(&kept.entries)).unwrap_or_default();
         let bears = kept.as_ref().filter(|kept| kept.tier == tier).map(|kept| kept.bears);
         let fit = kept.filter(|kept| match kept.fit(tier, config.known.index, now) {
             Ok(()) => true,
@@ -99,7 +108,7 @@
         core.begins_from(begun.index, named(&begun.endpoints));
         let core = Rc::new(RefCell::new(core));
         let written = (now.saturating_sub(EVERY), false);
-        Some(Self { core, list_at, lives_at, from, source, kept_at, written, through: false })
+        Some(Self { core, list_at, lives_at, from, source, kept_at, written, active, through: false })
     }
 
     /// How many the view holds for there.
@@ -115,7 +124,9 @@
         self.core.borrow_mut().listed(now, version, named(list).collect());
         self.source = "list service";
         self.written.1 = true;
-        if now >= self.written.0 + EVERY {
+        // A process that begins from the file must not call what was taken away: that does not wait.
+        let away = !self.active.is_subset(&active(list));
+        if away || now >= self.written.0 + EVERY {
             self.keep(now, list);
         }
     }
@@ -139,6 +150,9 @@
             tracing::warn!(bytes = bytes.len(), "the list of endpoints is too long to be kept");
         } else if let Err(e) = lasting::write(&self.list_at, &bytes) {
             tracing::warn!("the list of endpoints can't be written down: {e}");
+            self.written.1 = true;
+        } else {
+            self.active = active(list);
         }
     }
 
@@ -266,6 +280,17 @@
         first.listed(NOW, 43, &kept);
         let Some(second) = from("x", 40, NOW + 1) else { panic!("nothing is begun from") };
         assert_eq!((second.index, &second.endpoints[..]), (43, &kept[..]));
+        // What only changes waits a while; what is taken away does not.
+        let mut later = vec![listing("s-1"), listing("s-2"), listing("s-3")];
+        first.listed(NOW + 2, 44, &later);
+        assert_eq!(from("x", 40, NOW + 2).map(|from| from.index), Some(43));
+        "leaving".clone_into(&mut later[1].status);
+        first.listed(NOW + 3, 45, &later);
+        assert_eq!(from("x", 40, NOW + 3).map(|from| from.endpoints), Some(later.clone()));
+        later.remove(0);
+        first.listed(NOW + 4, 46, &later);
+        assert_eq!(from("x", 40, NOW + 4).map(|from| from.endpoints), Some(later));
+        first.listed(NOW + EVERY + 4, 43, &kept);
         assert!(from("y", 40, NOW).is_none() && from("x", 44, NOW).is_none());
         assert!(
             from("x", 40, NOW + 86_400_000_000).is_none() && from("x", 40, NOW - 86_400_000_000).is_none()
