Keep what ids find as known out of their range, and a start's test free of the clock

Cause: joined, two changes to the scan by ids undid each other: what is out of the range was neither read nor known, so that a message of an earlier page was told as not known. And the start's test held the time until all are ready against 0.9 s, which counts from when the first sender began, late under load (0.58 s seen, with 0.77 s before it). Change: what is found is known, and counts as read only within the range; the joiner's time is held against when it joins.

--- a/fleet/tests/small.rs
+++ b/fleet/tests/small.rs
@@ -201,7 +201,9 @@
                 [[fault]]\nkind = \"kill\"\nat_s = 0.1\nfor_s = 0.5\nfirst = 1\n";
     let (_, outcome) = played(small_of(5, more), out.path());
     let start = &outcome.figures.start;
-    assert!(start.senders == 5 && start.never_ready == 0 && start.all_ready_s > 0.9, "{start:?}");
+    assert!(start.senders == 5 && start.never_ready == 0, "{start:?}");
+    // Whoever joins is waited for, however late the others began.
+    assert!(start.at_s + start.all_ready_s > 1.0, "{start:?}");
     let history = History::read(&out.path().join("history.jsonl")).unwrap();
     let borne =
         |entry: &&linenwing_fleet::ledger::Entry| matches!(entry.what, What::ListCall { status: 200, .. });
--- a/src/status/query.rs
+++ b/src/status/query.rs
@@ -310,10 +310,11 @@
                     *budget -= 1;
                     self.ids += 1;
                     let held = table.get(&key_of(&self.query.tenant, id));
-                    // When a message was taken on never changes: out of the range there is nothing to look at.
-                    let within = begins(&self.query)..self.query.to;
-                    if let Some(held) = held.filter(|held| within.contains(&held.entry.taken_at)) {
-                        look(&held.entry);
+                    if let Some(held) = held {
+                        // When a message was taken on never changes: out of the range nothing more is read of it.
+                        if (begins(&self.query)..self.query.to).contains(&held.entry.taken_at) {
+                            look(&held.entry);
+                        }
                         // Whatever else is asked for: what is here is known. The filters come at the end.
                         let entry = &held.entry;
                         match self.found.get_mut(&(entry.taken_at, key_of(&entry.tenant, &entry.id))) {
