--- a/src/start/hint.rs
+++ b/src/start/hint.rs
@@ -76,22 +76,4 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-
-    #[test]
-    fn a_spoilt_cut_or_foreign_hint_is_none() {
-        let held = (0..60).map(|to| (to, 500 - to)).collect();
-        let mut hint =
-            Hint { answer: true, confirmed: false, age_s: 7, version: 41, trouble: 3, bears: 160, held };
-        let bytes = hint.write(9);
-        hint.held.truncate(MOST_HELD);
-        assert_eq!((bytes.len(), Hint::read(&bytes, 9)), (219, Some(hint)));
-        assert_eq!(Hint::read(&bytes, 8), None);
-        for at in 0..bytes.len() {
-            let mut bad = bytes.clone();
-            bad[at] ^= 4;
-            assert_eq!((Hint::read(&bad, 9), Hint::read(&bytes[..at], 9)), (None, None), "{at}");
-        }
-    }
-}
+mod tests;
--- /dev/null
+++ b/src/start/pace/tests.rs
@@ -0,0 +1,24 @@
+use super::*;
+
+#[test]
+fn all_go_in_within_the_span_the_least_time_first_and_with_most_of_their_time_left() {
+    let mut rng = fastrand::Rng::with_seed(3);
+    for count in [0, 1, 2, 700] {
+        let now = 50_000_000;
+        // Among them some whose time is up.
+        let ends: Vec<Micros> = (0..count).map(|_| now - 1_000_000 + rng.u64(0..30_000_000)).collect();
+        let mut backlog = Backlog::new((0..).zip(ends.iter().copied()), now);
+        let (mut last, mut taken) = (0, 0);
+        for at in (now..=now + SPAN).step_by(5_000) {
+            let turn = backlog.take(at);
+            assert!(count < 100 || turn.len() < 100, "{} at once", turn.len());
+            taken += turn.len();
+            for end in turn.into_iter().map(|number| ends[number as usize]) {
+                assert!(end <= now || (at - now) <= (end - now) / PART + 5_000, "it has waited too long");
+                assert!(end >= last, "one with less time comes after");
+                last = end;
+            }
+        }
+        assert_eq!((taken, backlog.left(), backlog.due()), (count, 0, None));
+    }
+}
--- a/src/start/spread.rs
+++ b/src/start/spread.rs
@@ -46,33 +46,4 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-
-    #[test]
-    fn places_are_even_for_a_whole_tier_and_for_a_run_of_it() {
-        for (first, count) in [(0, 300), (37, 150), (500, 500)] {
-            let mut slots = [0; 10];
-            (first..first + count).for_each(|rank| slots[(place(rank, 77) * 10.0) as usize] += 1);
-            let (least, most) = (slots.iter().min(), slots.iter().max());
-            assert!(most.zip(least).is_some_and(|(most, least)| most - least <= 3), "{slots:?}");
-        }
-    }
-
-    #[test]
-    fn a_spread_keeps_its_bounds_whatever_it_is_told() {
-        for senders in [0.0, 1.0, 1e3, f64::INFINITY, f64::NAN] {
-            for bears in [0.0, -4.0, 20.0, f64::INFINITY, f64::NAN] {
-                for trouble in [-1.0, 0.0, 1e9, f64::NAN] {
-                    assert!(width(senders, bears, trouble, WIDEST) <= WIDEST);
-                }
-            }
-        }
-        assert_eq!(width(150.0, 20.0, 0.0, WIDEST), 10_000_000);
-        assert_eq!(width(150.0, 20.0, 1.0, WIDEST), 20_000_000);
-        for failed in 0..100 {
-            assert!(rest(7, failed, 1.0, REST) <= REST.1 * 3 / 2);
-            assert!(rest(Micros::MAX >> 8, failed, 0.0, REST_AT_AGENT) >= REST_AT_AGENT.0 / 2);
-        }
-    }
-}
+mod tests;
