--- a/src/net/log.rs
+++ b/src/net/log.rs
@@ -154,20 +154,4 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-
-    /// Guards the disk and the day against a storm of one kind, and the other kinds against it.
-    #[test]
-    fn a_storm_of_one_kind_is_bounded_and_told_and_hides_no_other() {
-        let (one, other) = (tracing::info_span!("one"), tracing::info_span!("other"));
-        let kind = |span: &tracing::Span| span.metadata().map(tracing::Metadata::callsite);
-        let bounded = Bounded::default();
-        let now = Instant::now();
-        let (Some(one), Some(other)) = (kind(&one), kind(&other)) else { return };
-        let through = (0..1000).filter(|_| bounded.admits(one.clone(), now).0).count();
-        assert_eq!(through, MOST as usize);
-        assert_eq!(bounded.admits(other, now), (true, 0));
-        assert_eq!(bounded.admits(one, now + WINDOW), (true, 1000 - u64::from(MOST)));
-    }
-}
+mod tests;
