Hold the policy's lines as wc -l counts them, and where tests live

Need: the policy's files stay within 1,200 lines in all, blanks included, and tests live in test files; the test before left blank lines out and named one file.

--- a/tests/limits.rs
+++ b/tests/limits.rs
@@ -1,12 +1,56 @@
-//! The users' limits on the decision module.
+//! The users' limits on the decision module, and the house's on where tests live.
 
+use std::collections::BTreeMap;
+use std::path::{Path, PathBuf};
+use std::{fs, io};
+
+/// Each Rust file at or below a path of the repository, with its text.
+fn texts(path: &str) -> io::Result<BTreeMap<PathBuf, String>> {
+    let mut found = BTreeMap::new();
+    let mut left = vec![Path::new(env!("CARGO_MANIFEST_DIR")).join(path)];
+    while let Some(at) = left.pop() {
+        if at.is_dir() {
+            for entry in fs::read_dir(&at)? {
+                left.push(entry?.path());
+            }
+        } else if at.extension().is_some_and(|kind| kind == "rs") {
+            found.insert(at.clone(), fs::read_to_string(&at)?);
+        }
+    }
+    Ok(found)
+}
+
+/// The files that the deployment names as the policy's, blank lines counted as `wc -l` does.
 #[test]
-fn the_policy_stays_within_its_lines_and_columns() {
-    let text = include_str!("../src/policy.rs");
-    let lines = text.lines().filter(|line| !line.trim().is_empty()).count();
+fn the_policy_stays_within_its_lines_and_columns() -> io::Result<()> {
+    let deployed: toml::Table = include_str!("../deploy/balancer.toml").parse().expect("a table");
+    let mut lines = 0;
+    for path in deployed["policy"].as_array().expect("a list") {
+        let texts = texts(path.as_str().expect("a path"))?;
+        assert!(!texts.is_empty(), "{path} has no Rust file");
+        for (path, text) in texts {
+            lines += text.lines().count();
+            for (number, line) in text.lines().enumerate() {
+                assert!(line.chars().count() <= 110, "{} line {}", path.display(), number + 1);
+            }
+            let told = text.lines().take(5).any(|line| line.contains("src/interface.rs"));
+            assert!(told, "{} names no interface", path.display());
+        }
+    }
     assert!(lines <= 1_200, "{lines} lines");
-    for (number, line) in text.lines().enumerate() {
-        assert!(line.chars().count() <= 110, "line {}", number + 1);
+    Ok(())
+}
+
+/// Guards where tests live: beside the module in its `tests.rs`, or in `tests/`.
+#[test]
+fn no_test_lives_in_the_file_of_what_it_tests() -> io::Result<()> {
+    let mut inside = vec![];
+    for (path, text) in [texts("src")?, texts("fleet/src")?, texts("ops/src")?].into_iter().flatten() {
+        let is_test = |line: &str| line.starts_with("mod tests {") || line.starts_with("#[test]");
+        if !path.ends_with("tests.rs") && text.lines().any(|line| is_test(line.trim())) {
+            inside.push(path);
+        }
     }
-    assert!(text.lines().take(5).any(|line| line.contains("src/interface.rs")));
+    assert!(inside.is_empty(), "{inside:?}");
+    Ok(())
 }
