--- a/src/interface.rs
+++ b/src/interface.rs
@@ -19,6 +19,9 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct DestinationId(pub u16);
 
+/// What a breaker guards: a destination, or one endpoint of it where its routes are apart.
+pub type RouteId = (DestinationId, Option<EndpointId>);
+
 /// Where a keyed repeat is recognised.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Group {
@@ -47,9 +50,10 @@
 }
 
 /// How worth falls once the aim has passed.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Decay {
     /// Evenly, down to the late worth at the deadline.
+    #[default]
     Line,
     /// By half with each further aim, not under the late worth.
     Halves,
@@ -89,9 +93,10 @@
 }
 
 /// What the weight of an endpoint's listing says.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Weights {
     /// Nothing.
+    #[default]
     None,
     /// Calls a second that the destination takes from all senders together.
     Nominal,
@@ -100,7 +105,7 @@
 }
 
 /// The figures of the rules.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Rules {
     /// A final answer is valid this long after the deadline.
     pub answer_slack: Micros,
@@ -121,7 +126,7 @@
 }
 
 /// What an instance is told at its start.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Settings {
     /// Classes of message.
     pub classes: Vec<Class>,
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -48,9 +48,6 @@
 /// From the end of a process until the next one repeats what was out, connection and all.
 const RESTART: Micros = 2_000_000;
 
-/// What a breaker guards: a destination, or one endpoint of it where its routes are apart.
-pub type RouteId = (DestinationId, Option<EndpointId>);
-
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 enum State {
     #[default]
@@ -102,16 +99,15 @@
                 (self.failures, self.timeouts) = (0, 0);
                 self.state = State::Closed;
                 self.trial = None;
+                return;
             }
             Outcome::Error | Outcome::ConnectFailed | Outcome::Reset => self.failures += 1,
             Outcome::TimedOut => self.timeouts += 1,
             Outcome::Full(_) | Outcome::Cancelled | Outcome::Moot { .. } => return,
         }
-        if outcome != Outcome::Delivered {
-            self.last_failed = now;
-            if trial || self.failures >= MAX_FAILURES || self.timeouts >= MAX_TIMEOUTS {
-                self.open(now, aim);
-            }
+        self.last_failed = now;
+        if trial || self.failures >= MAX_FAILURES || self.timeouts >= MAX_TIMEOUTS {
+            self.open(now, aim);
         }
     }
 }
@@ -173,6 +169,11 @@
     (rate.0 * fade + event * 1e6 / span, now)
 }
 
+/// What a message adds to the load of a cold destination, whether it joins a call or begins one.
+fn weight(joins: bool) -> f64 {
+    if joins { BUNDLE_WEIGHT } else { 1.0 }
+}
+
 /// How many turns a note stands for: a price is paid for each receiver.
 fn turns_a_note(senders: usize) -> usize {
     (senders / NOTE_SENDERS).max(1)
@@ -234,18 +235,11 @@
         self.served.0 / (self.served.1 + rules.overload_for as f64 / 1e6)
     }
 
-    /// Whether the ramp after an outage leaves room for a further weight, with `backlog` messages held.
+    /// Whether the ramp after an outage leaves room for a further message, with so many messages held.
     /// Guards against many senders of little each: what all hold came since the outage began, so a message's
     /// part of the traffic is one over the time since. Less than a call a span goes at random times at that
     /// rate. It hurts where few senders have anything to send.
-    fn ramp_allows(
-        &mut self,
-        settings: &Settings,
-        now: Micros,
-        weight: f64,
-        backlog: f64,
-        luck: f64,
-    ) -> bool {
+    fn ramp_allows(&mut self, settings: &Settings, now: Micros, joins: bool, held: f64, luck: f64) -> bool {
         let rules = &settings.rules;
         while self.sent.front().is_some_and(|s| s.0 + rules.overload_for <= now) {
             self.sent.pop_front();
@@ -255,7 +249,7 @@
             (self.turn, self.part) = (0.0, None);
             return true;
         };
-        let part = backlog * 1e6 / (now.saturating_sub(self.bad_since)).max(1) as f64;
+        let part = held * 1e6 / (now.saturating_sub(self.bad_since)).max(1) as f64;
         let own = match self.part.filter(|_| self.told > 0.0) {
             Some(part) => self.told * part,
             None => self.usual_rate(rules).max(self.told / settings.senders as f64).max(part),
@@ -265,7 +259,7 @@
         self.ramp = (rules.fall_multiple * share * own * RAMP_MARGIN).max(least);
         let spent: f64 = self.sent.iter().map(|s| s.1).sum();
         if self.ramp * seconds > 0.999 {
-            return spent == 0.0 || spent + weight <= self.ramp * seconds;
+            return spent == 0.0 || spent + weight(joins) <= self.ramp * seconds;
         }
         if self.turn <= 0.0 {
             self.turn = 2.0 * luck;
@@ -290,21 +284,13 @@
     /// until then. Where a repeat does no harm it is well before the aim, and later with each attempt, so
     /// that one that is slow gets through. After an outage answers take their time.
     fn time_out(&self, rules: &Rules, effect: Effect, tried: usize, aim: Micros, now: Micros) -> Micros {
-        if effect == Effect::Once
-            || self.usual.is_none()
-            || self.failing()
-            || self.cold_share(rules, now).is_some()
-        {
+        let unsure = self.usual.is_none() || self.failing() || self.cold_share(rules, now).is_some();
+        if effect == Effect::Once || unsure {
             return aim;
         }
         (self.patience(aim) / 2 * (3 << tried.min(4))).min(aim)
     }
 
-    fn note_answer(&mut self, sent: Micros, now: Micros) {
-        self.note_took(now - sent);
-        self.answered_at = now;
-    }
-
     fn note_took(&mut self, took: Micros) {
         let took = took as f64;
         let (mean, dev) = self.usual.unwrap_or((took, took / 2.0));
@@ -454,7 +440,7 @@
 }
 
 /// The decisions of one sender.
-#[derive(Serialize, Deserialize)]
+#[derive(Default, Serialize, Deserialize)]
 pub struct Policy {
     settings: Settings,
     #[serde(skip)]
@@ -497,24 +483,12 @@
         let turn = rng.u64(0..=settings.ask_round());
         Self {
             ask_at: settings.must_ask.then_some(now + turn),
-            asks_failed: 0,
             tenants: vec![(0.0, now); settings.tenants.len()],
             keep: settings.idle_close,
             settings,
             rng,
             now,
-            endpoints: BTreeMap::new(),
-            cells: BTreeMap::new(),
-            routes: BTreeMap::new(),
-            held: BTreeMap::new(),
-            flights: BTreeMap::new(),
-            calls: BTreeMap::new(),
-            next_call: 0,
-            lines: BTreeMap::new(),
-            reminder: None,
-            news: BTreeSet::new(),
-            stop_at: None,
-            drain_by: None,
+            ..Self::default()
         }
     }
 
@@ -582,15 +556,12 @@
             actions.push(Action::Watch);
         }
         let aim = self.shortest_aim();
-        let mut silent: BTreeMap<RouteId, u32> = BTreeMap::new();
+        let mut silent = BTreeMap::new();
         for call in self.calls.values().filter(|call| !call.judged) {
-            if self.routes.get(&call.route).is_some_and(|route| route.silent(call.sent, aim, now)) {
-                *silent.entry(call.route).or_default() += 1;
-            }
-        }
-        for (id, count) in silent {
-            let Some(route) = self.routes.get_mut(&id) else { continue };
-            if route.breaker.state == State::Closed && count >= MAX_SILENT {
+            let Some(route) = self.routes.get_mut(&call.route) else { continue };
+            let count: &mut u32 = silent.entry(call.route).or_default();
+            *count += u32::from(route.silent(call.sent, aim, now));
+            if route.breaker.state == State::Closed && *count >= MAX_SILENT {
                 route.breaker.open(now, aim);
             }
         }
@@ -786,7 +757,8 @@
                 }
                 if first {
                     if matches!(outcome, Outcome::Delivered | Outcome::Error) {
-                        route.note_answer(call.sent, now);
+                        route.note_took(now - call.sent);
+                        route.answered_at = now;
                     }
                     route.record(&self.settings, flight.0, call.sent, outcome, now);
                 }
@@ -1003,12 +975,9 @@
     /// The one path of every send.
     fn dispatch(&mut self, actions: &mut Vec<Action>) {
         let now = self.now;
-        let mut queue: Vec<_> = self
-            .held
-            .iter()
-            .filter(|(_, held)| held.out == 0)
-            .map(|(id, held)| (now > held.aim || self.within_share(held.message.tenant) < 0.5, held.aim, *id))
-            .collect();
+        let yields = |held: &Held| now > held.aim || self.within_share(held.message.tenant) < 0.5;
+        let waiting = self.held.iter().filter(|(_, held)| held.out == 0);
+        let mut queue: Vec<_> = waiting.map(|(id, held)| (yields(held), held.aim, *id)).collect();
         queue.sort_unstable();
         // Calls begun in this tick: later messages to the same endpoint travel along.
         let mut begun: BTreeMap<EndpointId, (u64, usize)> = BTreeMap::new();
@@ -1030,11 +999,8 @@
                 choice.3 = choice.3 * 256 + self.rng.usize(0..256);
             }
             choices.sort_unstable();
-            for choice in choices {
-                if self.admit(id, choice.4, waiting, &mut begun, actions) {
-                    break;
-                }
-            }
+            // The first that agrees takes it.
+            choices.into_iter().any(|choice| self.admit(id, choice.4, waiting, &mut begun, actions));
         }
     }
 
@@ -1096,8 +1062,7 @@
             return false;
         }
         // The ramp after an outage.
-        let weight = if joined.is_some() { BUNDLE_WEIGHT } else { 1.0 };
-        if !route.ramp_allows(&self.settings, now, weight, backlog, self.rng.f64()) {
+        if !route.ramp_allows(&self.settings, now, joined.is_some(), backlog, self.rng.f64()) {
             return false;
         }
         if joined.is_none() {
@@ -1140,7 +1105,7 @@
             return false;
         }
         let call = joined.map_or(self.next_call, |b| b.0);
-        route.sent.push_back((now, weight));
+        route.sent.push_back((now, weight(joined.is_some())));
         if joined.is_none() {
             self.next_call += 1;
             route.out += 1;
@@ -1193,7 +1158,6 @@
     /// Asks to be woken when the next decision can fall due without an event.
     fn remind(&mut self, actions: &mut Vec<Action>) {
         let now = self.now;
-        let span = self.settings.rules.overload_for;
         self.lines.retain(|_, l| !l.waiting.is_empty() || !l.out.is_empty() || l.rest.0 > now);
         let messages = self.held.values().map(|held| match self.drain_by {
             Some(_) if held.out == 0 => self.last_start(held) + 1,
@@ -1208,7 +1172,7 @@
             .flat_map(|d| self.routes.range((*d, None)..).take_while(move |(id, _)| id.0 == *d))
             .flat_map(|(_, r)| {
                 let credit = r.credit_at + ((1.0 - r.credit).max(0.0) / r.pace * 1e6).ceil() as Micros;
-                let ramp = r.sent.front().map_or(0, |s| s.0 + span);
+                let ramp = r.sent.front().map_or(0, |s| s.0 + self.settings.rules.overload_for);
                 let wait = (r.turn / r.ramp.max(1e-6) * 1e6) as Micros + self.settings.period;
                 let turn = if r.turn > 0.0 { r.turn_at + wait } else { 0 };
                 [r.wait_until, r.breaker.due(), ramp, credit, turn, r.slot.unwrap_or(0)]
