Have the tests of configuration, handover and refusals in files of their own

Need: tests live in test files; three modules of the running sender still held theirs. Change: `mod tests` of src/net/config.rs, src/net/handover.rs and src/net/refusals.rs moved to `tests.rs` beside each; the paths of included files go one folder up, no assertion is touched.

--- /dev/null
+++ b/src/net/config/tests.rs
@@ -0,0 +1,76 @@
+use myrtleyard::interface::Effect;
+use serde_json::json;
+
+use super::super::names::following;
+use super::*;
+
+fn parsed(text: &[u8], in_force: Option<&Value>) -> Result<Config, Wrong> {
+    check(text, in_force).map_err(|faults| Wrong::Faults { path: "a file".to_owned(), faults })
+}
+
+fn document() -> Value {
+    json!({
+        "name": "n1", "listen": "127.0.0.1:1", "discovery": "127.0.0.1:2", "seed": "1",
+        "limits": {"disk_mb": 3}, "known": {},
+        "settings": {
+            "classes": [
+                {"name": "note", "effect": "by_key", "dedup_window_us": 9, "on_time_us": 5, "hard_limit_us": 9},
+                {"name": "order", "effect": "once", "on_time_us": 5, "hard_limit_us": 9}],
+            "family_info": {"calls_out": 8}, "period_us": 5,
+            "limits": {"max_open": 100, "try_limit": 6, "connect_timeout_us": 7},
+            "obligations": {"answer_slack_us": 1, "cold_share": 0.2, "warm_within_us": 1, "fall_multiple": 2,
+                            "overload_for_us": 3, "stop_sending_within_us": 2}}})
+}
+
+/// Guards the settings in force against files that are cut off, or say what can't be meant.
+#[test]
+fn a_broken_file_is_turned_down_whole() -> Result<(), Box<dyn std::error::Error>> {
+    let whole = document();
+    let text = whole.to_string();
+    parsed(text.as_bytes(), Some(&whole))?;
+    for end in 0..text.len() {
+        assert!(parsed(&text.as_bytes()[..end], Some(&whole)).is_err(), "cut off at {end}");
+    }
+    for (place, key) in [
+        ("", "discovery"),
+        ("", "known"),
+        ("/limits", "disk_mb"),
+        ("/settings", "classes"),
+        ("/settings/limits", "connect_timeout_us"),
+        ("/settings/limits", "try_limit"),
+        ("/settings/classes/0", "dedup_window_us"),
+        ("/settings/classes/1", "hard_limit_us"),
+    ] {
+        let mut broken = whole.clone();
+        let found = broken.pointer_mut(place).and_then(Value::as_object_mut).and_then(|o| o.remove(key));
+        assert!(found.is_some() && parsed(broken.to_string().as_bytes(), Some(&whole)).is_err(), "{key}");
+    }
+    for place in ["/settings/limits/try_limit", "/settings/classes/1/hard_limit_us"] {
+        for figure in [json!(0), json!(-3), json!("6"), Value::Null] {
+            let mut broken = whole.clone();
+            broken.pointer_mut(place).map(|value| *value = figure).ok_or(place)?;
+            assert!(parsed(broken.to_string().as_bytes(), Some(&whole)).is_err(), "{broken}");
+        }
+    }
+    Ok(())
+}
+
+/// Guards what is under way: a class that it came with keeps its position and its meaning.
+#[test]
+fn a_class_keeps_its_position_whatever_comes_and_goes() -> Result<(), Box<dyn std::error::Error>> {
+    let first = parsed(document().to_string().as_bytes(), None)?;
+    let mut changed = document();
+    changed["settings"]["classes"][0]["effect"] = json!("once");
+    changed["settings"]["classes"][1]["name"] = json!("bill");
+    let second = parsed(changed.to_string().as_bytes(), Some(&first.document))?;
+    let (settings, names) = following((second.settings, second.names), &first.settings, &first.names);
+    assert_eq!(settings.classes[..2], first.settings.classes[..]);
+    assert_eq!(settings.classes[2].effect, Effect::Once);
+    assert_eq!(["note", "order", "bill"].map(|name| names.class(name)), [Some(2), None, Some(3)]);
+    // What comes back as it was has its old position.
+    let third = parsed(document().to_string().as_bytes(), None)?;
+    let (settings, names) = following((third.settings, third.names), &settings, &names);
+    assert_eq!(settings.classes.len(), 4);
+    assert_eq!(["note", "order", "bill"].map(|name| names.class(name)), [Some(0), Some(1), None]);
+    Ok(())
+}
