Keep one configuration's tenants, classes, zones and limits from another's in the module

Cause: `adopt` kept tenants' rates and held messages' tenants by position (src/policy.rs), so that a file with its tenants in another order charged one's traffic to another. The shortest aim was over classes that nothing is taken for any more, and so decided breakers and patience for ever. `list` left a known endpoint's kind and zone as they were. Two zones that the settings do not name counted as one. A limit told in another form stayed.

--- a/src/interface.rs
+++ b/src/interface.rs
@@ -2,6 +2,8 @@
 //!
 //! Times are microseconds on the clock of the events; the module knows no other clock.
 
+use std::collections::BTreeSet;
+
 use serde::{Deserialize, Serialize};
 
 /// A point in time or a span, in microseconds.
@@ -75,6 +77,9 @@
 /// A tenant and its share.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Tenant {
+    /// By which it is known again in other settings; empty where none was told.
+    #[serde(default)]
+    pub name: String,
     /// Messages a second, over all senders, within its share.
     pub quota: f64,
 }
@@ -125,6 +130,9 @@
 pub struct Settings {
     /// Classes of message.
     pub classes: Vec<Class>,
+    /// Positions of classes of earlier settings, which only what is held goes by.
+    #[serde(default)]
+    pub retired: BTreeSet<usize>,
     /// Tenants; may be empty.
     pub tenants: Vec<Tenant>,
     /// Kinds of destination.
@@ -175,6 +183,18 @@
 }
 
 impl Settings {
+    /// The shortest aim of the classes that messages are taken for, in microseconds; 0 without any.
+    pub fn shortest_aim(&self) -> Micros {
+        let classes = self.classes.iter().enumerate().filter(|(at, _)| !self.retired.contains(at));
+        classes.map(|(_, class)| class.aim).min().unwrap_or(0)
+    }
+
+    /// Where each tenant of earlier settings stands in these, by its name; `usize::MAX` if it does not.
+    pub fn tenants_after(&self, before: &Self) -> Vec<usize> {
+        let place = |old: &Tenant| self.tenants.iter().position(|new| new.name == old.name);
+        before.tenants.iter().map(|old| place(old).unwrap_or(usize::MAX)).collect()
+    }
+
     /// Where the list must be asked for: the time in which all senders ask once. Discovery is theirs together,
     /// has room for few calls at a time, and must bear each sender once in `ask_every`, answer time included.
     pub fn ask_round(&self) -> Micros {
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -2,6 +2,8 @@
 //! A three-state breaker per destination decides the ordinary path of every message. All sends pass
 //! [`Policy::dispatch`] and [`Policy::admit`]; all final answers pass [`Policy::answer`].
 
+mod adopted;
+
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 use serde::{Deserialize, Serialize};
@@ -353,7 +355,7 @@
     }
 
     fn record(&mut self, settings: &Settings, call: u64, sent: Micros, outcome: Outcome, now: Micros) {
-        let aim = settings.classes.iter().map(|c| c.aim).min().unwrap_or(0);
+        let aim = settings.shortest_aim();
         if self.bad_run + self.fulls == 0 {
             self.bad_since = sent;
         }
@@ -581,7 +583,7 @@
             self.ask_at = None;
             actions.push(Action::Watch);
         }
-        let aim = self.shortest_aim();
+        let aim = self.settings.shortest_aim();
         let mut silent: BTreeMap<RouteId, u32> = BTreeMap::new();
         for call in self.calls.values().filter(|call| !call.judged) {
             if self.routes.get(&call.route).is_some_and(|route| route.silent(call.sent, aim, now)) {
@@ -624,7 +626,8 @@
             RouteOutlook::new(rates, r.wait_until.max(r.breaker.due()), r.cold_share(rules, now), r.usual)
         });
         let backlog = self.held.values().filter(|held| held.message.destination == to).count();
-        let rate = self.tenants.get(tenant).map_or(0.0, |r| faded(*r, now, self.shortest_aim(), 0.0).0);
+        let rate =
+            self.tenants.get(tenant).map_or(0.0, |r| faded(*r, now, self.settings.shortest_aim(), 0.0).0);
         Outlook { backlog, tenant_rate: rate, routes: routes.collect(), ..Outlook::default() }
     }
 
@@ -635,18 +638,6 @@
         routes.filter(shut).count()
     }
 
-    /// What is held keeps its aim, its deadline and its class; all that comes next goes by the new settings,
-    /// attempts allowed among them: a message that has had more is answered.
-    fn adopt(&mut self, settings: &Settings) {
-        self.tenants.resize(settings.tenants.len(), (0.0, self.now));
-        self.keep = self.keep.min(settings.idle_close);
-        self.settings = settings.clone();
-    }
-
-    fn shortest_aim(&self) -> Micros {
-        self.settings.classes.iter().map(|c| c.aim).min().unwrap_or(0)
-    }
-
     /// A message that outlived the process that took it: what may have run then still binds.
     fn resume(&mut self, message: &Message, attempts: u32, may_have_run: &[(Micros, EndpointId)]) {
         self.hold(message);
@@ -681,6 +672,8 @@
         for entry in entries {
             let plain = Kind { routes_apart: false, bundle: 1 };
             let kind = self.settings.kinds.get(entry.kind).copied().unwrap_or(plain);
+            let before = self.route_of(entry.endpoint).and_then(|id| self.routes.get(&id));
+            let wait_until = before.map_or(0, |route| route.wait_until);
             let endpoint = self.endpoints.entry(entry.endpoint).or_insert(Endpoint {
                 destination: entry.destination,
                 zone: entry.zone,
@@ -691,11 +684,14 @@
                 sent_at: 0,
                 gap: Micros::MAX,
             });
+            (endpoint.zone, endpoint.kind) = (entry.zone, kind);
             endpoint.ready = entry.listing == Listing::Ready;
             self.cells.entry(endpoint.destination).or_default().insert(entry.endpoint);
             let id = (entry.destination, kind.routes_apart.then_some(entry.endpoint));
             let now = self.now;
             let route = self.routes.entry(id).or_insert_with(|| Route::new(now));
+            // A kind may be one route or several from now on: a wait that was told binds either way.
+            route.wait_until = route.wait_until.max(wait_until);
             route.told = match self.settings.weights {
                 Weights::None => route.told,
                 Weights::Nominal => entry.weight,
@@ -848,11 +844,12 @@
             Effect::Keyed { group, window } => {
                 // The repeat must get there, connection and all, while the key is remembered.
                 let margin = self.settings.connect_timeout.min(window / 4);
-                let zone = |e: EndpointId| self.endpoints.get(&e).map(|e| e.zone);
+                // Two zones that the settings do not name may be different ones.
+                let zone = |e: EndpointId| self.endpoints.get(&e).map_or(u16::MAX, |e| e.zone);
                 self.now + margin < first.1 + window
                     && held.may_have_run.iter().all(|a| match group {
                         Group::All => true,
-                        Group::Zone => zone(a.2) == zone(endpoint),
+                        Group::Zone => a.2 == endpoint || zone(a.2).min(u16::MAX - 1) == zone(endpoint),
                         Group::Endpoint => a.2 == endpoint,
                     })
             }
@@ -1199,7 +1196,7 @@
             Some(_) if held.out == 0 => self.last_start(held) + 1,
             _ => self.last_call(held),
         });
-        let aim = self.shortest_aim();
+        let aim = self.settings.shortest_aim();
         let silent = self.calls.values().filter(|call| !call.judged);
         let silent = silent.filter_map(|c| Some(c.sent + self.routes.get(&c.route)?.patience(aim)));
         let wanted = self.backlog();
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -1,6 +1,6 @@
 //! The bench's wire: frames, records and the settings' JSON. No decisions are made here.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::fmt;
 use std::io::{self, Read};
 
@@ -380,6 +380,8 @@
 
 #[derive(Deserialize)]
 struct RawRealm {
+    #[serde(default)]
+    name: String,
     quota_per_s: f64,
 }
 
@@ -493,7 +495,8 @@
     let o = &raw.obligations;
     Ok(Settings {
         classes: raw.classes.iter().map(class).collect::<Result<_, _>>()?,
-        tenants: raw.realms.iter().map(|r| Tenant { quota: r.quota_per_s }).collect(),
+        retired: BTreeSet::new(),
+        tenants: raw.realms.iter().map(|r| Tenant { name: r.name.clone(), quota: r.quota_per_s }).collect(),
         kinds: (0..kinds)
             .map(|k| Kind {
                 routes_apart: family.own_limits.get(k).copied().unwrap_or(false),
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -30,6 +30,7 @@
             class(Effect::Repeatable, false),
             class(Effect::Repeatable, true),
         ],
+        retired: Default::default(),
         tenants: vec![],
         kinds: vec![
             Kind { routes_apart: false, bundle: 1 },
--- a/tests/estimate/runs.rs
+++ b/tests/estimate/runs.rs
@@ -28,7 +28,8 @@
     };
     Settings {
         classes: vec![class],
-        tenants: vec![Tenant { quota: 40.0 }],
+        retired: Default::default(),
+        tenants: vec![Tenant { name: String::new(), quota: 40.0 }],
         kinds: vec![],
         tolls: vec![],
         decay: Decay::Line,
--- /dev/null
+++ b/tests/settings.rs
@@ -0,0 +1,158 @@
+//! Changed settings at a sender with messages in hand: nothing of the old ones is in force under the new, and nothing of
+//! one tenant, zone or kind under another.
+
+mod common;
+
+use common::*;
+use myrtleyard::interface::*;
+
+fn tenant(name: &str, quota: f64) -> Tenant {
+    Tenant { name: name.to_owned(), quota }
+}
+
+fn shared(tenants: Vec<Tenant>) -> Settings {
+    Settings { tenants, slots: 1, ..settings() }
+}
+
+impl Sender {
+    fn adopt(&mut self, settings: Settings) {
+        self.tell(vec![Event::Settings(Box::new(settings))]);
+    }
+
+    fn accept_of(&mut self, tenant: usize) -> MessageId {
+        let message = Message { tenant, ..self.message(SAFE, None, 20 * SECOND) };
+        let id = message.id;
+        self.tell(vec![Event::Accepted(message)]);
+        id
+    }
+}
+
+/// Tenants change places with messages held: each is still judged by its own tenant's rate and share.
+#[test]
+fn a_tenants_traffic_is_charged_to_no_other_that_has_its_place() {
+    let mut sender = Sender::new(shared(vec![tenant("loud", 0.01), tenant("quiet", 100.0)]), &[]);
+    let (loud, quiet) = ([sender.accept_of(0), sender.accept_of(0)], sender.accept_of(1));
+    sender.adopt(shared(vec![tenant("quiet", 100.0), tenant("loud", 0.01)]));
+    sender.tell(vec![Event::List(vec![entry(1, 0)])]);
+    for _ in 0..3 {
+        sender.end(Outcome::Delivered);
+    }
+    let order: Vec<_> = sender.sent.iter().map(|out| out.message).collect();
+    assert_eq!(order, [quiet, loud[0], loud[1]]);
+}
+
+/// The place of a tenant that is gone goes to another, which has sent nothing; what is held is nobody's.
+#[test]
+fn a_tenant_that_is_gone_leaves_nothing_to_who_has_its_place() {
+    let mut sender = Sender::new(shared(vec![tenant("loud", 0.01), tenant("quiet", 100.0)]), &[]);
+    for _ in 0..4 {
+        sender.accept_of(0);
+    }
+    assert!(sender.policy.outlook(DEST, 0).tenant_rate > 0.5);
+    let quiet = sender.accept_of(1);
+    sender.adopt(shared(vec![tenant("new", 0.01), tenant("quiet", 100.0)]));
+    assert_eq!(sender.policy.outlook(DEST, 0).tenant_rate, 0.0);
+    assert!(sender.policy.outlook(DEST, 1).tenant_rate > 0.1);
+    let new = sender.accept_of(0);
+    sender.tell(vec![Event::List(vec![entry(1, 0)])]);
+    while !sender.out.is_empty() {
+        sender.end(Outcome::Delivered);
+    }
+    let order: Vec<_> = sender.sent.iter().map(|out| out.message).collect();
+    assert_eq!(order.len(), 6);
+    assert_eq!(order.last(), Some(&new), "it alone is beyond its share, which is next to nothing");
+    assert!(order[..5].contains(&quiet));
+}
+
+/// A class that nothing is taken for any more decides no breaker's time.
+#[test]
+fn a_retired_class_decides_no_time() {
+    let trial = |settings: Settings| {
+        let mut sender = Sender::new(settings.clone(), &[entry(1, 0)]);
+        // The class at the end is an earlier one; it is held for nothing.
+        sender.adopt(settings);
+        for _ in 0..5 {
+            sender.accept(SAFE);
+        }
+        for _ in 0..5 {
+            sender.end(Outcome::Error);
+        }
+        let begun = sender.now;
+        let calls = sender.sent.len();
+        while sender.sent.len() == calls && sender.now < begun + 20 * SECOND {
+            sender.pass(SECOND / 100);
+        }
+        sender.now - begun
+    };
+    let plain = trial(settings());
+    let mut with = settings();
+    with.classes.push(Class { aim: SECOND / 10, ..with.classes[SAFE].clone() });
+    with.retired.insert(with.classes.len() - 1);
+    assert!(plain > SECOND, "{plain}");
+    assert_eq!(trial(with), plain);
+}
+
+/// A kind whose calls carry more than before, or fewer, does so from the next call on.
+#[test]
+fn a_listed_endpoint_takes_on_its_changed_kind_and_zone() {
+    let mut sender = Sender::new(settings(), &[entry(1, 0)]);
+    let changed = Settings { tolls: vec![0.0, 0.0, 9.0], ..settings() };
+    let listed = |n, kind, zone| Entry { zone, ..entry(n, kind) };
+    sender.adopt(changed);
+    sender.tell(vec![Event::Changes(vec![listed(1, 1, 2), listed(2, 1, 0)])]);
+    assert_eq!(sender.policy.route_of(endpoint(1)), Some((DEST, Some(endpoint(1)))));
+    sender.accept(SAFE);
+    assert_eq!(sender.sent[0].endpoint, endpoint(2), "the other's zone has a toll now");
+}
+
+/// A wait that was told outlasts a change that parts or joins routes.
+#[test]
+fn a_wait_binds_whatever_becomes_of_the_route() {
+    for (before, after) in [(0, 1), (1, 0)] {
+        let mut sender = Sender::new(settings(), &[entry(1, before)]);
+        sender.tell(vec![Event::Wait { endpoint: endpoint(1), wait: 3 * SECOND }]);
+        sender.adopt(settings());
+        sender.tell(vec![Event::Changes(vec![entry(1, after)])]);
+        sender.accept(SAFE);
+        sender.pass(3 * SECOND - 1);
+        assert_eq!(sender.sent.len(), 0, "{before} to {after}");
+        sender.pass(SECOND);
+        assert_eq!(sender.sent.len(), 1, "{before} to {after}");
+    }
+}
+
+/// Two zones that the settings do not name are not taken for one: a key known in the one may be new in the other.
+#[test]
+fn zones_that_are_not_named_are_not_one() {
+    let mut own = settings();
+    own.classes[KEYED].effect = Effect::Keyed { group: Group::Zone, window: 6 * SECOND };
+    let unnamed = |n| Entry { zone: u16::MAX, ..entry(n, 0) };
+    let mut sender = Sender::new(own, &[unnamed(1)]);
+    sender.accept(KEYED);
+    sender.end(Outcome::Reset);
+    sender.tell(vec![Event::List(vec![unnamed(2)])]);
+    sender.pass(10 * SECOND);
+    assert_eq!(sender.sent.iter().filter(|out| out.endpoint == endpoint(2)).count(), 0);
+}
+
+/// What a weight or a report told of a limit is no figure of settings that read them otherwise.
+#[test]
+fn a_limit_that_was_told_in_another_form_is_forgotten() {
+    let nominal = Settings { weights: Weights::Nominal, ..settings() };
+    let mut sender = Sender::new(nominal, &[Entry { weight: 30.0, ..entry(1, 0) }]);
+    assert_eq!(sender.policy.outlook(DEST, 0).routes[0].limit, 30.0);
+    sender.adopt(settings());
+    sender.tell(vec![Event::Changes(vec![Entry { weight: 30.0, ..entry(1, 0) }])]);
+    assert_eq!(sender.policy.outlook(DEST, 0).routes[0].limit, 0.0);
+}
+
+/// What an older version tells at a handover lacks what has come since.
+#[test]
+fn settings_of_an_older_version_are_read() {
+    let mut told = serde_json::to_value(shared(vec![tenant("a", 1.0)])).unwrap();
+    let settings = told.as_object_mut().unwrap();
+    assert!(settings.remove("retired").is_some());
+    assert!(settings["tenants"][0].as_object_mut().unwrap().remove("name").is_some());
+    let read: Settings = serde_json::from_value(told).unwrap();
+    assert_eq!(read, shared(vec![tenant("", 1.0)]));
+}
