Have kinds, zones and classes go by name when settings change at a running sender

Cause: the list's entries kept batch size, kind and zone by the positions of the file before (src/net/driver.rs `listed`, src/net/listing.rs), until news of each; a hand-in kept the class position that was looked up when its head was read, across a reload, and at a handover across two files; `following` never gave a position back, so that each reload with other classes made the settings longer; `needs_grant` asked the class in force, not the message's own. Change: endpoints keep the names of zone and kind and are told to the module anew at each change; class and tenant of a hand-in are looked up when it is taken on, and it is refused if they are gone; a position that nothing is held for goes to the next class, which bounds them by the classes of the file and the messages held. The change in `needs_grant` is by reading, with no test of its own.

--- a/src/net/config/tests.rs
+++ b/src/net/config/tests.rs
@@ -63,14 +63,48 @@
     changed["settings"]["classes"][0]["effect"] = json!("once");
     changed["settings"]["classes"][1]["name"] = json!("bill");
     let second = parsed(changed.to_string().as_bytes(), Some(&first.document))?;
-    let (settings, names) = following((second.settings, second.names), &first.settings, &first.names);
+    let (settings, names) =
+        following((second.settings, second.names), &first.settings, &first.names, |_| true);
     assert_eq!(settings.classes[..2], first.settings.classes[..]);
     assert_eq!(settings.classes[2].effect, Effect::Once);
     assert_eq!(["note", "order", "bill"].map(|name| names.class(name)), [Some(2), None, Some(3)]);
     // What comes back as it was has its old position.
     let third = parsed(document().to_string().as_bytes(), None)?;
-    let (settings, names) = following((third.settings, third.names), &settings, &names);
+    let (settings, names) = following((third.settings, third.names), &settings, &names, |_| true);
     assert_eq!(settings.classes.len(), 4);
     assert_eq!(["note", "order", "bill"].map(|name| names.class(name)), [Some(0), Some(1), None]);
     Ok(())
 }
+
+/// Guards the number of positions: a thousand files in a row, each with another class, leave as many as are in use.
+#[test]
+fn classes_that_nothing_is_held_for_leave_no_trace() -> Result<(), Box<dyn std::error::Error>> {
+    let first = parsed(document().to_string().as_bytes(), None)?;
+    let (mut settings, mut names) = (first.settings, first.names);
+    for n in 1..1_000u64 {
+        let mut changed = document();
+        changed["settings"]["classes"][0]["on_time_us"] = json!(n);
+        changed["settings"]["classes"][1]["name"] = json!(format!("order-{n}"));
+        let next = parsed(changed.to_string().as_bytes(), None)?;
+        // A message of the first "order" is held for good.
+        (settings, names) = following((next.settings, next.names), &settings, &names, |class| class == 1);
+        assert!(settings.classes.len() <= 3 && names.classes.len() == settings.classes.len(), "{n}");
+        assert_eq!(names.classes[1], "order");
+        assert_eq!((names.retired.clone(), settings.retired.clone()), ([1].into(), [1].into()));
+        let note = names.class("note").ok_or("note is gone")?;
+        assert_eq!(settings.classes[note].aim, n);
+        assert_eq!(settings.shortest_aim(), n.min(5));
+    }
+    let (settings, names) = following(
+        (parsed(document().to_string().as_bytes(), None)?.settings, names_of(&document())?),
+        &settings,
+        &names,
+        |_| false,
+    );
+    assert_eq!((settings.classes.len(), names.retired.len()), (2, 0));
+    Ok(())
+}
+
+fn names_of(document: &Value) -> Result<Names, Wrong> {
+    Ok(parsed(document.to_string().as_bytes(), None)?.names)
+}
--- a/src/net/driver.rs
+++ b/src/net/driver.rs
@@ -374,13 +374,11 @@
     ) -> (Vec<Event>, JoinHandle<()>) {
         let knowledge = *predecessor.knowledge;
         let own = (self.settings.clone(), self.names.borrow().clone());
-        let (settings, names) = following(own, &knowledge.settings, &knowledge.names);
-        self.calls.adopt(limits(&settings, &names, self.connections));
-        self.figures.name(&names);
-        self.names.replace(names);
-        self.settings = settings.clone();
         self.policy = knowledge.policy.taken_over(seed);
+        let held = |class| self.policy.holds_class(class);
+        let (settings, names) = following(own, &knowledge.settings, &knowledge.names, held);
         self.endpoints = knowledge.endpoints;
+        self.go_by(settings.clone(), names, &knowledge.names);
         self.ids = knowledge.ids;
         self.given = knowledge.given;
         self.index = knowledge.index;
@@ -399,13 +397,29 @@
         let out = self.policy.out().map(reset).collect();
         let (orders, followed) = predecessor.link.follow(inbound, out);
         self.predecessor = Some(orders);
-        // The part that keeps the marks may have been turned on or off between the two.
-        let draining = self.parts.draining.as_ref();
-        let marked = |name: &str| draining.is_some_and(|draining| draining.on(name).is_some());
-        let relisted = self.relisted(|name| marked(name) != knowledge.drained.contains(name));
+        // The part that keeps the marks may have been turned on or off between the two, and zones and kinds changed.
+        let relisted = self.relisted(|_| true);
         (vec![Event::Settings(Box::new(settings)), relisted], followed)
     }
 
+    /// These settings and names are in force from now on. Zones and kinds stand in the list by their positions: each
+    /// endpoint keeps its own by name.
+    fn go_by(&mut self, settings: Settings, names: Names, before: &Names) {
+        self.calls.adopt(limits(&settings, &names, self.connections));
+        self.figures.name(&names);
+        for known in self.endpoints.values_mut() {
+            let Some(shape) = &mut known.shape else { continue };
+            let (zone, kind) = known.named.get_or_insert_with(|| {
+                let name = |names: &[String], at: usize| names.get(at).cloned().unwrap_or_default();
+                (name(&before.zones, shape.zone.into()), name(&before.kinds, shape.kind))
+            });
+            (shape.zone, shape.kind) = (names.zone(zone), names.kind(kind));
+            known.bundle = settings.kinds.get(shape.kind).map_or(1, |kind| kind.bundle);
+        }
+        self.names.replace(names);
+        self.settings = settings;
+    }
+
     /// Tells the next process all that is known here, and stays for what is still under way.
     async fn hand_over(
         mut self,
@@ -506,13 +520,20 @@
                 }
                 self.with_parts(|parts, out| parts.adopt(&config, now, out));
                 let own = (config.settings, config.names);
-                let (settings, names) = following(own, &self.settings, &self.names.borrow());
-                self.calls.adopt(limits(&settings, &names, self.connections));
+                let before = self.names.borrow().clone();
+                // What came within this turn is not in the module yet.
+                let comes = |class| {
+                    said.iter().any(|event| {
+                        matches!(event, Event::Accepted(m) if m.class == class)
+                            || matches!(event, Event::Resumed { message, .. } if message.class == class)
+                    })
+                };
+                let held = |class| self.policy.holds_class(class) || comes(class);
+                let (settings, names) = following(own, &self.settings, &before, held);
                 self.figures.reloaded(true);
-                self.figures.name(&names);
-                self.names.replace(names);
-                self.settings = settings.clone();
+                self.go_by(settings.clone(), names, &before);
                 said.push(Event::Settings(Box::new(settings)));
+                said.push(self.relisted(|_| true));
             }
             Inbound::Reloaded(Err(e)) => {
                 self.figures.reloaded(false);
@@ -547,7 +568,7 @@
     }
 
     fn handed_in(&mut self, message: HandedIn, said: &mut Vec<Event>) {
-        let HandedIn { taken, class, answer } = message;
+        let HandedIn { taken, answer, .. } = message;
         if let Some(number) = self.held.get(&taken.id) {
             // The client did not hear that it is taken on, and says it once more.
             match self.fresh.get_mut(number) {
@@ -560,6 +581,13 @@
             }
             return;
         }
+        // Settings may have changed since its head was read, here or at the process before: those in force decide.
+        let class = self.names.borrow().class(&taken.class);
+        let Some(class) = class.filter(|_| self.names.borrow().owns(taken.owner.as_deref())) else {
+            self.figures.ended(&taken.class, End::Deferred);
+            let _ = answer.send(Answer::Refused(0));
+            return;
+        };
         let pending: u64 = self.fresh.values().map(|fresh| Journal::room_for(&fresh.taken)).sum();
         if !self.journal.has_room(&taken, pending) {
             self.figures.ended(&taken.class, End::Deferred);
@@ -665,9 +693,8 @@
             self.endpoints.values_mut().for_each(|known| known.listed = false);
         }
         for listing in list.endpoints {
-            let position = |names: &[String], name: &str| names.iter().position(|n| n == name);
-            let zone = position(&names.zones, &listing.zone).map_or(u16::MAX, |zone| zone as u16);
-            let kind = position(&names.kinds, &listing.kind).unwrap_or(usize::MAX);
+            let (zone, kind) = (names.zone(&listing.zone), names.kind(&listing.kind));
+            let named = Some((listing.zone, listing.kind));
             let mut endpoint = self.id_of(&listing.name);
             let before = self.endpoints.get(&endpoint).filter(|known| known.group != listing.group);
             let mut entry = |endpoint, group, listing| {
@@ -698,7 +725,8 @@
             let (listed, active) = (state != Listing::Gone, state == Listing::Ready);
             let since_ms = listing.since_ms;
             let (name, shape) = (listing.name, Some(Shape { zone, kind, weight, active }));
-            self.endpoints.insert(endpoint, Known { name, group, address, listed, shape, bundle, since_ms });
+            self.endpoints
+                .insert(endpoint, Known { name, group, address, listed, shape, named, bundle, since_ms });
         }
         if list.snapshot { Event::List(entries) } else { Event::Changes(entries) }
     }
--- a/src/net/driver/covered.rs
+++ b/src/net/driver/covered.rs
@@ -145,8 +145,9 @@
 
     /// Whether an attempt may begin only with a grant: at any time if it must not happen twice, and otherwise when
     /// another's first attempt might be forgotten where it went.
-    fn needs_grant(&self, live: &Live, since: Micros, now: Micros) -> bool {
-        let class = self.names.borrow().class(&live.taken.class);
+    fn needs_grant(&self, message: MessageId, live: &Live, since: Micros, now: Micros) -> bool {
+        // It may have been taken on under other settings, which it keeps.
+        let class = self.policy.class_of(message).or_else(|| self.names.borrow().class(&live.taken.class));
         match class.and_then(|class| self.settings.classes.get(class)).map(|class| class.effect) {
             Some(Effect::Repeatable) => false,
             Some(Effect::Keyed { window, .. }) => {
@@ -173,7 +174,7 @@
                 free.push(send);
                 continue;
             };
-            let needs = self.needs_grant(live, since, now);
+            let needs = self.needs_grant(send.0, live, since, now);
             let upto = self.tell(&tag, Fact::Intent(send.1), now);
             let owned = self.parts.covering.as_ref().is_some_and(|covering| covering.core.owns(tag.lot));
             match upto {
--- a/src/net/listing.rs
+++ b/src/net/listing.rs
@@ -58,6 +58,9 @@
     /// What else the module was told of it; an older process hands over without.
     #[serde(default)]
     pub shape: Option<Shape>,
+    /// Its zone and its kind, by name: positions change with the settings. An older process hands over without.
+    #[serde(default)]
+    pub named: Option<(String, String)>,
     /// Messages in one call at most.
     pub bundle: usize,
     /// When it last started, Unix time in milliseconds; 0 for long ago.
--- a/src/net/parts/draining.rs
+++ b/src/net/parts/draining.rs
@@ -78,11 +78,6 @@
         self.marks.over(name, listing)
     }
 
-    /// The mark on an endpoint.
-    pub fn on(&self, name: &str) -> Option<Mark> {
-        self.marks.on(name)
-    }
-
     /// Names of the endpoints that are marked.
     pub fn names(&self) -> BTreeSet<String> {
         self.marks.iter().map(|(name, _)| name.to_owned()).collect()
--- a/tests/node/configuration.rs
+++ b/tests/node/configuration.rs
@@ -85,3 +85,71 @@
     assert_eq!(run(&[option, folder.path().join("none").as_os_str()]).0, Some(2));
     assert_eq!(run(&[option]).0, Some(2));
 }
+
+fn operated(config: &mut Value) {
+    config["mgmt"] = json!("127.0.0.1:0");
+}
+
+/// The settings change between a message's head and its end: those in force when it is taken on are its own.
+#[test]
+fn a_message_that_crosses_a_reload_goes_by_the_settings_that_take_it_on() {
+    let (platform, endpoint) = (Platform::new(), Served::new());
+    let node = Node::start(&platform, &[listing("e1", 7, "plain", endpoint.address)], operated);
+    let (mut gone, mut stays) = (Client::new(&node), Client::new(&node));
+    let of_gone = gone.begin(&handing_in("a", "note", 7, 20_000));
+    let of_stays = stays.begin(&handing_in("b", "order", 7, 20_000));
+    node.reload_and_wait(|config| {
+        let classes = config["settings"]["classes"].as_array_mut().unwrap();
+        classes.remove(0);
+        classes[0]["effect"] = json!("repeatable");
+    });
+    assert_eq!(gone.ask(&of_gone).status(), 503, "nothing is taken on for a class that is gone");
+    assert_eq!(stays.ask(&of_stays).status(), 202);
+    endpoint.next().reply(status(500));
+    let again = endpoint.next();
+    assert_eq!(again.http.headers["req-id"], "b", "it may be repeated now");
+    again.reply(status(200));
+}
+
+/// A kind's batch size holds from the next call on, with no news of its endpoints.
+#[test]
+fn a_changed_kind_holds_for_what_is_listed_already() {
+    let (platform, endpoint) = (Platform::new(), Served::new());
+    let node = Node::start(&platform, &[listing("e1", 7, "bulk", endpoint.address)], |config| {
+        operated(config);
+        config["settings"]["family_info"]["calls_out"] = json!(1);
+    });
+    assert_eq!(node.hand_in("x", "note", 7, 20_000).status(), 202);
+    let first = endpoint.next();
+    for id in ["a", "b"] {
+        assert_eq!(node.hand_in(id, "note", 7, 20_000).status(), 202);
+    }
+    node.reload_and_wait(|config| config["settings"]["family_info"]["bundle_max"] = json!([1, 1]));
+    first.reply(status(200));
+    for _ in 0..2 {
+        let call = endpoint.next();
+        assert_eq!(call.http.first, "POST /v1/messages HTTP/1.1");
+        call.reply(status(200));
+    }
+}
+
+/// Zones change places in the settings: each endpoint keeps its own, and with it the toll.
+#[test]
+fn a_zones_toll_goes_with_its_name() {
+    let (platform, one, two) = (Platform::new(), Served::new(), Served::new());
+    let mut second = listing("e2", 7, "plain", two.address);
+    second["zone"] = json!("b");
+    let node = Node::start(&platform, &[listing("e1", 7, "plain", one.address), second], |config| {
+        operated(config);
+        config["settings"]["azs"] = json!(["a", "b"]);
+        config["settings"]["family_info"]["toll"] = json!([0.0, 0.5]);
+        config["settings"]["family_info"]["own_limits"] = json!([false, true]);
+    });
+    assert_eq!(node.hand_in("a", "note", 7, 20_000).status(), 202);
+    one.next().reply(status(200));
+    node.reload_and_wait(|config| config["settings"]["azs"] = json!(["b", "a"]));
+    assert_eq!(node.hand_in("b", "note", 7, 20_000).status(), 202);
+    let call = two.next();
+    assert_eq!(call.http.headers["req-id"], "b");
+    call.reply(status(200));
+}
--- a/tests/node/world.rs
+++ b/tests/node/world.rs
@@ -455,11 +455,24 @@
 
     /// Writes the configuration anew and has the sender read it.
     pub fn reload(&self, change: impl FnOnce(&mut Value)) {
+        self.rewrite(change);
+        self.signal("HUP");
+    }
+
+    /// Writes the configuration anew, for whoever reads it next.
+    pub fn rewrite(&self, change: impl FnOnce(&mut Value)) {
         let path = self.folder.path().join("config.json");
         let mut config = serde_json::from_slice(&std::fs::read(&path).unwrap()).unwrap();
         change(&mut config);
         std::fs::write(path, config.to_string()).unwrap();
-        self.signal("HUP");
+    }
+
+    /// The same, and waits until it is in force. The configuration has `mgmt`.
+    pub fn reload_and_wait(&self, change: impl FnOnce(&mut Value)) {
+        let taken = || self.call("GET", "/control/counters").json()["conf_loaded"].as_u64().unwrap();
+        let before = taken();
+        self.reload(change);
+        wait_until(|| taken() > before);
     }
 
     pub fn exit_code(&mut self) -> Option<i32> {
@@ -507,6 +520,14 @@
         Http::read(&mut self.0).expect("an answer")
     }
 
+    /// Hands the same in, but keeps the body back once the sender has read the head and asks for the body.
+    pub fn begin(&mut self, text: &[u8]) -> Vec<u8> {
+        let split = text.windows(4).position(|end| end == b"\r\n\r\n").unwrap() + 2;
+        let head = [&text[..split], b"Expect: 100-continue\r\n\r\n"].concat();
+        assert_eq!(self.ask(&head).status(), 100);
+        text[split + 2..].to_vec()
+    }
+
     /// Writes this and closes without waiting for an answer.
     pub fn leave(mut self, text: &[u8]) {
         self.0.get_mut().write_all(text).unwrap();
