Follow the list as changed settings have it, without a new process

Cause: whether the list is watched or asked for was decided once, at the start (src/net/driver.rs, `Following::new`). After a change from `ask` to `push` the first failed call was the last one, since the module answers a failed call in ask mode alone; after one from `push` to `ask` the watch went on. Change: `Wanted::otherwise` hands the next form to the task that follows the list, which then asks for all of it once; the table of keys says that `settings.discovery` takes effect at once.

--- a/src/check.rs
+++ b/src/check.rs
@@ -557,9 +557,7 @@
         p if p.starts_with("settings") => "they go on by the new figure from the next turn on",
         _ => "none",
     };
-    // The pace of asking for the list is set when the process starts.
-    let at_once = path == "discovery" || path.starts_with("settings.");
-    match at_once && path != "settings.discovery" {
+    match path == "discovery" || path.starts_with("settings.") {
         true => (Takes::AtOnce, under_way),
         false => (Takes::NewProcess, "none"),
     }
--- a/src/net/driver.rs
+++ b/src/net/driver.rs
@@ -87,6 +87,8 @@
     peers: Option<Peers>,
     notices: UnboundedSender<Notice>,
     wanted: Rc<platform::Wanted>,
+    /// One service answers all senders' watches of the list.
+    shared: bool,
     inbound: UnboundedSender<Inbound>,
     standing: watch::Sender<Standing>,
     stop_at: Option<Micros>,
@@ -179,6 +181,7 @@
         peers,
         notices,
         wanted: wanted.clone(),
+        shared: config.start.as_ref().is_some_and(|section| section.source == Source::Service),
         inbound: inbound.clone(),
         standing,
         stop_at: None,
@@ -220,8 +223,7 @@
     let listener = listener.map_err(|why| NoStart::Listen { address: config.listen, why })?;
     let address = listener.local_addr().map_err(|why| NoStart::Listen { address: config.listen, why })?;
     driver.standing.send_replace(Standing::InService);
-    let shared = config.start.as_ref().is_some_and(|section| section.source == Source::Service);
-    let following = platform::Following::new(&driver.settings, shared, driver.index, config.seed);
+    let following = platform::Following::new(&driver.settings, driver.shared, driver.index, config.seed);
     let pace =
         driver.parts.starting.as_ref().filter(|_| !driver.settings.must_ask).map(|part| part.pace(clock));
     let mut tasks = vec![
@@ -528,9 +530,16 @@
                             || matches!(event, Event::Resumed { message, .. } if message.class == class)
                     })
                 };
+                let seed = config.seed ^ self.index;
                 let held = |class| self.policy.holds_class(class) || comes(class);
                 let (settings, names) = following(own, &self.settings, &before, held);
                 self.figures.reloaded(true);
+                let asking = |s: &Settings| (s.must_ask, s.rules.ask_every, s.senders, s.rules.drain_grace);
+                if asking(&settings) != asking(&self.settings) {
+                    let otherwise = platform::Following::new(&settings, self.shared, self.index, seed);
+                    self.wanted.otherwise.replace(Some(otherwise));
+                    self.wanted.whole.notify_one();
+                }
                 self.go_by(settings.clone(), names, &before);
                 said.push(Event::Settings(Box::new(settings)));
                 said.push(self.relisted(|_| true));
--- a/src/net/platform.rs
+++ b/src/net/platform.rs
@@ -1,5 +1,6 @@
 //! The platform: the watch on the list of endpoints, and notices of messages that ended undelivered.
 
+use std::cell::RefCell;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -66,9 +67,12 @@
     pub whole: Notify,
     /// To be told of it from now on, for the first time or after that failed.
     pub watch: Notify,
+    /// It is to be followed otherwise from now on, since the settings changed; then all of it is wanted, too.
+    pub otherwise: RefCell<Option<Following>>,
 }
 
 /// How the list is followed.
+#[derive(Debug)]
 pub enum Following {
     /// By a watch from the version that is known, held for so long. It is asked of an agent on this machine, at
     /// no cost, and what the agent has counts as told at once: whether the watch has fallen silent, or the agent
@@ -121,6 +125,7 @@
         wanted.watch.notified().await;
     }
     loop {
+        following = wanted.otherwise.take().unwrap_or(following);
         if let Some(pace) = &pace {
             whole |= pace.turn().await;
         }
--- a/tests/node/configuration.rs
+++ b/tests/node/configuration.rs
@@ -153,3 +153,21 @@
     assert_eq!(call.http.headers["req-id"], "b");
     call.reply(status(200));
 }
+
+/// How the list is followed is the settings' to say, at any time: who goes on as before is told of nothing in the end.
+#[test]
+fn a_reload_changes_how_the_list_is_followed() {
+    let platform = Platform::new();
+    let node = Node::start(&platform, &[], operated);
+    let asked = || platform.asks.recv_timeout(PATIENCE).expect("it asks");
+    assert!(asked().contains("from="));
+    node.reload_and_wait(|config| {
+        config["settings"]["discovery"] = json!("ask");
+        config["settings"]["obligations"]["ask_every_us"] = json!(1_000_000);
+    });
+    for _ in 0..3 {
+        assert_eq!(asked(), "/v1/endpoints");
+    }
+    node.reload_and_wait(|config| config["settings"]["discovery"] = json!("push"));
+    wait_until(|| asked().contains("from="));
+}
