--- a/src/interface.rs
+++ b/src/interface.rs
@@ -48,6 +48,24 @@
     Once,
 }
 
+impl Effect {
+    /// What both allow: the rule for a message that was taken on under the one and is sent under the other.
+    pub fn stricter(self, other: Self) -> Self {
+        match (self, other) {
+            (Self::Once, _) | (_, Self::Once) => Self::Once,
+            (Self::Repeatable, effect) | (effect, Self::Repeatable) => effect,
+            (Self::Keyed { group: a, window }, Self::Keyed { group: b, window: other }) => {
+                let group = match (a, b) {
+                    (Group::Endpoint, _) | (_, Group::Endpoint) => Group::Endpoint,
+                    (Group::Zone, _) | (_, Group::Zone) => Group::Zone,
+                    (Group::All, Group::All) => Group::All,
+                };
+                Self::Keyed { group, window: window.min(other) }
+            }
+        }
+    }
+}
+
 /// How worth falls once the aim has passed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Decay {
--- a/src/net/driver.rs
+++ b/src/net/driver.rs
@@ -346,6 +346,7 @@
                 (None, Some(class)) => {
                     let (id, destination) = (&live.taken.id, live.taken.destination);
                     tracing::debug!(id, destination, attempts = live.attempts.len(), "taken up again");
+                    let class = self.as_taken(class, &live.taken, &mut said);
                     said.push(self.resumed(number, class, &live, now));
                     continue;
                 }
@@ -367,6 +368,30 @@
         said
     }
 
+    /// The class that an old message goes by: the one of its name, but that it may be repeated no more than when it
+    /// was taken on; what an older version wrote down does not tell, and may not be repeated. Such a class is for
+    /// these messages alone.
+    fn as_taken(&mut self, class: usize, taken: &Taken, said: &mut Vec<Event>) -> usize {
+        let Some(now) = self.settings.classes.get(class) else { return class };
+        let effect = now.effect.stricter(taken.effect.unwrap_or(Effect::Once));
+        if effect == now.effect {
+            return class;
+        }
+        let own = Class { effect, ..now.clone() };
+        let mut names = self.names.borrow_mut();
+        let mut known = names.classes.iter().zip(&self.settings.classes);
+        if let Some(same) = known.position(|(name, class)| *name == taken.class && *class == own) {
+            return same;
+        }
+        let place = names.classes.len();
+        names.classes.push(taken.class.clone());
+        names.retired.insert(place);
+        self.settings.classes.push(own);
+        self.settings.retired.insert(place);
+        said.push(Event::Settings(Box::new(self.settings.clone())));
+        place
+    }
+
     /// Goes on where the process before left off, as far as the settings are the same.
     fn take_over(
         &mut self,
@@ -597,6 +622,8 @@
             let _ = answer.send(Answer::Refused(0));
             return;
         };
+        let effect = self.settings.classes.get(class).map(|class| class.effect);
+        let taken = Taken { effect, ..taken };
         let pending: u64 = self.fresh.values().map(|fresh| Journal::room_for(&fresh.taken)).sum();
         if !self.journal.has_room(&taken, pending) {
             self.figures.ended(&taken.class, End::Deferred);
--- a/src/net/driver/covered.rs
+++ b/src/net/driver/covered.rs
@@ -381,7 +381,9 @@
     /// Takes a message on that another sender had. Given back if it can't be written down.
     fn adopt(&mut self, from: Adoption, now: Micros, said: &mut Vec<Event>) -> Result<(), Box<Adoption>> {
         let Adoption { told, tag, heard, known } = &from;
-        let taken = Taken { owner: told.owner.clone(), ..told.taken.clone() };
+        let class = self.names.borrow().class(&told.taken.class);
+        let effect = class.and_then(|class| Some(self.settings.classes.get(class)?.effect));
+        let taken = Taken { owner: told.owner.clone(), effect, ..told.taken.clone() };
         if self.held.contains_key(&taken.id) {
             // It came here by another way, and has its end from that.
             let tag = tag.clone();
@@ -399,7 +401,6 @@
                 records.push(Record::Ended { message, attempt, never_ran: true });
             }
         }
-        let class = self.names.borrow().class(&taken.class);
         let reach = class.is_some()
             && self.journal.has_room(&taken, 0)
             && self.policy.held() < self.settings.max_open;
--- a/src/net/driver/starting.rs
+++ b/src/net/driver/starting.rs
@@ -120,6 +120,7 @@
             }
             let class = self.names.borrow().class(&live.taken.class);
             if let Some(class) = class {
+                let class = self.as_taken(class, &live.taken, said);
                 let (id, destination) = (&live.taken.id, live.taken.destination);
                 tracing::debug!(id, destination, attempts = live.attempts.len(), "taken up again");
                 said.push(self.resumed(number, class, &live, now));
--- a/src/net/intake.rs
+++ b/src/net/intake.rs
@@ -233,7 +233,10 @@
         let deadline = came + Micros::from(left) * 1000;
         let class_name = kind.to_owned();
         let body = body.to_bytes();
-        let taken = Taken { id: id.clone(), key, class: class_name, owner, destination, deadline, body };
+        let id_said = id.clone();
+        // What repeating it does is for the settings to say that are in force when it is taken on.
+        let effect = None;
+        let taken = Taken { id: id_said, key, class: class_name, owner, effect, destination, deadline, body };
         let mut withdrawal = Withdrawal { id: Some(id), inbound: &self.inbound };
         let (answer, answered) = oneshot::channel();
         let _ = self.inbound.send(Inbound::HandedIn(HandedIn { taken, class, answer }));
--- a/src/net/journal.rs
+++ b/src/net/journal.rs
@@ -7,7 +7,7 @@
 use std::path::{Path, PathBuf};
 
 use bytes::Bytes;
-use myrtleyard::interface::Micros;
+use myrtleyard::interface::{Effect, Micros};
 use myrtleyard::takeover::Tag;
 pub use myrtleyard::takeover::lots::GivenUp;
 use serde::{Deserialize, Serialize};
@@ -45,6 +45,8 @@
     Owner(u32, String),
     /// Others know of the message from now on: where it is covered, and since when.
     Covered(u32, Tag, Micros),
+    /// What repeating the message does by the settings that it was taken on under. It stands apart, and last, too.
+    Effect(u32, Effect),
 }
 
 /// A message as it was handed in.
@@ -59,6 +61,10 @@
     /// Its tenant, by name; see [`Record::Owner`].
     #[serde(skip)]
     pub owner: Option<String>,
+    /// What repeating it did by the settings that it was taken on under, whatever its class says since; see
+    /// [`Record::Effect`]. An older journal does not tell.
+    #[serde(skip)]
+    pub effect: Option<Effect>,
     /// Its destination.
     pub destination: u16,
     /// When its time is up.
@@ -94,7 +100,7 @@
 }
 
 /// What a message's later records take at most: its attempts, their ends and its own.
-const LATER_RECORDS: u64 = 640;
+const LATER_RECORDS: u64 = 672;
 /// What the record of its covers takes at most.
 const COVERED_RECORD: u64 = 96;
 /// A frame's length and checksum.
@@ -137,7 +143,8 @@
 /// The records of a message that is taken on.
 pub fn taken_on(message: u32, taken: &Taken) -> impl Iterator<Item = Record> {
     let owner = taken.owner.clone().map(|owner| Record::Owner(message, owner));
-    std::iter::once(Record::Taken(message, taken.clone())).chain(owner)
+    let effect = taken.effect.map(|effect| Record::Effect(message, effect));
+    std::iter::once(Record::Taken(message, taken.clone())).chain(owner).chain(effect)
 }
 
 fn need(taken: &Taken) -> u64 {
@@ -252,6 +259,11 @@
                     self.reserved += need(&live.taken);
                 }
             }
+            Record::Effect(message, effect) => {
+                if let Some(live) = self.live.get_mut(&message) {
+                    live.taken.effect = Some(effect);
+                }
+            }
             Record::Covered(message, tag, since) => {
                 if let Some(live) = self.live.get_mut(&message)
                     && live.covered.replace((tag, since)).is_none()
@@ -297,6 +309,8 @@
 
 #[cfg(test)]
 mod tests {
+    use myrtleyard::interface::Group;
+
     use super::*;
 
     fn taken(size: usize) -> Taken {
@@ -305,12 +319,15 @@
             key: Some("key".into()),
             class: "note".into(),
             owner: None,
+            effect: None,
             destination: 7,
             deadline: 1_000,
             body: vec![b'x'; size].into(),
         }
     }
 
+    const LONGEST: Effect = Effect::Keyed { group: Group::Endpoint, window: u64::MAX };
+
     fn begun(message: u32, attempt: u16) -> Record {
         Record::Begun { message, attempt, endpoint: "e1".into(), at: 5 }
     }
@@ -332,6 +349,26 @@
         Ok(())
     }
 
+    /// Guards the effect that a message was taken on with, through a rewritten file as well. What an older version
+    /// wrote has none.
+    #[test]
+    fn what_repeating_does_is_kept_with_the_message() -> io::Result<()> {
+        let folder = tempfile::tempdir()?;
+        let limit = 20_000;
+        let mut journal = Journal::open(folder.path(), limit)?;
+        let with = Taken { effect: Some(LONGEST), ..taken(3) };
+        let records: Vec<_> = taken_on(1, &with).chain(taken_on(2, &taken(3))).collect();
+        journal.append(&records)?;
+        while journal.length <= limit / 2 {
+            journal.append(&taken_on(3, &taken(900)).chain([Record::Over(3)]).collect::<Vec<_>>())?;
+        }
+        journal.compact()?;
+        let again = Journal::open(folder.path(), limit)?;
+        let effects: Vec<_> = again.live().values().map(|live| live.taken.effect).collect();
+        assert_eq!(effects, [Some(LONGEST), None]);
+        Ok(())
+    }
+
     /// Guards against a process that was killed within a write: what came before holds, and what is
     /// appended later can be read.
     #[test]
--- a/tests/node/configuration.rs
+++ b/tests/node/configuration.rs
@@ -171,3 +171,30 @@
     node.reload_and_wait(|config| config["settings"]["discovery"] = json!("push"));
     wait_until(|| asked().contains("from="));
 }
+
+/// A message keeps what it was taken on as through a restart that finds other settings: what may not happen twice then
+/// does not for a class that may be repeated now, and what was never tried is still tried.
+#[test]
+fn a_restart_with_looser_settings_repeats_nothing_that_was_taken_on_as_once() {
+    let (platform, endpoint) = (Platform::new(), Served::new());
+    let node = Node::start(&platform, &[listing("e1", 7, "plain", endpoint.address)], |_| {});
+    assert_eq!(node.hand_in("out", "order", 7, 20_000).status(), 202);
+    let call = endpoint.next();
+    assert_eq!(node.hand_in("held", "order", 9, 20_000).status(), 202, "nowhere to go yet");
+    node.rewrite(|config| config["settings"]["classes"][1]["effect"] = json!("repeatable"));
+    let node = node.kill_and_restart();
+    assert_eq!(platform.notice(204), [json!({"id": "out", "status": "undeliverable"})]);
+    let nine = Served::new();
+    platform.tell(&[listing("e1", 7, "plain", endpoint.address), listing("e2", 9, "plain", nine.address)]);
+    assert_eq!(node.hand_in("new", "order", 7, 20_000).status(), 202);
+    let held = nine.next();
+    assert_eq!(held.http.headers["req-id"], "held");
+    held.reply(status(200));
+    // What is taken on now may be repeated.
+    for code in [500, 200] {
+        let new = endpoint.next();
+        assert_eq!(new.http.headers["req-id"], "new");
+        new.reply(status(code));
+    }
+    drop(call);
+}
