Have two tests of reloads tell what they guard, whatever the machine's pace

Cause: `a_zones_toll_goes_with_its_name` passed with a program that kept the toll by position, since a message that timed out at the wrong endpoint came to the right one at last; `a_reload_changes_how_the_list_is_followed` failed in one of two runs where a watch was asked for once more before the reload. Change: the wrong endpoint must not have been tried; a watch that crosses the reload is read first.

--- a/tests/node/configuration.rs
+++ b/tests/node/configuration.rs
@@ -151,6 +151,7 @@
     assert_eq!(node.hand_in("b", "note", 7, 20_000).status(), 202);
     let call = two.next();
     assert_eq!(call.http.headers["req-id"], "b");
+    assert!(!one.unseen(), "nor was it tried there first");
     call.reply(status(200));
 }
 
@@ -165,7 +166,9 @@
         config["settings"]["discovery"] = json!("ask");
         config["settings"]["obligations"]["ask_every_us"] = json!(1_000_000);
     });
-    for _ in 0..3 {
+    // A watch may have been asked for once more meanwhile.
+    wait_until(|| asked() == "/v1/endpoints");
+    for _ in 0..2 {
         assert_eq!(asked(), "/v1/endpoints");
     }
     node.reload_and_wait(|config| config["settings"]["discovery"] = json!("push"));
