Have the old process go on where the next one dies before it has been told all

Cause: `hand_over` gave up listener, lock, peers and module before the next process had read anything (src/net/driver.rs, src/net/handover.rs `Relay::run`): one that asked and died, or a state over the 16 MiB of a frame, ended the serving process as well, and nobody took clients until the next start. Change: `offer` writes all but the last byte, within 2 s, from borrowed state; a next process that is gone, does not read, or could not read so much changes nothing, and may ask again after 500 ms.

--- a/src/net/driver.rs
+++ b/src/net/driver.rs
@@ -10,6 +10,7 @@
 use std::cell::RefCell;
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::net::SocketAddr;
+use std::path::PathBuf;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -28,7 +29,7 @@
 use super::calls::{Calls, Limits, Line, Part};
 use super::config::{Config, InForce};
 use super::figures::{End, Figures, Now};
-use super::handover::{self, Claim, Knowledge, Order, Predecessor, Relay};
+use super::handover::{self, Claim, Order, Predecessor, Relay};
 use super::intake::{Answer, HandedIn, Intake};
 use super::journal::{Attempt, GivenUp, Journal, Live, Record, Taken, taken_on};
 use super::listing::{Known, ListBody, Shape};
@@ -47,6 +48,8 @@
 const STILL_CALLED: Micros = 1_000_000;
 /// Advice to clients while the journal has no room.
 const NO_ROOM_AGAIN: Micros = 1_000_000;
+/// Rest after a process that asked for the folder and did not take over: telling what is known costs time.
+const OFFER_AGAIN: Duration = Duration::from_millis(500);
 /// Descriptors that are neither clients' nor endpoints'.
 const OWN_SOCKETS: usize = 32;
 
@@ -232,17 +235,8 @@
         tokio::task::spawn_local(platform::follow(discovery, following, pace, wanted, inbound.clone())),
     ];
     if claim.is_some() {
-        let inbound = inbound.clone();
-        tasks.push(tokio::task::spawn_local(async move {
-            // One handover at a time: what the process before still does is passed on to this one alone.
-            if let Some(followed) = followed {
-                let _ = followed.await;
-            }
-            match handover::successor(&folder).await {
-                Ok(stream) => drop(inbound.send(Inbound::Successor(stream))),
-                Err(e) => tracing::warn!("no process can take over from this one: {e}"),
-            }
-        }));
+        // One handover at a time: what the process before still does is passed on to this one alone.
+        tasks.push(tokio::task::spawn_local(succeed(folder.clone(), inbound.clone(), followed)));
     }
     let in_hand = driver.journal.live().len();
     tracing::info!("{} is ready on {address} with {in_hand} messages in hand{called_at}", config.name);
@@ -294,20 +288,45 @@
         // That turn may have had something to write, too: the next process waits until it is written.
         if driver.unwritten.is_empty()
             && let Some(stream) = driver.successor.take()
-            && let Some(claim) = claim.take()
+            && claim.is_some()
         {
             // After the last turn: what it kept back ends as not made, which the next process hears.
             driver.give_waiting_up();
+            let told = match driver.offer(stream).await {
+                Ok(told) => told,
+                Err(e) => {
+                    tracing::warn!("the new process did not take over, and this one goes on: {e}");
+                    let rest = tokio::task::spawn_local(tokio::time::sleep(OFFER_AGAIN));
+                    tasks.push(tokio::task::spawn_local(succeed(
+                        folder.clone(),
+                        inbound.clone(),
+                        Some(rest),
+                    )));
+                    continue;
+                }
+            };
+            let Some(claim) = claim.take() else { continue };
             for task in std::mem::take(&mut tasks) {
                 task.abort();
                 let _ = task.await;
             }
-            driver.hand_over(stream, claim, intake, events).await;
+            driver.hand_over(told, claim, intake, events).await;
             return Ok(());
         }
     }
 }
 
+/// Waits for the next process to ask for the folder, once this is over.
+async fn succeed(folder: PathBuf, inbound: UnboundedSender<Inbound>, first: Option<JoinHandle<()>>) {
+    if let Some(first) = first {
+        let _ = first.await;
+    }
+    match handover::successor(&folder).await {
+        Ok(stream) => drop(inbound.send(Inbound::Successor(stream))),
+        Err(e) => tracing::warn!("no process can take over from this one: {e}"),
+    }
+}
+
 fn limits(settings: &Settings, names: &Names, connections: usize) -> Limits {
     Limits {
         connect: settings.connect_timeout.max(1),
@@ -447,10 +466,33 @@
         self.settings = settings;
     }
 
-    /// Tells the next process all that is known here, and stays for what is still under way.
+    /// Tells the next process all that is known here, but for the last byte.
+    async fn offer(&self, stream: UnixStream) -> std::io::Result<handover::Offered> {
+        let drained = self.parts.draining.as_ref().map(|draining| draining.names()).unwrap_or_default();
+        // The names stay as they are: this task alone changes them.
+        let names = self.names.borrow().clone();
+        let knowing = handover::Knowing {
+            now: self.clock.now(),
+            policy: &self.policy,
+            settings: &self.settings,
+            names: &names,
+            endpoints: &self.endpoints,
+            ids: &self.ids,
+            given: self.given,
+            index: self.index,
+            timers: &self.timers,
+            next_message: self.next_message,
+            held: &self.held,
+            attempts: &self.attempts,
+            drained,
+        };
+        handover::offer(stream, &knowing).await
+    }
+
+    /// Leaves the rest to the next process, and stays for what is still under way.
     async fn hand_over(
         mut self,
-        stream: UnixStream,
+        told: handover::Offered,
         claim: Claim,
         intake: Rc<Intake>,
         events: UnboundedReceiver<Inbound>,
@@ -471,22 +513,7 @@
             stop_at: self.stop_at,
             inbound: self.inbound,
         };
-        let knowledge = Box::new(Knowledge {
-            now: self.clock.now(),
-            policy: self.policy,
-            settings: self.settings,
-            names: self.names.borrow().clone(),
-            endpoints: self.endpoints,
-            ids: self.ids,
-            given: self.given,
-            index: self.index,
-            timers: self.timers,
-            next_message: self.next_message,
-            held: self.held,
-            attempts: self.attempts,
-            drained: self.parts.draining.map(|draining| draining.names()).unwrap_or_default(),
-        });
-        relay.run(stream, knowledge, claim, events).await;
+        relay.run(told, claim, events).await;
     }
 
     /// Turns what a task says into events for the module.
--- a/src/net/handover.rs
+++ b/src/net/handover.rs
@@ -49,7 +49,7 @@
 
 /// All that a sender knows beside its journal. It goes by the names of its fields, so that versions may
 /// differ in what they add.
-#[derive(Serialize, Deserialize)]
+#[derive(Deserialize)]
 pub struct Knowledge {
     /// The old process's clock.
     pub now: Micros,
@@ -75,8 +75,36 @@
     pub held: HashMap<String, u32>,
     /// Attempts begun for each.
     pub attempts: HashMap<u32, u16>,
-    /// Names of the endpoints that the module takes for drained by operators.
-    #[serde(default)]
+}
+
+/// The same, as the old process has it.
+#[derive(Serialize)]
+pub struct Knowing<'a> {
+    /// See [`Knowledge`], for this and what follows.
+    pub now: Micros,
+    /// The module.
+    pub policy: &'a Policy,
+    /// The settings in force.
+    pub settings: &'a Settings,
+    /// The names in them.
+    pub names: &'a Names,
+    /// Endpoints by id.
+    pub endpoints: &'a HashMap<EndpointId, Known>,
+    /// Ids by name.
+    pub ids: &'a HashMap<String, EndpointId>,
+    /// Ids given out.
+    pub given: u64,
+    /// The list's version.
+    pub index: u64,
+    /// Reminders that the module asked for.
+    pub timers: &'a BTreeSet<(Micros, u64)>,
+    /// The next message's number.
+    pub next_message: u32,
+    /// Messages held, by `Req-Id`.
+    pub held: &'a HashMap<String, u32>,
+    /// Attempts begun for each.
+    pub attempts: &'a HashMap<u32, u16>,
+    /// Names of the endpoints that the module takes for drained by operators; an older version asks for them.
     pub drained: BTreeSet<String>,
 }
 
@@ -99,11 +127,18 @@
     Cancel(MessageId, u16),
 }
 
-async fn write_frame<T: Serialize>(to: &mut (impl AsyncWrite + Unpin), value: &T) -> io::Result<()> {
+/// What is written for a value; what would not be read is not written either.
+fn frame<T: Serialize>(value: &T) -> io::Result<Vec<u8>> {
     let body = rmp_serde::to_vec_named(value).map_err(io::Error::other)?;
-    let mut frame = (body.len() as u32).to_le_bytes().to_vec();
+    let length = u32::try_from(body.len()).ok().filter(|length| *length <= FRAME_LIMIT);
+    let length = length.ok_or_else(|| io::Error::other(format!("a frame of {} bytes", body.len())))?;
+    let mut frame = length.to_le_bytes().to_vec();
     frame.extend(body);
-    to.write_all(&frame).await
+    Ok(frame)
+}
+
+async fn write_frame<T: Serialize>(to: &mut (impl AsyncWrite + Unpin), value: &T) -> io::Result<()> {
+    to.write_all(&frame(value)?).await
 }
 
 async fn read_frame<T: DeserializeOwned>(from: &mut (impl AsyncRead + Unpin)) -> io::Result<T> {
@@ -254,6 +289,29 @@
     }
 }
 
+/// A new process that has been told all but the last byte of what is known here: up to that byte it can do nothing,
+/// and the old process can go on as if it had never asked.
+pub struct Offered {
+    stream: UnixStream,
+    last: u8,
+}
+
+/// Tells the new process what is known, up to the last byte.
+///
+/// # Errors
+/// Fails if it is gone, does not read, or could not read that much; then nothing has changed.
+pub async fn offer(mut stream: UnixStream, knowledge: &impl Serialize) -> io::Result<Offered> {
+    let mut frame = frame(knowledge)?;
+    let last = frame.pop().unwrap_or_default();
+    timeout(TOLD_WITHIN, stream.write_all(&frame)).await??;
+    // What it closed with everything unread in its buffer was written all the same.
+    match stream.try_read(&mut [0]) {
+        Err(e) if e.kind() == io::ErrorKind::WouldBlock => Ok(Offered { stream, last }),
+        Err(e) => Err(e),
+        Ok(_) => Err(io::ErrorKind::ConnectionAborted.into()),
+    }
+}
+
 /// What the old process keeps until it is asked to end.
 pub struct Relay {
     /// The process's clock.
@@ -269,21 +327,15 @@
 }
 
 impl Relay {
-    /// Tells the new process what is known, gives it the folder, and passes on what still comes.
-    pub async fn run(
-        mut self,
-        mut stream: UnixStream,
-        knowledge: Box<Knowledge>,
-        claim: Claim,
-        mut events: UnboundedReceiver<Inbound>,
-    ) {
+    /// Gives the new process the folder and passes on what still comes.
+    pub async fn run(mut self, told: Offered, claim: Claim, mut events: UnboundedReceiver<Inbound>) {
+        let Offered { mut stream, last } = told;
         // Whoever reads the last byte finds the lock free.
         drop(claim);
-        if !matches!(timeout(TOLD_WITHIN, write_frame(&mut stream, &knowledge)).await, Ok(Ok(()))) {
+        if !matches!(timeout(TOLD_WITHIN, stream.write_all(&[last])).await, Ok(Ok(()))) {
             tracing::warn!("the new process did not take over; the journal is left to it");
             return;
         }
-        drop(knowledge);
         let (mut from, to) = stream.into_split();
         let (tell, told) = unbounded_channel();
         tokio::task::spawn_local(pass_on(to, told));
--- a/src/net/handover/tests.rs
+++ b/src/net/handover/tests.rs
@@ -38,3 +38,35 @@
     assert_eq!(taken?.read_u8().await?, b'!');
     Ok(())
 }
+
+/// Guards a serving process against giving all away to a next one that is gone, or that could not read it.
+#[tokio::test]
+async fn only_what_can_be_read_and_has_a_reader_is_offered() -> io::Result<()> {
+    let (here, there) = UnixStream::pair()?;
+    drop(there);
+    assert!(offer(here, &"all").await.is_err(), "nobody reads it");
+    let (here, mut there) = UnixStream::pair()?;
+    assert!(offer(here, &vec![0u8; FRAME_LIMIT as usize]).await.is_err(), "longer than is read");
+    let mut told = Vec::new();
+    assert_eq!(there.read_to_end(&mut told).await?, 0, "nothing of it is written");
+    let (here, mut there) = UnixStream::pair()?;
+    let Offered { mut stream, last } = offer(here, &"all").await?;
+    let whole = frame(&"all")?;
+    let mut told = vec![0; whole.len() - 1];
+    there.read_exact(&mut told).await?;
+    assert_eq!(told, whole[..whole.len() - 1]);
+    stream.write_all(&[last]).await?;
+    assert_eq!(there.read_u8().await?, whole[whole.len() - 1]);
+    Ok(())
+}
+
+/// Guards the process that serves against a next one that reads nothing: the wait for it has an end.
+#[tokio::test(start_paused = true)]
+async fn who_does_not_read_is_not_waited_for() -> io::Result<()> {
+    let (here, _there) = UnixStream::pair()?;
+    let more_than_a_socket_holds = vec![0u8; 8 << 20];
+    let begun = tokio::time::Instant::now();
+    assert!(offer(here, &more_than_a_socket_holds).await.is_err());
+    assert!(begun.elapsed() < TOLD_WITHIN * 2);
+    Ok(())
+}
--- a/tests/node/main.rs
+++ b/tests/node/main.rs
@@ -4,6 +4,7 @@
 mod configuration;
 mod draining;
 mod estimating;
+mod handover;
 mod late;
 mod plans;
 mod status;
