Read a tenant whose name is no text as one without a name, as before

Cause: since tenants go by name the settings' reader (src/wire.rs `RawRealm`) wanted a text there, which the check of a configuration does not ask for: what passed the check could not be read. Change: a name that is no text is none, and a tenant without one is never taken for another of other settings.

--- a/src/interface.rs
+++ b/src/interface.rs
@@ -207,9 +207,10 @@
         classes.map(|(_, class)| class.aim).min().unwrap_or(0)
     }
 
-    /// Where each tenant of earlier settings stands in these, by its name; `usize::MAX` if it does not.
+    /// Where each tenant of earlier settings stands in these, by its name; `usize::MAX` if it does not, or has none.
     pub fn tenants_after(&self, before: &Self) -> Vec<usize> {
-        let place = |old: &Tenant| self.tenants.iter().position(|new| new.name == old.name);
+        let same = |old: &Tenant, new: &Tenant| !old.name.is_empty() && new.name == old.name;
+        let place = |old: &Tenant| self.tenants.iter().position(|new| same(old, new));
         before.tenants.iter().map(|old| place(old).unwrap_or(usize::MAX)).collect()
     }
 
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -381,7 +381,7 @@
 #[derive(Deserialize)]
 struct RawRealm {
     #[serde(default)]
-    name: String,
+    name: serde_json::Value,
     quota_per_s: f64,
 }
 
@@ -496,7 +496,11 @@
     Ok(Settings {
         classes: raw.classes.iter().map(class).collect::<Result<_, _>>()?,
         retired: BTreeSet::new(),
-        tenants: raw.realms.iter().map(|r| Tenant { name: r.name.clone(), quota: r.quota_per_s }).collect(),
+        tenants: raw
+            .realms
+            .iter()
+            .map(|r| Tenant { name: r.name.as_str().unwrap_or_default().to_owned(), quota: r.quota_per_s })
+            .collect(),
         kinds: (0..kinds)
             .map(|k| Kind {
                 routes_apart: family.own_limits.get(k).copied().unwrap_or(false),
