--- a/src/interface.rs
+++ b/src/interface.rs
@@ -2,6 +2,8 @@
 //!
 //! Times are microseconds on the clock of the events; the module knows no other clock.
 
+use std::collections::BTreeSet;
+
 use serde::{Deserialize, Serialize};
 
 /// A point in time or a span, in microseconds.
@@ -49,6 +51,24 @@
     Once,
 }
 
+impl Effect {
+    /// What both allow: the rule for a message that was taken on under the one and is sent under the other.
+    pub fn stricter(self, other: Self) -> Self {
+        match (self, other) {
+            (Self::Once, _) | (_, Self::Once) => Self::Once,
+            (Self::Repeatable, effect) | (effect, Self::Repeatable) => effect,
+            (Self::Keyed { group: a, window }, Self::Keyed { group: b, window: other }) => {
+                let group = match (a, b) {
+                    (Group::Endpoint, _) | (_, Group::Endpoint) => Group::Endpoint,
+                    (Group::Zone, _) | (_, Group::Zone) => Group::Zone,
+                    (Group::All, Group::All) => Group::All,
+                };
+                Self::Keyed { group, window: window.min(other) }
+            }
+        }
+    }
+}
+
 /// How worth falls once the aim has passed.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Decay {
@@ -79,6 +99,9 @@
 /// A tenant and its share.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Tenant {
+    /// By which it is known again in other settings; empty where none was told.
+    #[serde(default)]
+    pub name: String,
     /// Messages a second, over all senders, within its share.
     pub quota: f64,
 }
@@ -130,6 +153,9 @@
 pub struct Settings {
     /// Classes of message.
     pub classes: Vec<Class>,
+    /// Positions of classes of earlier settings, which only what is held goes by.
+    #[serde(default)]
+    pub retired: BTreeSet<usize>,
     /// Tenants; may be empty.
     pub tenants: Vec<Tenant>,
     /// Kinds of destination.
@@ -180,6 +206,19 @@
 }
 
 impl Settings {
+    /// The shortest aim of the classes that messages are taken for, in microseconds; 0 without any.
+    pub fn shortest_aim(&self) -> Micros {
+        let classes = self.classes.iter().enumerate().filter(|(at, _)| !self.retired.contains(at));
+        classes.map(|(_, class)| class.aim).min().unwrap_or(0)
+    }
+
+    /// Where each tenant of earlier settings stands in these, by its name; `usize::MAX` if it does not, or has none.
+    pub fn tenants_after(&self, before: &Self) -> Vec<usize> {
+        let same = |old: &Tenant, new: &Tenant| !old.name.is_empty() && new.name == old.name;
+        let place = |old: &Tenant| self.tenants.iter().position(|new| same(old, new));
+        before.tenants.iter().map(|old| place(old).unwrap_or(usize::MAX)).collect()
+    }
+
     /// Where the list must be asked for: the time in which all senders ask once. Discovery is theirs together,
     /// has room for few calls at a time, and must bear each sender once in `ask_every`, answer time included.
     pub fn ask_round(&self) -> Micros {
--- a/src/net/driver.rs
+++ b/src/net/driver.rs
@@ -10,6 +10,7 @@
 use std::cell::RefCell;
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::net::SocketAddr;
+use std::path::PathBuf;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -28,7 +29,7 @@
 use super::calls::{Calls, Limits, Line, Part};
 use super::config::{Config, InForce};
 use super::figures::{End, Figures, Now};
-use super::handover::{self, Claim, Knowledge, Order, Predecessor, Relay};
+use super::handover::{self, Claim, Order, Predecessor, Relay};
 use super::intake::{Answer, HandedIn, Intake};
 use super::journal::{Attempt, GivenUp, Journal, Live, Record, Taken, taken_on};
 use super::listing::{Known, ListBody, Shape};
@@ -47,6 +48,8 @@
 const STILL_CALLED: Micros = 1_000_000;
 /// Advice to clients while the journal has no room.
 const NO_ROOM_AGAIN: Micros = 1_000_000;
+/// Rest after a process that asked for the folder and did not take over: telling what is known costs time.
+const OFFER_AGAIN: Duration = Duration::from_millis(500);
 /// Descriptors that are neither clients' nor endpoints'.
 const OWN_SOCKETS: usize = 32;
 
@@ -87,6 +90,8 @@
     peers: Option<Peers>,
     notices: UnboundedSender<Notice>,
     wanted: Rc<platform::Wanted>,
+    /// One service answers all senders' watches of the list.
+    shared: bool,
     inbound: UnboundedSender<Inbound>,
     standing: watch::Sender<Standing>,
     stop_at: Option<Micros>,
@@ -179,6 +184,7 @@
         peers,
         notices,
         wanted: wanted.clone(),
+        shared: config.start.as_ref().is_some_and(|section| section.source == Source::Service),
         inbound: inbound.clone(),
         standing,
         stop_at: None,
@@ -220,8 +226,7 @@
     let listener = listener.map_err(|why| NoStart::Listen { address: config.listen, why })?;
     let address = listener.local_addr().map_err(|why| NoStart::Listen { address: config.listen, why })?;
     driver.standing.send_replace(Standing::InService);
-    let shared = config.start.as_ref().is_some_and(|section| section.source == Source::Service);
-    let following = platform::Following::new(&driver.settings, shared, driver.index, config.seed);
+    let following = platform::Following::new(&driver.settings, driver.shared, driver.index, config.seed);
     let pace =
         driver.parts.starting.as_ref().filter(|_| !driver.settings.must_ask).map(|part| part.pace(clock));
     let mut tasks = vec![
@@ -230,17 +235,8 @@
         tokio::task::spawn_local(platform::follow(discovery, following, pace, wanted, inbound.clone())),
     ];
     if claim.is_some() {
-        let inbound = inbound.clone();
-        tasks.push(tokio::task::spawn_local(async move {
-            // One handover at a time: what the process before still does is passed on to this one alone.
-            if let Some(followed) = followed {
-                let _ = followed.await;
-            }
-            match handover::successor(&folder).await {
-                Ok(stream) => drop(inbound.send(Inbound::Successor(stream))),
-                Err(e) => tracing::warn!("no process can take over from this one: {e}"),
-            }
-        }));
+        // One handover at a time: what the process before still does is passed on to this one alone.
+        tasks.push(tokio::task::spawn_local(succeed(folder.clone(), inbound.clone(), followed)));
     }
     let in_hand = driver.journal.live().len();
     tracing::info!("{} is ready on {address} with {in_hand} messages in hand{called_at}", config.name);
@@ -292,20 +288,45 @@
         // That turn may have had something to write, too: the next process waits until it is written.
         if driver.unwritten.is_empty()
             && let Some(stream) = driver.successor.take()
-            && let Some(claim) = claim.take()
+            && claim.is_some()
         {
             // After the last turn: what it kept back ends as not made, which the next process hears.
             driver.give_waiting_up();
+            let told = match driver.offer(stream).await {
+                Ok(told) => told,
+                Err(e) => {
+                    tracing::warn!("the new process did not take over, and this one goes on: {e}");
+                    let rest = tokio::task::spawn_local(tokio::time::sleep(OFFER_AGAIN));
+                    tasks.push(tokio::task::spawn_local(succeed(
+                        folder.clone(),
+                        inbound.clone(),
+                        Some(rest),
+                    )));
+                    continue;
+                }
+            };
+            let Some(claim) = claim.take() else { continue };
             for task in std::mem::take(&mut tasks) {
                 task.abort();
                 let _ = task.await;
             }
-            driver.hand_over(stream, claim, intake, events).await;
+            driver.hand_over(told, claim, intake, events).await;
             return Ok(());
         }
     }
 }
 
+/// Waits for the next process to ask for the folder, once this is over.
+async fn succeed(folder: PathBuf, inbound: UnboundedSender<Inbound>, first: Option<JoinHandle<()>>) {
+    if let Some(first) = first {
+        let _ = first.await;
+    }
+    match handover::successor(&folder).await {
+        Ok(stream) => drop(inbound.send(Inbound::Successor(stream))),
+        Err(e) => tracing::warn!("no process can take over from this one: {e}"),
+    }
+}
+
 fn limits(settings: &Settings, names: &Names, connections: usize) -> Limits {
     Limits {
         connect: settings.connect_timeout.max(1),
@@ -344,6 +365,7 @@
                 (None, Some(class)) => {
                     let (id, destination) = (&live.taken.id, live.taken.destination);
                     tracing::debug!(id, destination, attempts = live.attempts.len(), "taken up again");
+                    let class = self.as_taken(class, &live.taken, &mut said);
                     said.push(self.resumed(number, class, &live, now));
                     continue;
                 }
@@ -365,6 +387,30 @@
         said
     }
 
+    /// The class that an old message goes by: the one of its name, but that it may be repeated no more than when it
+    /// was taken on; what an older version wrote down does not tell, and may not be repeated. Such a class is for
+    /// these messages alone.
+    fn as_taken(&mut self, class: usize, taken: &Taken, said: &mut Vec<Event>) -> usize {
+        let Some(now) = self.settings.classes.get(class) else { return class };
+        let effect = now.effect.stricter(taken.effect.unwrap_or(Effect::Once));
+        if effect == now.effect {
+            return class;
+        }
+        let own = Class { effect, ..now.clone() };
+        let mut names = self.names.borrow_mut();
+        let mut known = names.classes.iter().zip(&self.settings.classes);
+        if let Some(same) = known.position(|(name, class)| *name == taken.class && *class == own) {
+            return same;
+        }
+        let place = names.classes.len();
+        names.classes.push(taken.class.clone());
+        names.retired.insert(place);
+        self.settings.classes.push(own);
+        self.settings.retired.insert(place);
+        said.push(Event::Settings(Box::new(self.settings.clone())));
+        place
+    }
+
     /// Goes on where the process before left off, as far as the settings are the same.
     fn take_over(
         &mut self,
@@ -374,13 +420,11 @@
     ) -> (Vec<Event>, JoinHandle<()>) {
         let knowledge = *predecessor.knowledge;
         let own = (self.settings.clone(), self.names.borrow().clone());
-        let (settings, names) = following(own, &knowledge.settings, &knowledge.names);
-        self.calls.adopt(limits(&settings, &names, self.connections));
-        self.figures.name(&names);
-        self.names.replace(names);
-        self.settings = settings.clone();
         self.policy = knowledge.policy.taken_over(seed);
+        let held = |class| self.policy.holds_class(class);
+        let (settings, names) = following(own, &knowledge.settings, &knowledge.names, held);
         self.endpoints = knowledge.endpoints;
+        self.go_by(settings.clone(), names, &knowledge.names);
         self.ids = knowledge.ids;
         self.given = knowledge.given;
         self.index = knowledge.index;
@@ -399,17 +443,56 @@
         let out = self.policy.out().map(reset).collect();
         let (orders, followed) = predecessor.link.follow(inbound, out);
         self.predecessor = Some(orders);
-        // The part that keeps the marks may have been turned on or off between the two.
-        let draining = self.parts.draining.as_ref();
-        let marked = |name: &str| draining.is_some_and(|draining| draining.on(name).is_some());
-        let relisted = self.relisted(|name| marked(name) != knowledge.drained.contains(name));
+        // The part that keeps the marks may have been turned on or off between the two, and zones and kinds changed.
+        let relisted = self.relisted(|_| true);
         (vec![Event::Settings(Box::new(settings)), relisted], followed)
     }
 
-    /// Tells the next process all that is known here, and stays for what is still under way.
+    /// These settings and names are in force from now on. Zones and kinds stand in the list by their positions: each
+    /// endpoint keeps its own by name.
+    fn go_by(&mut self, settings: Settings, names: Names, before: &Names) {
+        self.calls.adopt(limits(&settings, &names, self.connections));
+        self.figures.name(&names);
+        for known in self.endpoints.values_mut() {
+            let Some(shape) = &mut known.shape else { continue };
+            let (zone, kind) = known.named.get_or_insert_with(|| {
+                let name = |names: &[String], at: usize| names.get(at).cloned().unwrap_or_default();
+                (name(&before.zones, shape.zone.into()), name(&before.kinds, shape.kind))
+            });
+            (shape.zone, shape.kind) = (names.zone(zone), names.kind(kind));
+            known.bundle = settings.kinds.get(shape.kind).map_or(1, |kind| kind.bundle);
+        }
+        self.names.replace(names);
+        self.settings = settings;
+    }
+
+    /// Tells the next process all that is known here, but for the last byte.
+    async fn offer(&self, stream: UnixStream) -> std::io::Result<handover::Offered> {
+        let drained = self.parts.draining.as_ref().map(|draining| draining.names()).unwrap_or_default();
+        // The names stay as they are: this task alone changes them.
+        let names = self.names.borrow().clone();
+        let knowing = handover::Knowing {
+            now: self.clock.now(),
+            policy: &self.policy,
+            settings: &self.settings,
+            names: &names,
+            endpoints: &self.endpoints,
+            ids: &self.ids,
+            given: self.given,
+            index: self.index,
+            timers: &self.timers,
+            next_message: self.next_message,
+            held: &self.held,
+            attempts: &self.attempts,
+            drained,
+        };
+        handover::offer(stream, &knowing).await
+    }
+
+    /// Leaves the rest to the next process, and stays for what is still under way.
     async fn hand_over(
         mut self,
-        stream: UnixStream,
+        told: handover::Offered,
         claim: Claim,
         intake: Rc<Intake>,
         events: UnboundedReceiver<Inbound>,
@@ -430,22 +513,7 @@
             stop_at: self.stop_at,
             inbound: self.inbound,
         };
-        let knowledge = Box::new(Knowledge {
-            now: self.clock.now(),
-            policy: self.policy,
-            settings: self.settings,
-            names: self.names.borrow().clone(),
-            endpoints: self.endpoints,
-            ids: self.ids,
-            given: self.given,
-            index: self.index,
-            timers: self.timers,
-            next_message: self.next_message,
-            held: self.held,
-            attempts: self.attempts,
-            drained: self.parts.draining.map(|draining| draining.names()).unwrap_or_default(),
-        });
-        relay.run(stream, knowledge, claim, events).await;
+        relay.run(told, claim, events).await;
     }
 
     /// Turns what a task says into events for the module.
@@ -506,13 +574,27 @@
                 }
                 self.with_parts(|parts, out| parts.adopt(&config, now, out));
                 let own = (config.settings, config.names);
-                let (settings, names) = following(own, &self.settings, &self.names.borrow());
-                self.calls.adopt(limits(&settings, &names, self.connections));
+                let before = self.names.borrow().clone();
+                // What came within this turn is not in the module yet.
+                let comes = |class| {
+                    said.iter().any(|event| {
+                        matches!(event, Event::Accepted(m) if m.class == class)
+                            || matches!(event, Event::Resumed { message, .. } if message.class == class)
+                    })
+                };
+                let seed = config.seed ^ self.index;
+                let held = |class| self.policy.holds_class(class) || comes(class);
+                let (settings, names) = following(own, &self.settings, &before, held);
                 self.figures.reloaded(true);
-                self.figures.name(&names);
-                self.names.replace(names);
-                self.settings = settings.clone();
+                let asking = |s: &Settings| (s.must_ask, s.rules.ask_every, s.senders, s.rules.drain_grace);
+                if asking(&settings) != asking(&self.settings) {
+                    let otherwise = platform::Following::new(&settings, self.shared, self.index, seed);
+                    self.wanted.otherwise.replace(Some(otherwise));
+                    self.wanted.whole.notify_one();
+                }
+                self.go_by(settings.clone(), names, &before);
                 said.push(Event::Settings(Box::new(settings)));
+                said.push(self.relisted(|_| true));
             }
             Inbound::Reloaded(Err(e)) => {
                 self.figures.reloaded(false);
@@ -547,7 +629,7 @@
     }
 
     fn handed_in(&mut self, message: HandedIn, said: &mut Vec<Event>) {
-        let HandedIn { taken, class, answer } = message;
+        let HandedIn { taken, answer, .. } = message;
         if let Some(number) = self.held.get(&taken.id) {
             // The client did not hear that it is taken on, and says it once more.
             match self.fresh.get_mut(number) {
@@ -560,6 +642,15 @@
             }
             return;
         }
+        // Settings may have changed since its head was read, here or at the process before: those in force decide.
+        let class = self.names.borrow().class(&taken.class);
+        let Some(class) = class.filter(|_| self.names.borrow().owns(taken.owner.as_deref())) else {
+            self.figures.ended(&taken.class, End::Deferred);
+            let _ = answer.send(Answer::Refused(0));
+            return;
+        };
+        let effect = self.settings.classes.get(class).map(|class| class.effect);
+        let taken = Taken { effect, ..taken };
         let pending: u64 = self.fresh.values().map(|fresh| Journal::room_for(&fresh.taken)).sum();
         if !self.journal.has_room(&taken, pending) {
             self.figures.ended(&taken.class, End::Deferred);
@@ -665,9 +756,8 @@
             self.endpoints.values_mut().for_each(|known| known.listed = false);
         }
         for listing in list.endpoints {
-            let position = |names: &[String], name: &str| names.iter().position(|n| n == name);
-            let zone = position(&names.zones, &listing.zone).map_or(u16::MAX, |zone| zone as u16);
-            let kind = position(&names.kinds, &listing.kind).unwrap_or(usize::MAX);
+            let (zone, kind) = (names.zone(&listing.zone), names.kind(&listing.kind));
+            let named = Some((listing.zone, listing.kind));
             let mut endpoint = self.id_of(&listing.name);
             let before = self.endpoints.get(&endpoint).filter(|known| known.group != listing.group);
             let mut entry = |endpoint, group, listing| {
@@ -698,7 +788,8 @@
             let (listed, active) = (state != Listing::Gone, state == Listing::Ready);
             let since_ms = listing.since_ms;
             let (name, shape) = (listing.name, Some(Shape { zone, kind, weight, active }));
-            self.endpoints.insert(endpoint, Known { name, group, address, listed, shape, bundle, since_ms });
+            self.endpoints
+                .insert(endpoint, Known { name, group, address, listed, shape, named, bundle, since_ms });
         }
         if list.snapshot { Event::List(entries) } else { Event::Changes(entries) }
     }
