--- /dev/null
+++ b/src/net/journal/tests.rs
@@ -0,0 +1,87 @@
+use super::*;
+
+fn taken(size: usize) -> Taken {
+    Taken {
+        id: "id".into(),
+        key: Some("key".into()),
+        class: "note".into(),
+        owner: None,
+        destination: 7,
+        deadline: 1_000,
+        body: vec![b'x'; size].into(),
+    }
+}
+
+fn begun(message: u32, attempt: u16) -> Record {
+    Record::Begun { message, attempt, endpoint: "e1".into(), at: 5 }
+}
+
+#[test]
+fn what_was_appended_is_read_back() -> io::Result<()> {
+    let folder = tempfile::tempdir()?;
+    let mut journal = Journal::open(folder.path(), 1_000_000)?;
+    journal.append(&[Record::Taken(1, taken(3)), begun(1, 0), Record::Taken(2, taken(0))])?;
+    journal.append(&[Record::Ended { message: 1, attempt: 0, never_ran: true }, begun(1, 2)])?;
+    journal.append(&[Record::Over(2), Record::Taken(3, taken(1))])?;
+    journal.append(&[Record::GivenUp(3, GivenUp::Deferred(9))])?;
+    let again = Journal::open(folder.path(), 1_000_000)?;
+    assert_eq!(again.live(), journal.live());
+    let attempts: Vec<_> = again.live()[&1].attempts.iter().map(|a| (a.number, a.never_ran)).collect();
+    assert_eq!(attempts, [(0, true), (2, false)]);
+    assert_eq!(again.live()[&3].given_up, Some(GivenUp::Deferred(9)));
+    assert_eq!(again.live().keys().copied().collect::<Vec<_>>(), [1, 3]);
+    Ok(())
+}
+
+/// Guards against a process that was killed within a write: what came before holds, and what is
+/// appended later can be read.
+#[test]
+fn a_torn_tail_is_cut_off_wherever_it_was_torn() -> io::Result<()> {
+    let folder = tempfile::tempdir()?;
+    let path = folder.path().join("journal");
+    Journal::open(folder.path(), 1_000_000)?.append(&[Record::Taken(1, taken(3))])?;
+    let whole = fs::read(&path)?;
+    Journal::open(folder.path(), 1_000_000)?.append(&[Record::Taken(2, taken(3))])?;
+    let both = fs::read(&path)?;
+    for torn in whole.len()..both.len() {
+        fs::write(&path, &both[..torn])?;
+        let mut journal = Journal::open(folder.path(), 1_000_000)?;
+        assert_eq!(journal.live().len(), 1, "{torn}");
+        journal.append(&[Record::Taken(3, taken(3))])?;
+        assert_eq!(Journal::open(folder.path(), 1_000_000)?.live().len(), 2, "{torn}");
+    }
+    let mut bad = both.clone();
+    bad[whole.len() + FRAME] ^= 1;
+    fs::write(&path, &bad)?;
+    assert_eq!(Journal::open(folder.path(), 1_000_000)?.live().len(), 1, "a changed byte");
+    Ok(())
+}
+
+/// Guards the room on the disk: old and new file together stay within it, however long it goes on.
+#[test]
+fn the_files_stay_within_their_limit() -> io::Result<()> {
+    let folder = tempfile::tempdir()?;
+    let limit = 50_000;
+    let mut journal = Journal::open(folder.path(), limit)?;
+    let mut live = Vec::new();
+    let mut longest = 0;
+    for n in 0..2_000 {
+        let message = taken(n as usize % 900);
+        if !journal.has_room(&message, 0) {
+            journal.append(&[Record::Over(live.remove(0))])?;
+            continue;
+        }
+        let before = journal.length;
+        journal.append(&[Record::Taken(n, message), begun(n, 0)])?;
+        if journal.length < before {
+            assert!(before + journal.length <= limit, "{before} and {}", journal.length);
+        }
+        longest = longest.max(before);
+        live.push(n);
+    }
+    assert!(live.len() > 3 && longest > limit / 2, "{} live, {longest} long", live.len());
+    let again = Journal::open(folder.path(), limit)?;
+    assert_eq!(again.live(), journal.live());
+    assert_eq!(again.live().keys().copied().collect::<Vec<_>>(), live);
+    Ok(())
+}
