Hold a keyed message after a restart until its endpoint can be listed

A keyed message that may have run was failed at once where no endpoint of its destination was listed yet, though its idempotency window was open: settle() asked only listed endpoints. Those it was sent to and that are not known count now.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -883,7 +883,10 @@
                 let stuck = match self.settings.classes[held.message.class].effect {
                     Effect::Once => !held.may_have_run.is_empty(),
                     Effect::Keyed { .. } if !held.may_have_run.is_empty() => {
-                        !self.cell(held).any(|(e, _)| self.repeat_allowed(held, e))
+                        // What a restart does not know yet may still come to be listed.
+                        let unlisted = held.may_have_run.iter().map(|a| a.2);
+                        let unlisted = unlisted.filter(|e| !self.endpoints.contains_key(e));
+                        !self.cell(held).map(|e| e.0).chain(unlisted).any(|e| self.repeat_allowed(held, e))
                     }
                     _ => false,
                 };
--- /dev/null
+++ b/tests/restart.rs
@@ -0,0 +1,45 @@
+//! The module after a restart: what an earlier process took on is still tried, keyed messages within their
+//! idempotency window and not after it.
+
+mod common;
+
+use common::*;
+use myrtleyard::interface::*;
+
+fn resumed(
+    s: &mut Sender,
+    class: usize,
+    time_left: Micros,
+    ran: &[(Micros, EndpointId)],
+) -> (MessageId, Event) {
+    let message = s.message(class, None, time_left);
+    let attempts = ran.len() as u32;
+    (message.id, Event::Resumed { message, attempts, may_have_run: ran.to_vec() })
+}
+
+fn keyed(group: Group, window: Micros) -> Settings {
+    let mut settings = settings();
+    settings.classes[KEYED].effect = Effect::Keyed { group, window };
+    settings
+}
+
+/// Guards a keyed message that was out at the end of a process: the next one may hear of its endpoint only later.
+#[test]
+fn a_keyed_message_whose_endpoint_is_not_listed_yet_is_repeated_within_its_window() {
+    for group in [Group::All, Group::Zone, Group::Endpoint] {
+        let mut s = Sender::new(keyed(group, 6 * SECOND), &[]);
+        let (_, event) = resumed(&mut s, KEYED, 20 * SECOND, &[(SECOND, endpoint(1))]);
+        s.tell(vec![event]);
+        s.pass(2 * SECOND);
+        assert_eq!((s.failed.len(), s.sent.len()), (0, 0), "{group:?}: held");
+        s.tell(vec![Event::Changes(vec![entry(1, 0)])]);
+        assert_eq!(s.sent.len(), 1, "{group:?}");
+
+        let mut late = Sender::new(keyed(group, 6 * SECOND), &[]);
+        let (id, event) = resumed(&mut late, KEYED, 20 * SECOND, &[(SECOND, endpoint(1))]);
+        late.tell(vec![event]);
+        late.pass(5 * SECOND);
+        late.tell(vec![Event::Changes(vec![entry(1, 0)])]);
+        assert_eq!((late.sent.len(), &late.failed[..]), (0, &[id][..]), "{group:?}: its window is over");
+    }
+}
