Count what a restart found as taken on when the buffer is full

early_price() took a message resumed in this turn for one that comes in now, so that a full buffer handed it back before new ones. A resumed message is marked as older than the turn.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -652,6 +652,7 @@
         self.hold(message);
         let Some(held) = self.held.get_mut(&message.id) else { return };
         held.attempts = attempts;
+        held.message.time_left += 1; // It was taken on before this turn.
         // No attempt of this process has such a number, so that the end of none takes one of these away.
         let earlier = may_have_run.iter().map(|a| (u16::MAX, self.now.saturating_sub(a.0), a.1));
         held.may_have_run = earlier.collect();
--- a/tests/restart.rs
+++ b/tests/restart.rs
@@ -43,3 +43,21 @@
         assert_eq!((late.sent.len(), &late.failed[..]), (0, &[id][..]), "{group:?}: its window is over");
     }
 }
+
+/// Guards what a restart finds untried against a full buffer: it was taken on, what comes in the same turn was not.
+#[test]
+fn a_full_buffer_turns_away_what_comes_before_it_hands_back_what_a_restart_found() {
+    let mut s = Sender::new(settings(), &[]);
+    for _ in 0..52 {
+        s.accept(ONCE);
+    }
+    s.pass(SECOND);
+    let (old, mut events): (Vec<_>, Vec<_>) = (0..4).map(|_| resumed(&mut s, ONCE, 10 * SECOND, &[])).unzip();
+    let new: Vec<Message> = (0..8).map(|_| s.message(ONCE, None, 20 * SECOND)).collect();
+    let expected: Vec<MessageId> = new.iter().map(|message| message.id).take(4).collect();
+    events.extend(new.into_iter().map(Event::Accepted));
+    s.tell(events);
+    let refused: Vec<MessageId> = s.refused.iter().map(|refused| refused.0).collect();
+    assert!(old.iter().all(|id| !refused.contains(id)), "{old:?} of {refused:?}");
+    assert_eq!(refused, expected);
+}
