Repeat within a short window at the end of a process what may have run already

Where its window ends before the next start, a repeat was held back after SIGTERM and then failed: it is bound by its first attempt already, so a further call in time can only help. First calls are held back as before.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -1078,12 +1078,11 @@
         }
         let route_id = (endpoint.destination, endpoint.kind.routes_apart.then_some(endpoint_id));
         let Some(route) = self.routes.get_mut(&route_id) else { return false };
-        // Nothing may be out at the end of the process that the next one must not repeat.
-        let first = held.may_have_run.iter().map(|a| a.1).min().unwrap_or(now);
+        // Nothing may be out at the end of the process that the next one must not repeat, unless it may have run.
         let binds = |end: &Micros| match class.effect {
             Effect::Repeatable => false,
             Effect::Once => true,
-            Effect::Keyed { window, .. } => end + RESTART >= first + window,
+            Effect::Keyed { window, .. } => held.may_have_run.is_empty() && end + RESTART >= now + window,
         };
         let until = self.stop_at.filter(binds).unwrap_or(Micros::MAX);
         let drained = self.drain_by.map_or(Micros::MAX, |_| last_call);
--- a/tests/restart.rs
+++ b/tests/restart.rs
@@ -61,3 +61,20 @@
     assert!(old.iter().all(|id| !refused.contains(id)), "{old:?} of {refused:?}");
     assert_eq!(refused, expected);
 }
+
+/// Guards the short windows on days of restarts: a call that the next process could not repeat does not begin, and
+/// one that may have run is repeated while there is time.
+#[test]
+fn at_the_end_of_a_process_a_short_window_holds_back_first_calls_and_no_repeats() {
+    let mut s = Sender::new(keyed(Group::All, SECOND), &[entry(1, 0)]);
+    s.serve(20);
+    let end = s.now + SECOND / 10;
+    s.tell(vec![Event::Stopping(end)]);
+    let before = s.sent.len();
+    s.accept(KEYED);
+    assert_eq!(s.sent.len(), before, "it would be out at the end, and its window over at the next start");
+    let (id, event) = resumed(&mut s, KEYED, 20 * SECOND, &[(SECOND / 2, endpoint(1))]);
+    s.tell(vec![event]);
+    assert_eq!(s.sent.len(), before + 1, "nothing is lost by its repeat");
+    assert_eq!(s.sent[before].message, id);
+}
