Keep what was never called for most of its time while a breaker is open

settle() handed back what was taken on and never called at once when the trial came after its end, before seven tenths of its time: a restart's untried messages were given up with no call. It is kept until early_price() is nil.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -899,7 +899,9 @@
                 };
                 let due = |r: &Route| r.breaker.due().max(r.wait_until.min(until));
                 let trial = self.usable(held).map(|(_, r)| due(r)).min().unwrap_or(until);
-                let late = trial.max(until.min(now)) > last;
+                // What was never called is not handed back early for a breaker's sake.
+                let called = self.drain_by.is_some() || held.attempts > 0;
+                let late = trial.max(until.min(now)) > last && (called || self.early_price(held) == 0.0);
                 if stuck || held.attempts >= self.settings.try_limit || late {
                     let least = until.min(self.settings.period);
                     over.push((*id, trial.saturating_sub(now).max(least)));
--- a/tests/restart.rs
+++ b/tests/restart.rs
@@ -78,3 +78,20 @@
     assert_eq!(s.sent.len(), before + 1, "nothing is lost by its repeat");
     assert_eq!(s.sent[before].message, id);
 }
+
+/// Guards what a restart finds untried where its destination is down: the breaker's trial may come after its end, and
+/// it is kept for most of its time all the same.
+#[test]
+fn what_was_never_called_is_not_handed_back_early_because_a_breaker_is_open() {
+    let mut s = Sender::new(settings(), &[entry(1, 0)]);
+    s.serve(20);
+    // Held while the destination still looked well.
+    s.suffer(5, Outcome::Error);
+    let (id, event) = resumed(&mut s, ONCE, SECOND * 3 / 2, &[]);
+    s.tell(vec![event]);
+    s.pass(SECOND);
+    assert!(s.refused.is_empty() && s.sent.iter().all(|out| out.message != id), "held");
+    // An answer to an earlier call closes the breaker.
+    s.pass(SECOND);
+    assert_eq!(s.refused.iter().map(|refused| refused.0).collect::<Vec<_>>(), [id], "it ends in time");
+}
