--- a/src/policy.rs
+++ b/src/policy.rs
@@ -614,6 +614,7 @@
         self.hold(message);
         let Some(held) = self.held.get_mut(&message.id) else { return };
         held.attempts = attempts;
+        held.message.time_left += 1; // It was taken on before this turn.
         // No attempt of this process has such a number, so that the end of none takes one of these away.
         let earlier = may_have_run.iter().map(|a| (u16::MAX, self.now.saturating_sub(a.0), a.1));
         held.may_have_run = earlier.collect();
@@ -852,7 +853,10 @@
                 let stuck = match self.settings.classes[held.message.class].effect {
                     Effect::Once => !held.may_have_run.is_empty(),
                     Effect::Keyed { .. } if !held.may_have_run.is_empty() => {
-                        !self.cell(held).any(|(e, _)| self.repeat_allowed(held, e))
+                        // What a restart does not know yet may still come to be listed.
+                        let unlisted = held.may_have_run.iter().map(|a| a.2);
+                        let unlisted = unlisted.filter(|e| !self.endpoints.contains_key(e));
+                        !self.cell(held).map(|e| e.0).chain(unlisted).any(|e| self.repeat_allowed(held, e))
                     }
                     _ => false,
                 };
@@ -864,7 +868,9 @@
                 };
                 let due = |r: &Route| r.breaker.due().max(r.wait_until.min(until));
                 let trial = self.usable(held).map(|(_, r)| due(r)).min().unwrap_or(until);
-                let late = trial.max(until.min(now)) > last;
+                // What was never called is not handed back early for a breaker's sake.
+                let called = self.drain_by.is_some() || held.attempts > 0;
+                let late = trial.max(until.min(now)) > last && (called || self.early_price(held) == 0.0);
                 if stuck || held.attempts >= self.settings.try_limit || late {
                     let least = until.min(self.settings.period);
                     over.push((*id, trial.saturating_sub(now).max(least)));
@@ -1037,12 +1043,11 @@
         }
         let route_id = (endpoint.destination, endpoint.kind.routes_apart.then_some(endpoint_id));
         let Some(route) = self.routes.get_mut(&route_id) else { return false };
-        // Nothing may be out at the end of the process that the next one must not repeat.
-        let first = held.may_have_run.iter().map(|a| a.1).min().unwrap_or(now);
+        // Nothing may be out at the end of the process that the next one must not repeat, unless it may have run.
         let binds = |end: &Micros| match class.effect {
             Effect::Repeatable => false,
             Effect::Once => true,
-            Effect::Keyed { window, .. } => end + RESTART >= first + window,
+            Effect::Keyed { window, .. } => held.may_have_run.is_empty() && end + RESTART >= now + window,
         };
         let until = self.stop_at.filter(binds).unwrap_or(Micros::MAX);
         let drained = self.drain_by.map_or(Micros::MAX, |_| last_call);
--- /dev/null
+++ b/tests/restart.rs
@@ -0,0 +1,97 @@
+//! The module after a restart: what an earlier process took on is still tried, keyed messages within their
+//! idempotency window and not after it.
+
+mod common;
+
+use common::*;
+use myrtleyard::interface::*;
+
+fn resumed(
+    s: &mut Sender,
+    class: usize,
+    time_left: Micros,
+    ran: &[(Micros, EndpointId)],
+) -> (MessageId, Event) {
+    let message = s.message(class, None, time_left);
+    let attempts = ran.len() as u32;
+    (message.id, Event::Resumed { message, attempts, may_have_run: ran.to_vec() })
+}
+
+fn keyed(group: Group, window: Micros) -> Settings {
+    let mut settings = settings();
+    settings.classes[KEYED].effect = Effect::Keyed { group, window };
+    settings
+}
+
+/// Guards a keyed message that was out at the end of a process: the next one may hear of its endpoint only later.
+#[test]
+fn a_keyed_message_whose_endpoint_is_not_listed_yet_is_repeated_within_its_window() {
+    for group in [Group::All, Group::Zone, Group::Endpoint] {
+        let mut s = Sender::new(keyed(group, 6 * SECOND), &[]);
+        let (_, event) = resumed(&mut s, KEYED, 20 * SECOND, &[(SECOND, endpoint(1))]);
+        s.tell(vec![event]);
+        s.pass(2 * SECOND);
+        assert_eq!((s.failed.len(), s.sent.len()), (0, 0), "{group:?}: held");
+        s.tell(vec![Event::Changes(vec![entry(1, 0)])]);
+        assert_eq!(s.sent.len(), 1, "{group:?}");
+
+        let mut late = Sender::new(keyed(group, 6 * SECOND), &[]);
+        let (id, event) = resumed(&mut late, KEYED, 20 * SECOND, &[(SECOND, endpoint(1))]);
+        late.tell(vec![event]);
+        late.pass(5 * SECOND);
+        late.tell(vec![Event::Changes(vec![entry(1, 0)])]);
+        assert_eq!((late.sent.len(), &late.failed[..]), (0, &[id][..]), "{group:?}: its window is over");
+    }
+}
+
+/// Guards what a restart finds untried against a full buffer: it was taken on, what comes in the same turn was not.
+#[test]
+fn a_full_buffer_turns_away_what_comes_before_it_hands_back_what_a_restart_found() {
+    let mut s = Sender::new(settings(), &[]);
+    for _ in 0..52 {
+        s.accept(ONCE);
+    }
+    s.pass(SECOND);
+    let (old, mut events): (Vec<_>, Vec<_>) = (0..4).map(|_| resumed(&mut s, ONCE, 10 * SECOND, &[])).unzip();
+    let new: Vec<Message> = (0..8).map(|_| s.message(ONCE, None, 20 * SECOND)).collect();
+    let expected: Vec<MessageId> = new.iter().map(|message| message.id).take(4).collect();
+    events.extend(new.into_iter().map(Event::Accepted));
+    s.tell(events);
+    let refused: Vec<MessageId> = s.refused.iter().map(|refused| refused.0).collect();
+    assert!(old.iter().all(|id| !refused.contains(id)), "{old:?} of {refused:?}");
+    assert_eq!(refused, expected);
+}
+
+/// Guards the short windows on days of restarts: a call that the next process could not repeat does not begin, and
+/// one that may have run is repeated while there is time.
+#[test]
+fn at_the_end_of_a_process_a_short_window_holds_back_first_calls_and_no_repeats() {
+    let mut s = Sender::new(keyed(Group::All, SECOND), &[entry(1, 0)]);
+    s.serve(20);
+    let end = s.now + SECOND / 10;
+    s.tell(vec![Event::Stopping(end)]);
+    let before = s.sent.len();
+    s.accept(KEYED);
+    assert_eq!(s.sent.len(), before, "it would be out at the end, and its window over at the next start");
+    let (id, event) = resumed(&mut s, KEYED, 20 * SECOND, &[(SECOND / 2, endpoint(1))]);
+    s.tell(vec![event]);
+    assert_eq!(s.sent.len(), before + 1, "nothing is lost by its repeat");
+    assert_eq!(s.sent[before].message, id);
+}
+
+/// Guards what a restart finds untried where its destination is down: the breaker's trial may come after its end, and
+/// it is kept for most of its time all the same.
+#[test]
+fn what_was_never_called_is_not_handed_back_early_because_a_breaker_is_open() {
+    let mut s = Sender::new(settings(), &[entry(1, 0)]);
+    s.serve(20);
+    // Held while the destination still looked well.
+    s.suffer(5, Outcome::Error);
+    let (id, event) = resumed(&mut s, ONCE, SECOND * 3 / 2, &[]);
+    s.tell(vec![event]);
+    s.pass(SECOND);
+    assert!(s.refused.is_empty() && s.sent.iter().all(|out| out.message != id), "held");
+    // An answer to an earlier call closes the breaker.
+    s.pass(SECOND);
+    assert_eq!(s.refused.iter().map(|refused| refused.0).collect::<Vec<_>>(), [id], "it ends in time");
+}
