Send a request again at once that crossed the close of a kept connection

Cause: ask in platform.rs took a kept connection that the platform had closed, or closed just then, for a failed call: a poll cost a pause, a watch a ListFailed.

Change: if a kept connection ends before the head of an answer, the request goes out once on a new one. Lists and notices do no harm twice.

Test a_request_that_crosses_the_close_of_a_kept_connection_is_made_again_at_once: the scripted agent reads the request and closes.

--- a/src/net/platform.rs
+++ b/src/net/platform.rs
@@ -43,17 +43,29 @@
 /// How long a notice may take; it is sent again after that.
 const NOTICE_TIMEOUT: Duration = Duration::from_millis(500);
 
-/// One request to the platform, on a connection that is kept if all went well.
+/// One request to the platform, on a connection that is kept if all went well. The platform may close a kept one just
+/// as the request goes out: that is no failure, and the request, which does no harm twice, goes out on a new one.
+///
+/// # Errors
+/// Fails when no connection is made, or the answer breaks off or is longer than an answer may be.
 async fn ask(
     kept: &mut Option<Conn>,
     address: SocketAddr,
     request: Request<Full<Bytes>>,
 ) -> Result<(StatusCode, Bytes), ()> {
-    let mut conn = match kept.take() {
-        Some(conn) => conn,
-        None => Conn::open(address).await.map_err(|_| ())?,
+    let crossed = match kept.take() {
+        Some(mut conn) => conn.send(request.clone()).await.ok().map(|answer| (conn, answer)),
+        None => None,
     };
-    let (head, body) = conn.send(request).await.map_err(|_| ())?.into_parts();
+    let (mut conn, answer) = match crossed {
+        Some(answered) => answered,
+        None => {
+            let mut conn = Conn::open(address).await.map_err(|_| ())?;
+            let answer = conn.send(request).await?;
+            (conn, answer)
+        }
+    };
+    let (head, body) = answer.into_parts();
     let body = conn.body(body).await?;
     if conn.usable().await {
         *kept = Some(conn);
--- a/src/net/platform/tests.rs
+++ b/src/net/platform/tests.rs
@@ -142,6 +142,30 @@
     LocalSet::new().run_until(run).await
 }
 
+/// The agent may close a kept connection just as a request goes out: that is no failed call, and costs no pause.
+#[tokio::test(start_paused = true)]
+async fn a_request_that_crosses_the_close_of_a_kept_connection_is_made_again_at_once() -> io::Result<()> {
+    let run = async {
+        let wanted = Rc::new(Wanted::default());
+        wanted.watch.notify_one();
+        let following = Following::Ask(Duration::from_secs(5), fastrand::Rng::with_seed(3));
+        let mut agent = Agent::new(following, wanted).await?;
+        let (mut stream, _) = agent.asked().await?;
+        let list = "{\"index\":7,\"snapshot\":true,\"endpoints\":[]}";
+        let answer = format!("HTTP/1.1 200 OK\r\ncontent-length: {}\r\n\r\n{list}", list.len());
+        stream.write_all(answer.as_bytes()).await?;
+        assert!(matches!(agent.1.recv().await, Some(Inbound::Listed(_))));
+        asked(&mut stream).await?;
+        // It is read, and no byte of an answer goes back.
+        drop(stream);
+        let (mut stream, _) = timeout(Duration::from_millis(50), agent.asked()).await??;
+        stream.write_all(answer.as_bytes()).await?;
+        assert!(matches!(agent.1.recv().await, Some(Inbound::Listed(_))), "the call failed");
+        Ok(())
+    };
+    LocalSet::new().run_until(run).await
+}
+
 /// The clocks: sends to an endpoint that leaves cease in time where its watch fell silent or the agent was, and
 /// a silent poll's successor is answered within 6 s though it waits for its 2.
 #[test]
