Ask for the whole list until it comes where versions began anew

Cause: follow in platform.rs forgot that all of the list was owed as soon as any call ended, also one that failed. After changes with a lower index and one failed call the watch went on from the low version, and what lies between was never told.

Change: the whole list stays owed until a list has come.

Test a_whole_list_that_was_not_got_is_asked_for_until_it_comes: failed with platform.rs as it was (1 run), passes now (3 runs).

--- a/src/net/platform.rs
+++ b/src/net/platform.rs
@@ -181,7 +181,8 @@
             let failed = if broken { Failed::Silence } else { Failed::Answer };
             pace.ended(list.as_ref().map(|list| list.index != *from).ok_or(failed));
         }
-        whole = false;
+        // All of the list is owed until it has come.
+        whole &= list.is_none();
         let rest = match (&list, &mut following) {
             (Some(list), Following::Watch(from, _)) => {
                 // Versions begin anew, and what lies between is not in these changes.
--- a/src/net/platform/tests.rs
+++ b/src/net/platform/tests.rs
@@ -166,6 +166,36 @@
     LocalSet::new().run_until(run).await
 }
 
+/// Where versions began anew the whole list is owed until it has come: a watch from the new version would never tell what
+/// lies between.
+#[tokio::test(start_paused = true)]
+async fn a_whole_list_that_was_not_got_is_asked_for_until_it_comes() -> io::Result<()> {
+    let run = async {
+        let agent = Agent::new(Following::Watch(9, Duration::from_secs(1)), Rc::default()).await?;
+        let (mut stream, path) = agent.asked().await?;
+        assert_eq!(path, "/v1/endpoints?from=9&hold_ms=1000");
+        let list = |snapshot| {
+            let list = format!("{{\"index\":3,\"snapshot\":{snapshot},\"endpoints\":[]}}");
+            format!("HTTP/1.1 200 OK\r\ncontent-length: {}\r\n\r\n{list}", list.len())
+        };
+        stream.write_all(list(false).as_bytes()).await?;
+        for _ in 0..2 {
+            assert_eq!(asked(&mut stream).await?, "/v1/endpoints");
+            stream.write_all(b"HTTP/1.1 503 No\r\ncontent-length: 0\r\n\r\n").await?;
+            let (next, path) = agent.asked().await?;
+            assert_eq!(path, "/v1/endpoints", "after a failed call for all of it");
+            drop(std::mem::replace(&mut stream, next));
+            stream.write_all(b"HTTP/1.1 503 No\r\ncontent-length: 0\r\n\r\n").await?;
+            stream = agent.0.accept().await?.0;
+        }
+        assert_eq!(asked(&mut stream).await?, "/v1/endpoints");
+        stream.write_all(list(true).as_bytes()).await?;
+        assert_eq!(asked(&mut stream).await?, "/v1/endpoints?from=3&hold_ms=1000");
+        Ok(())
+    };
+    LocalSet::new().run_until(run).await
+}
+
 /// The clocks: sends to an endpoint that leaves cease in time where its watch fell silent or the agent was, and
 /// a silent poll's successor is answered within 6 s though it waits for its 2.
 #[test]
