--- a/src/net/platform.rs
+++ b/src/net/platform.rs
@@ -14,7 +14,7 @@
 use serde::Serialize;
 use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender};
 use tokio::sync::{Notify, watch};
-use tokio::time::timeout;
+use tokio::time::{Instant, timeout};
 
 use super::calls::Conn;
 use super::journal::GivenUp;
@@ -25,34 +25,49 @@
 /// How long an answer may take where all senders ask the one discovery: that turns away what has waited for 2 s.
 /// A poll that is silent for longer is broken, and what it missed counts as told 6 s after it fell silent.
 const POLL_WITHIN: Duration = Duration::from_millis(2500);
-/// After a poll that fell silent the next one comes within this time, at random: were all polls silent, as in an
-/// outage, all senders would ask at once. Its answer comes within the 6 s, the 2 s for which it may wait included.
-const POLL_AGAIN: Duration = Duration::from_secs(1);
-/// Bounds on how long a watch is held, whatever the settings say.
+/// Whatever came of a call, what discovery has and can be reached for counts as told so much later.
+const TOLD_WITHIN: Duration = Duration::from_secs(6);
+/// Where all senders ask the one discovery, an answer that comes at all comes within this time.
+const ANSWERED_WITHIN: Duration = Duration::from_secs(2);
+/// What the way there and back, the timers and the next turn of the driver may take besides.
+const POLL_SLACK: Duration = Duration::from_millis(250);
+/// Bounds on how long a watch is held, whatever the settings say: with its slack twice the longest, silent twice in a
+/// row, is below 6 s, and once below the 4 s after which news counts as told where discovery has moved.
 const SHORTEST_HOLD: Duration = Duration::from_millis(500);
-const LONGEST_HOLD: Duration = Duration::from_secs(3);
+const LONGEST_HOLD: Duration = Duration::from_secs(2);
 /// How long a watch is held that is asked of one service for all senders, where a call a second of each would be too
 /// much; what it tells counts as told once it is written.
 const SHARED_HOLD: Duration = Duration::from_secs(20);
 /// How much later a watch's answer may come at most: what it misses counts as told 2 s after its wait is over.
 const WATCH_SLACK: Duration = Duration::from_millis(1500);
-/// Rest before a failed request is made again, unless the module says when: a watch goes on if it comes back
-/// within 200 ms.
+/// Rest before a failed watch or notice is asked for or sent again: a watch goes on if it comes back within 200 ms.
 const AGAIN: Duration = Duration::from_millis(50);
 /// How long a notice may take; it is sent again after that.
 const NOTICE_TIMEOUT: Duration = Duration::from_millis(500);
 
-/// One request to the platform, on a connection that is kept if all went well.
+/// One request to the platform, on a connection that is kept if all went well. The platform may close a kept one just
+/// as the request goes out: that is no failure, and the request, which does no harm twice, goes out on a new one.
+///
+/// # Errors
+/// Fails when no connection is made, or the answer breaks off or is longer than an answer may be.
 async fn ask(
     kept: &mut Option<Conn>,
     address: SocketAddr,
     request: Request<Full<Bytes>>,
 ) -> Result<(StatusCode, Bytes), ()> {
-    let mut conn = match kept.take() {
-        Some(conn) => conn,
-        None => Conn::open(address).await.map_err(|_| ())?,
+    let crossed = match kept.take() {
+        Some(mut conn) => conn.send(request.clone()).await.ok().map(|answer| (conn, answer)),
+        None => None,
     };
-    let (head, body) = conn.send(request).await.map_err(|_| ())?.into_parts();
+    let (mut conn, answer) = match crossed {
+        Some(answered) => answered,
+        None => {
+            let mut conn = Conn::open(address).await.map_err(|_| ())?;
+            let answer = conn.send(request).await?;
+            (conn, answer)
+        }
+    };
+    let (head, body) = answer.into_parts();
     let body = conn.body(body).await?;
     if conn.usable().await {
         *kept = Some(conn);
@@ -60,12 +75,22 @@
     Ok((head.status, body))
 }
 
+/// Rest after a poll that brought no list and took so long: by chance, since all senders may have failed together, and
+/// from half of what may be to all of it, so that 300 of them ask some 110 times a second at most on average. What
+/// changed just after the failed poll went out is told by the answer to the next one: both waits, the rest between
+/// them and the slack come to [`TOLD_WITHIN`]. The last failure decides alone: discovery may have come back as the
+/// failed poll went out, however many failed before.
+fn rest_after_failure(took: Duration, luck: f64) -> Duration {
+    let most = (TOLD_WITHIN - ANSWERED_WITHIN - POLL_SLACK).saturating_sub(took);
+    most.mul_f64(0.5 + luck / 2.0)
+}
+
 /// What the module wants of the list.
 #[derive(Debug, Default)]
 pub struct Wanted {
     /// All of it, now.
     pub whole: Notify,
-    /// To be told of it from now on, for the first time or after that failed.
+    /// To be told of it from now on, for the first time.
     pub watch: Notify,
     /// It is to be followed otherwise from now on, since the settings changed; then all of it is wanted, too.
     pub otherwise: RefCell<Option<Following>>,
@@ -119,8 +144,6 @@
     let mut conn = None;
     // Where the connection leads: that discovery moves may come to be known in any wait.
     let mut asked_at = *discovery.borrow();
-    // Whether the poll before fell silent as well.
-    let mut silent = false;
     if matches!(following, Following::Ask(..)) {
         wanted.watch.notified().await;
     }
@@ -142,6 +165,7 @@
         let Ok(request) = Request::get(path).header("host", address.to_string()).body(Full::default()) else {
             return;
         };
+        let asked = Instant::now();
         let answer = tokio::select! {
             answer = timeout(following.patience(), ask(&mut conn, address, request)) => answer,
             () = wanted.whole.notified() => {
@@ -154,7 +178,6 @@
                 continue;
             }
         };
-        let silent_before = std::mem::replace(&mut silent, answer.is_err());
         let broken = !matches!(answer, Ok(Ok(_)));
         let list = match answer {
             Ok(Ok((StatusCode::OK, body))) => serde_json::from_slice::<ListBody>(&body).ok(),
@@ -164,37 +187,33 @@
             let failed = if broken { Failed::Silence } else { Failed::Answer };
             pace.ended(list.as_ref().map(|list| list.index != *from).ok_or(failed));
         }
-        whole = false;
+        // All of the list is owed until it has come.
+        whole &= list.is_none();
         let rest = match (&list, &mut following) {
             (Some(list), Following::Watch(from, _)) => {
                 // Versions begin anew, and what lies between is not in these changes.
                 whole = !list.snapshot && list.index < *from;
                 *from = list.index;
-                Some(Duration::ZERO)
-            }
-            (Some(_), Following::Ask(rest, rng)) => Some(rest.mul_f64(0.86 + 0.28 * rng.f64())),
-            (None, Following::Watch(..)) => Some(AGAIN),
-            // One that is silent may be alone in that, and an answer after it shows that discovery is there. Else
-            // the module says when.
-            (None, Following::Ask(_, rng)) => {
-                (silent != silent_before).then(|| POLL_AGAIN.mul_f64(rng.f64()))
+                Duration::ZERO
             }
+            (Some(_), Following::Ask(rest, rng)) => rest.mul_f64(0.86 + 0.28 * rng.f64()),
+            (None, Following::Watch(..)) => AGAIN,
+            (None, Following::Ask(_, rng)) => rest_after_failure(asked.elapsed(), rng.f64()),
         };
         if list.is_none() {
             conn = None;
         }
         let said = match list {
             Some(list) => Some(Inbound::Listed(list)),
-            // The module would put the next poll off.
-            None if rest.is_some() && matches!(following, Following::Ask(..)) => None,
+            // The module's rule is the wire's, where the next poll may come later.
+            None if matches!(following, Following::Ask(..)) => None,
             None => Some(Inbound::Event(Event::ListFailed)),
         };
         if said.is_some_and(|said| inbound.send(said).is_err()) {
             return;
         }
         tokio::select! {
-            () = tokio::time::sleep(rest.unwrap_or_default()), if rest.is_some() => {}
-            () = wanted.watch.notified(), if rest.is_none() => {}
+            () = tokio::time::sleep(rest) => {}
             () = wanted.whole.notified() => whole = true,
             Ok(()) = discovery.changed() => conn = None,
         }
@@ -295,116 +314,4 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use std::io;
-
-    use tokio::io::{AsyncReadExt, AsyncWriteExt};
-    use tokio::net::{TcpListener, TcpStream};
-    use tokio::sync::mpsc::unbounded_channel;
-    use tokio::task::LocalSet;
-
-    use super::*;
-
-    const PATIENCE: Duration = Duration::from_secs(15);
-
-    struct Agent(TcpListener, UnboundedReceiver<Inbound>);
-
-    impl Agent {
-        /// What is followed so, and what of it the driver hears.
-        async fn new(following: Following, wanted: Rc<Wanted>) -> io::Result<Self> {
-            let listener = TcpListener::bind("127.0.0.1:0").await?;
-            let (inbound, heard) = unbounded_channel();
-            let (_, discovery) = watch::channel(listener.local_addr()?);
-            tokio::task::spawn_local(follow(discovery, following, None, wanted, inbound));
-            Ok(Self(listener, heard))
-        }
-
-        /// The next connection, and what is asked over it.
-        async fn asked(&self) -> io::Result<(TcpStream, String)> {
-            let (mut stream, _) = timeout(PATIENCE, self.0.accept()).await??;
-            let path = asked(&mut stream).await?;
-            Ok((stream, path))
-        }
-    }
-
-    async fn asked(stream: &mut TcpStream) -> io::Result<String> {
-        let mut text = String::new();
-        while !text.ends_with("\r\n\r\n") {
-            let mut bytes = [0; 512];
-            let n = timeout(PATIENCE, stream.read(&mut bytes)).await??;
-            assert!(n > 0, "it ends after {text}");
-            text += &String::from_utf8_lossy(&bytes[..n]);
-        }
-        Ok(text.split(' ').nth(1).unwrap_or_default().to_owned())
-    }
-
-    /// Guards drains: whatever the agent does that is no answer, it is asked anew, within the hold and a little.
-    #[tokio::test]
-    async fn a_watch_that_is_silent_cut_or_refused_is_asked_for_anew() -> io::Result<()> {
-        let run = async {
-            let hold = Duration::from_secs(1);
-            let mut agent = Agent::new(Following::Watch(1, hold), Rc::default()).await?;
-            let mut kept = Vec::new();
-            for answer in [
-                "",
-                "HTTP/1.1 200 OK\r\ncontent-le",
-                "HTTP/1.1 200 OK\r\ncontent-length: 99\r\n\r\n{\"index\":5,",
-                "HTTP/1.1 503 No\r\ncontent-length: 0\r\n\r\n",
-                "HTTP/1.1 200 OK\r\ncontent-length: 7\r\n\r\n{\"inde}",
-            ] {
-                let (mut stream, path) = agent.asked().await?;
-                assert_eq!(path, "/v1/endpoints?from=1&hold_ms=1000", "before {answer}");
-                stream.write_all(answer.as_bytes()).await?;
-                kept.push(stream);
-                let heard = timeout(PATIENCE, agent.1.recv()).await?;
-                assert!(matches!(heard, Some(Inbound::Event(Event::ListFailed))), "{answer}: {heard:?}");
-            }
-            let (mut stream, _) = agent.asked().await?;
-            let list = "{\r\n  \"index\": 7,\r\n  \"snapshot\": true,\r\n  \"endpoints\": [\r\n  ]\r\n}\r\n";
-            let answer = format!("HTTP/1.1 200 OK\r\ncontent-length: {}\r\n\r\n{list}", list.len());
-            stream.write_all(answer.as_bytes()).await?;
-            let heard = timeout(PATIENCE, agent.1.recv()).await?;
-            assert!(matches!(heard, Some(Inbound::Listed(ListBody { index: 7, .. }))), "{heard:?}");
-            assert_eq!(asked(&mut stream).await?, "/v1/endpoints?from=7&hold_ms=1000");
-            Ok(())
-        };
-        LocalSet::new().run_until(run).await
-    }
-
-    /// Guards drains where the list is asked for: a poll that falls silent alone is made again before what it missed
-    /// counts as told. Where the next one is silent, too, the module sees to it that not all ask at once.
-    #[tokio::test]
-    async fn a_silent_poll_is_made_again_at_once_but_once() -> io::Result<()> {
-        let run = async {
-            let wanted = Rc::new(Wanted::default());
-            wanted.watch.notify_one();
-            let round = Duration::from_secs(3600);
-            let following = Following::Ask(round, fastrand::Rng::with_seed(1));
-            let mut agent = Agent::new(following, wanted.clone()).await?;
-            let (_first, path) = agent.asked().await?;
-            assert_eq!(path, "/v1/endpoints");
-            let (_second, _) = agent.asked().await?;
-            assert!(agent.1.try_recv().is_err(), "the module would wait");
-            let heard = timeout(PATIENCE, agent.1.recv()).await?;
-            assert!(matches!(heard, Some(Inbound::Event(Event::ListFailed))), "{heard:?}");
-            assert!(
-                timeout(POLL_AGAIN + POLL_WITHIN, agent.0.accept()).await.is_err(),
-                "the module says when"
-            );
-            wanted.watch.notify_one();
-            agent.asked().await?;
-            Ok(())
-        };
-        LocalSet::new().run_until(run).await
-    }
-
-    /// The clocks: sends to an endpoint that leaves cease in time where its watch fell silent or the agent was, and
-    /// a silent poll's successor is answered within 6 s though it waits for its 2.
-    #[test]
-    fn what_is_missed_is_known_before_it_binds() {
-        let grace = Duration::from_secs(2);
-        let watch = Following::Watch(1, grace / 2);
-        assert!(watch.patience() + AGAIN + Duration::from_millis(250) < grace);
-        assert!(POLL_WITHIN + POLL_AGAIN + Duration::from_secs(2) < Duration::from_secs(6));
-    }
-}
+mod tests;
