--- /dev/null
+++ b/src/net/calls/tests.rs
@@ -0,0 +1,142 @@
+//! Tests of calls over loopback sockets, with the orders of what crosses forced.
+
+use myrtleyard::interface::DestinationId;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpListener;
+use tokio::sync::mpsc::{UnboundedReceiver, unbounded_channel};
+use tokio::task::LocalSet;
+
+use super::*;
+
+const PATIENCE: Duration = Duration::from_secs(30);
+const ANSWER: &[u8] = b"HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n";
+const NEVER: Outcome = Outcome::Moot { no_slot: false };
+
+fn part(message: u32) -> Part {
+    let (id, body) = (format!("m{message}"), Bytes::from_static(b"body"));
+    let until = Instant::now() + PATIENCE;
+    Part { message: MessageId(message), attempt: 0, id, key: None, body, until }
+}
+
+struct World {
+    calls: Calls,
+    events: UnboundedReceiver<Inbound>,
+    listener: TcpListener,
+    line: Line,
+}
+
+impl World {
+    async fn new() -> io::Result<Self> {
+        let (inbound, events) = unbounded_channel();
+        let limits = Limits { connect: 20_000_000, idle: 9_000_000, connections: 9, report: vec![] };
+        let calls = Calls::new(limits, Rc::new(Figures::default()), inbound);
+        let listener = TcpListener::bind("127.0.0.1:0").await?;
+        let (endpoint, address) = (EndpointId([1; 6]), listener.local_addr()?);
+        let line = Line { endpoint, address, route: (DestinationId(7), None) };
+        Ok(Self { calls, events, listener, line })
+    }
+
+    /// How the messages of the next call that ends fared.
+    async fn ends(&mut self) -> Vec<(u32, Outcome)> {
+        match timeout(PATIENCE, self.events.recv()).await {
+            Ok(Some(Inbound::CallOver(ends))) => ends.iter().map(|e| (e.message.0, e.outcome)).collect(),
+            other => panic!("{other:?}"),
+        }
+    }
+}
+
+/// What comes over a connection until that many bytes of a body have.
+async fn read(stream: &mut TcpStream) -> io::Result<String> {
+    let mut text = String::new();
+    while !text.ends_with("body") && !text.ends_with("}]") {
+        let mut bytes = [0; 512];
+        let n = stream.read(&mut bytes).await?;
+        assert!(n > 0, "it ends after {text}");
+        text += &String::from_utf8_lossy(&bytes[..n]);
+    }
+    Ok(text)
+}
+
+/// Guards the promise that nothing is sent on after its end was told, on a new connection and on a kept one.
+#[tokio::test]
+async fn what_is_given_up_before_its_first_byte_is_not_written() -> io::Result<()> {
+    let run = async {
+        let mut world = World::new().await?;
+        // Nobody is left: the connection comes up, and is kept.
+        world.calls.start(world.line, vec![part(1), part(2)]);
+        assert_eq!(world.calls.give_up(MessageId(1)), [0]);
+        assert_eq!(world.calls.give_up(MessageId(2)), [0]);
+        assert_eq!(world.ends().await, [(1, NEVER), (2, NEVER)]);
+        let (mut stream, _) = world.listener.accept().await?;
+        // The others go.
+        world.calls.start(world.line, vec![part(3), part(4), part(5)]);
+        assert_eq!(world.calls.give_up(MessageId(4)), [0]);
+        let text = read(&mut stream).await?;
+        assert!(text.contains("m3") && text.contains("m5") && !text.contains("m4"), "{text}");
+        assert_eq!(world.calls.give_up(MessageId(5)), [0; 0], "it may run");
+        stream.write_all(b"HTTP/1.1 200 OK\r\ncontent-length: 26\r\n\r\n").await?;
+        stream.write_all(br#"[{"id":"m3","state":"ok"}]"#).await?;
+        assert_eq!(world.ends().await, [(3, Outcome::Delivered), (4, NEVER), (5, Outcome::Error)]);
+        // One alone goes as such.
+        world.calls.start(world.line, vec![part(6), part(7)]);
+        assert_eq!(world.calls.give_up(MessageId(6)), [0]);
+        let text = read(&mut stream).await?;
+        assert!(text.starts_with("POST /v1/messages HTTP") && text.contains("m7"), "{text}");
+        stream.write_all(ANSWER).await?;
+        assert_eq!(world.ends().await, [(6, NEVER), (7, Outcome::Delivered)]);
+        Ok(())
+    };
+    LocalSet::new().run_until(run).await
+}
+
+/// Guards the same against a process that stands still: each message's time binds, whatever travels along.
+#[tokio::test]
+async fn a_message_whose_time_is_up_is_not_written() -> io::Result<()> {
+    let run = async {
+        let mut world = World::new().await?;
+        let late = Part { until: Instant::now(), ..part(1) };
+        world.calls.start(world.line, vec![late, part(2)]);
+        let (mut stream, _) = world.listener.accept().await?;
+        let text = read(&mut stream).await?;
+        assert!(text.starts_with("POST /v1/messages HTTP") && text.contains("m2"), "{text}");
+        stream.write_all(ANSWER).await?;
+        assert_eq!(world.ends().await, [(1, NEVER), (2, Outcome::Delivered)]);
+        Ok(())
+    };
+    LocalSet::new().run_until(run).await
+}
+
+/// Guards the moment between composing a request and its first byte, should that not go at once.
+#[tokio::test]
+async fn no_byte_leaves_of_a_request_that_is_outdated() -> io::Result<()> {
+    let run = async {
+        let world = World::new().await?;
+        let (load, _off) = Load::new(world.line.endpoint);
+        let mut conn = Conn::open(world.line.address).await.map_err(io::Error::other)?;
+        conn.traffic.load.replace(Rc::downgrade(&load));
+        let parts = [part(1), part(2)];
+        let composed = load.compose(world.line, &parts, parts[0].until);
+        assert!(load.leave_out((MessageId(1), 0)));
+        let request = composed.map(|c| c.request).ok_or(io::ErrorKind::Other)?;
+        assert!(conn.send(request).await.is_err());
+        assert_eq!((conn.traffic.written.get(), load.begun.get()), (0, false));
+        // What is left goes.
+        let mut conn = Conn::open(world.line.address).await.map_err(io::Error::other)?;
+        conn.traffic.load.replace(Rc::downgrade(&load));
+        let composed = load.compose(world.line, &parts, parts[0].until);
+        let request = composed.map(|c| c.request).ok_or(io::ErrorKind::Other)?;
+        let (mut first, _) = world.listener.accept().await?;
+        assert_eq!(first.read(&mut [0]).await?, 0);
+        let (mut second, _) = world.listener.accept().await?;
+        let answered = async {
+            let text = read(&mut second).await?;
+            assert!(text.contains("m2") && !text.contains("m1"), "{text}");
+            second.write_all(ANSWER).await
+        };
+        let (answer, answered) = tokio::join!(conn.send(request), answered);
+        answered?;
+        assert!(answer.is_ok() && load.begun.get());
+        Ok(())
+    };
+    LocalSet::new().run_until(run).await
+}
