Keep a wait told in the head of a batch whose answer breaks off

A wait was read from the head of an answer, but told and held only with the call's end. A batch with 200 whose body broke off or never ended lost it, and calls went on to an endpoint that had told to stay away. It is told and held as soon as the head is there, which is also when it begins to run.

--- a/src/net/calls.rs
+++ b/src/net/calls.rs
@@ -442,9 +442,6 @@
                 result = timeout_at(until, shared.call(line, &load, &parts, until)) => match result {
                     Ok(Ok(answered)) => {
                         shared.report_ends(&load, &parts, begun, &answered);
-                        if let Some(wait) = answered.wait {
-                            shared.hold(line.route, wait);
-                        }
                         answered.rest
                     }
                     Ok(Err(outcome)) => {
@@ -556,7 +553,6 @@
 struct Answered {
     ends: Vec<(Outcome, bool)>,
     report: Vec<f32>,
-    wait: Option<Micros>,
     rest: Option<(Busy, Option<Incoming>)>,
 }
 
@@ -669,6 +665,11 @@
         let (mut conn, answer) = self.exchange(line, load, compose, until).await?;
         let (head, body) = answer.into_parts();
         let (report, wait) = (self.report(&head.headers), told_wait(&head.headers));
+        if let Some(wait) = wait {
+            // It binds from here, whatever becomes of the rest of the answer.
+            let _ = self.inbound.send(Inbound::Event(Event::Wait { endpoint: line.endpoint, wait }));
+            self.hold(line.route, wait);
+        }
         if load.messages.get() > 1 && head.status == StatusCode::OK {
             let body = conn.0.body(body).await.map_err(|()| Outcome::Reset)?;
             let told: Vec<BatchEnd> = serde_json::from_slice(&body).unwrap_or_default();
@@ -683,16 +684,16 @@
                 _ => (Outcome::Error, false),
             };
             let ends = parts.iter().map(end).collect();
-            return Ok(Answered { ends, report, wait, rest: Some((conn, None)) });
+            return Ok(Answered { ends, report, rest: Some((conn, None)) });
         }
         let messages = load.messages.get();
         let end = (outcome(head.status, &head.headers, messages), head.status == StatusCode::GONE);
-        Ok(Answered { ends: vec![end; parts.len()], report, wait, rest: Some((conn, Some(body))) })
+        Ok(Answered { ends: vec![end; parts.len()], report, rest: Some((conn, Some(body))) })
     }
 
     fn report_end(&self, load: &Load, parts: &[Part], begun: Instant, outcome: Outcome) {
         let ends = vec![(outcome, false); parts.len()];
-        self.report_ends(load, parts, begun, &Answered { ends, report: vec![], wait: None, rest: None });
+        self.report_ends(load, parts, begun, &Answered { ends, report: vec![], rest: None });
     }
 
     fn report_ends(&self, load: &Load, parts: &[Part], begun: Instant, answered: &Answered) {
@@ -705,9 +706,6 @@
             let (outcome, gone, report) = (load.end_of(part, *outcome), *gone, answered.report.clone());
             over.push(AttemptOver { message, attempt, endpoint, outcome, gone, took, report });
         }
-        if let Some(wait) = answered.wait {
-            let _ = self.inbound.send(Inbound::Event(Event::Wait { endpoint, wait }));
-        }
         let _ = self.inbound.send(Inbound::CallOver(over));
     }
 
--- a/src/net/calls/tests.rs
+++ b/src/net/calls/tests.rs
@@ -140,3 +140,25 @@
     };
     LocalSet::new().run_until(run).await
 }
+
+/// Guards a wait that is told in the head of a batch's answer: it binds at once, also if the rest never comes.
+#[tokio::test]
+async fn a_wait_told_before_an_answer_breaks_off_binds() -> io::Result<()> {
+    let run = async {
+        let mut world = World::new().await?;
+        world.calls.start(world.line, vec![part(1), part(2)]);
+        let (mut stream, _) = world.listener.accept().await?;
+        read(&mut stream).await?;
+        stream.write_all(b"HTTP/1.1 200 OK\r\nretry-after: 60\r\ncontent-length: 26\r\n\r\n[{").await?;
+        let told = timeout(PATIENCE, world.events.recv()).await?;
+        let wait = Event::Wait { endpoint: world.line.endpoint, wait: 60_000_000 };
+        assert!(matches!(&told, Some(Inbound::Event(event)) if *event == wait), "{told:?}");
+        // Before the call is over, too.
+        world.calls.start(world.line, vec![part(3)]);
+        assert_eq!(world.ends().await, [(3, NEVER)]);
+        drop(stream);
+        assert_eq!(world.ends().await, [(1, Outcome::Reset), (2, Outcome::Reset)]);
+        Ok(())
+    };
+    LocalSet::new().run_until(run).await
+}
