Ask the socket itself before a kept connection is written to

Whether a kept connection was closed or had bytes on it was known only as of the last look of the runtime at its sockets. Between that and the next request it may run for a while: a request written after the endpoint's close ended as a reset, which may have run, so that what may not be repeated was lost; and bytes nobody had asked for were read as the answer to the next call, which ended as delivered though its endpoint had not answered. A connection taken up again now peeks at its socket first; one that is closed or has bytes is dropped, and the call goes over another.

A reset of an idle connection was seen by the write before and needed nothing.

--- a/src/net/calls.rs
+++ b/src/net/calls.rs
@@ -6,6 +6,7 @@
 use std::future::{Future, poll_fn};
 use std::io;
 use std::net::SocketAddr;
+use std::os::fd::AsFd;
 use std::pin::{Pin, pin};
 use std::rc::{Rc, Weak};
 use std::task::{Context, Poll};
@@ -49,6 +50,8 @@
     due: RefCell<Option<Due>>,
     /// The call that the connection is used for.
     load: RefCell<Weak<Load>>,
+    /// The next read asks the socket itself whether it is as idle as it should be.
+    asks: Cell<bool>,
 }
 
 /// Messages of a request that is being written.
@@ -86,8 +89,29 @@
     traffic: Rc<Traffic>,
 }
 
+impl Counted {
+    /// Whether an idle connection was closed, broke, or has bytes that no request asked for; as a read tells it.
+    /// The runtime hears of that when it next looks at its sockets, which may be after a request was written:
+    /// that would end as a reset, or take those bytes for its answer.
+    fn spoilt(&self) -> Option<io::Result<()>> {
+        // Shares the socket, which does not block. With no descriptor left what the runtime knows has to do.
+        let socket = std::net::TcpStream::from(self.stream.as_fd().try_clone_to_owned().ok()?);
+        match socket.peek(&mut [0]) {
+            Ok(0) => Some(Ok(())),
+            Ok(_) => Some(Err(io::Error::other("bytes that no request asked for"))),
+            Err(why) if why.kind() == io::ErrorKind::WouldBlock => None,
+            Err(why) => Some(Err(why)),
+        }
+    }
+}
+
 impl AsyncRead for Counted {
     fn poll_read(mut self: Pin<&mut Self>, cx: &mut Context, buf: &mut ReadBuf) -> Poll<io::Result<()>> {
+        if self.traffic.asks.take()
+            && let Some(spoilt) = self.spoilt()
+        {
+            return Poll::Ready(spoilt);
+        }
         let before = buf.filled().len();
         let poll = Pin::new(&mut self.stream).poll_read(cx, buf);
         let mut answer = self.traffic.answer.borrow_mut();
@@ -164,6 +188,13 @@
         .await
     }
 
+    /// Whether a further request may be written on a connection that stood idle: up to now the other side has
+    /// neither closed it nor written anything.
+    pub async fn still_usable(&mut self) -> bool {
+        self.traffic.asks.set(true);
+        self.usable().await
+    }
+
     /// Whether a further request may be written: the other side has not closed, as far as is known.
     pub async fn usable(&mut self) -> bool {
         let driver = &mut self.driver;
@@ -601,7 +632,7 @@
     ) -> Result<(Busy, bool), Outcome> {
         let in_use = InUse::new(self);
         while let Some(mut conn) = may_reuse.then(|| self.take_idle(line)).flatten() {
-            if conn.usable().await {
+            if conn.still_usable().await {
                 return Ok((Busy(conn, in_use), true));
             }
         }
--- a/src/net/calls/tests.rs
+++ b/src/net/calls/tests.rs
@@ -162,3 +162,59 @@
     };
     LocalSet::new().run_until(run).await
 }
+
+/// What the other side does to an idle connection in the very moment before it is to be used again: the runtime
+/// has not looked at its sockets since. The call goes over a new one.
+async fn spoilt_while_idle(spoil: impl FnOnce(std::net::TcpStream) -> io::Result<()>) -> io::Result<()> {
+    let mut world = World::new().await?;
+    world.calls.start(world.line, vec![part(1)]);
+    let (mut stream, _) = world.listener.accept().await?;
+    read(&mut stream).await?;
+    stream.write_all(ANSWER).await?;
+    assert_eq!(world.ends().await, [(1, Outcome::Delivered)]);
+    let kept = world.calls.clone();
+    let shelved = poll_fn(|cx| {
+        let idle = kept.0.idle.borrow().contains_key(&world.line);
+        cx.waker().wake_by_ref();
+        if idle { Poll::Ready(()) } else { Poll::Pending }
+    });
+    timeout(PATIENCE, shelved).await?;
+    // No waiting from here until the call has been begun.
+    spoil(stream.into_std()?)?;
+    world.calls.start(world.line, vec![part(2)]);
+    let (next, _) = timeout(PATIENCE, async {
+        tokio::select! {
+            end = world.events.recv() => panic!("it went over the spoilt one: {end:?}"),
+            next = world.listener.accept() => next,
+        }
+    })
+    .await??;
+    let mut next = next;
+    assert!(read(&mut next).await?.contains("m2"));
+    next.write_all(ANSWER).await?;
+    assert_eq!(world.ends().await, [(2, Outcome::Delivered)]);
+    Ok(())
+}
+
+/// Guards what may not be repeated against a reset that could have been known of: closed just before its reuse.
+#[tokio::test]
+async fn a_connection_closed_while_idle_is_not_written_to() -> io::Result<()> {
+    let spoil = |stream| {
+        drop(stream);
+        Ok(())
+    };
+    LocalSet::new().run_until(spoilt_while_idle(spoil)).await
+}
+
+/// Guards a call against an answer that was written before it: those bytes are no answer to it.
+#[tokio::test]
+async fn bytes_on_an_idle_connection_answer_no_call() -> io::Result<()> {
+    let left = std::cell::RefCell::new(None);
+    let spoil = |mut stream: std::net::TcpStream| {
+        io::Write::write_all(&mut stream, ANSWER)?;
+        // Stays open.
+        left.replace(Some(stream));
+        Ok(())
+    };
+    LocalSet::new().run_until(spoilt_while_idle(spoil)).await
+}
