Stop a request half written when its message is over or its time is up

Of a request that was written in part when its message's end was told, the rest went on to the last byte: it was sent on after its end. One whose time was up so counted as timed out, which may have run, though its last byte had not been written. What is not written whole now ends with its connection, as never run: at the end of any of its messages, as its endpoint leaves the list, at a handover; and at its deadline as not connected. Whether a request is whole is noted when it is flushed.

--- a/src/net/calls.rs
+++ b/src/net/calls.rs
@@ -71,6 +71,9 @@
         let whole = |due: &mut Due| self.written.get() > due.before + due.length;
         if let Some(due) = self.due.borrow_mut().take_if(whole) {
             due.figures.sent(due.messages);
+            if let Some(load) = self.load.borrow().upgrade() {
+                load.whole.set(true);
+            }
         }
     }
 
@@ -269,15 +272,17 @@
     since: Instant,
 }
 
-/// What travels as one call. Which of its messages are written is settled with the first byte alone: until
-/// then each of them may come to be over.
+/// What travels as one call. Each of its messages may come to be over until the request's last byte is written:
+/// before its first the others go without it, after that they come back with it, and none of them has run.
 struct Load {
     endpoint: EndpointId,
     /// Ends the call so, with all that travel along; works once.
     off: Cell<Option<oneshot::Sender<Outcome>>>,
     /// A byte of the request may have left.
     begun: Cell<bool>,
-    /// Attempts that were over before that: nothing of them is written.
+    /// The request was handed to the socket up to its last byte.
+    whole: Cell<bool>,
+    /// Attempts that were over before that: they never run.
     left_out: RefCell<BTreeSet<(MessageId, u16)>>,
     /// The request that was composed has one of them.
     outdated: Cell<bool>,
@@ -294,6 +299,7 @@
             endpoint,
             off: Cell::new(Some(off)),
             begun: Cell::new(false),
+            whole: Cell::new(false),
             left_out: RefCell::default(),
             outdated: Cell::new(false),
             messages: Cell::new(0),
@@ -308,18 +314,23 @@
         }
     }
 
-    /// Whether the request must not be written as it is.
+    /// Whether the request must not be written as it is, or any further.
     fn stale(&self) -> bool {
-        self.outdated.get() && !self.begun.get()
+        self.outdated.get() && !self.whole.get()
     }
 
-    /// False once a byte of it may have left.
+    /// False once its last byte is written. What was begun ends there, with its connection: what the socket still
+    /// passes on lacks the end, so that nothing of it runs.
     fn leave_out(&self, attempt: (MessageId, u16)) -> bool {
-        if !self.begun.get() {
-            self.left_out.borrow_mut().insert(attempt);
-            self.outdated.set(true);
+        if self.whole.get() {
+            return false;
+        }
+        self.left_out.borrow_mut().insert(attempt);
+        self.outdated.set(true);
+        if self.begun.get() {
+            self.end(Outcome::Moot { no_slot: false });
         }
-        !self.begun.get()
+        true
     }
 
     /// How one of its messages fared whose call ended so.
@@ -452,8 +463,8 @@
         self.0.out.borrow().len()
     }
 
-    /// Starts a call with one message or several; its end comes as [`Inbound::CallOver`]. Until a connection is
-    /// there any of the messages may be given up, and is not written then.
+    /// Starts a call with one message or several; its end comes as [`Inbound::CallOver`]. Until its last byte is
+    /// written any of the messages may be given up, and never runs then.
     pub fn start(&self, line: Line, parts: Vec<Part>) {
         let shared = self.0.clone();
         let (load, called_off) = Load::new(line.endpoint);
@@ -480,7 +491,7 @@
                         None
                     }
                     Err(_) => {
-                        let ran = load.begun.get();
+                        let ran = load.whole.get();
                         let outcome = if ran { Outcome::TimedOut } else { Outcome::ConnectFailed };
                         shared.report_end(&load, &parts, begun, load.unread(outcome));
                         None
@@ -501,17 +512,17 @@
     }
 
     /// A message is over here: from now on nothing more of it is written, whatever travels along. Returns the
-    /// attempts that were out of which nothing was.
+    /// attempts that were out and never run.
     pub fn give_up(&self, message: MessageId) -> Vec<u16> {
         let out = self.0.out.borrow();
         let attempts = out.range((message, 0)..=(message, u16::MAX));
         attempts.filter(|(id, load)| load.leave_out(**id)).map(|(id, _)| id.1).collect()
     }
 
-    /// Ends the calls of which nothing is written yet, of all endpoints that are not to be called any more.
+    /// Ends the calls that are not written whole yet, of all endpoints that are not to be called any more.
     pub fn withdraw(&self, over: impl Fn(EndpointId) -> bool) {
         let out = self.0.out.borrow();
-        let unwritten = out.values().filter(|load| !load.begun.get() && over(load.endpoint));
+        let unwritten = out.values().filter(|load| !load.whole.get() && over(load.endpoint));
         unwritten.for_each(|load| load.end(Outcome::Moot { no_slot: false }));
     }
 
--- a/src/net/calls/tests.rs
+++ b/src/net/calls/tests.rs
@@ -218,3 +218,57 @@
     };
     LocalSet::new().run_until(spoilt_while_idle(spoil)).await
 }
+
+/// A message of more bytes than the buffers between two sockets hold.
+fn large(message: u32) -> Part {
+    Part { body: Bytes::from(vec![b'x'; 32 << 20]), ..part(message) }
+}
+
+/// Reads on until the connection ends; whether the body came whole.
+async fn came_whole(stream: &mut TcpStream) -> bool {
+    let (mut bytes, mut size) = (vec![0; 1 << 16], 0);
+    while let Ok(n @ 1..) = stream.read(&mut bytes).await {
+        size += n;
+    }
+    size >= 32 << 20
+}
+
+/// Guards the promise that nothing is sent on after its end was told, once its first bytes are written.
+#[tokio::test]
+async fn what_is_given_up_half_written_never_runs() -> io::Result<()> {
+    let run = async {
+        let mut world = World::new().await?;
+        world.calls.start(world.line, vec![large(1)]);
+        let (mut stream, _) = world.listener.accept().await?;
+        stream.read_exact(&mut [0]).await?;
+        assert_eq!(world.calls.give_up(MessageId(1)), [0]);
+        assert_eq!(world.ends().await, [(1, NEVER)]);
+        assert!(!came_whole(&mut stream).await);
+        // As does what an endpoint that goes away, or a process that hands over, is still written.
+        world.calls.start(world.line, vec![large(4)]);
+        let (mut stream, _) = world.listener.accept().await?;
+        stream.read_exact(&mut [0]).await?;
+        world.calls.withdraw(|_| true);
+        assert_eq!(world.ends().await, [(4, NEVER)]);
+        assert!(!came_whole(&mut stream).await);
+        Ok(())
+    };
+    LocalSet::new().run_until(run).await
+}
+
+/// Guards what may not be repeated: a request that was not written whole in its time can still go elsewhere.
+#[tokio::test]
+async fn a_request_half_written_when_its_time_is_up_never_ran() -> io::Result<()> {
+    let run = async {
+        let mut world = World::new().await?;
+        world.calls.start(world.line, vec![large(1)]);
+        let (mut stream, _) = world.listener.accept().await?;
+        stream.read_exact(&mut [0]).await?;
+        tokio::time::pause();
+        tokio::time::advance(PATIENCE).await;
+        assert_eq!(world.ends().await, [(1, Outcome::ConnectFailed)]);
+        assert!(!came_whole(&mut stream).await);
+        Ok(())
+    };
+    LocalSet::new().run_until(run).await
+}
