Write nothing more of a request once its answer has come

An answer may come before its request is written whole. Its end was told, but while the rest of the answer was read, for up to a second, the rest of the request was still written. Its connection is closed at once now.

--- a/src/net/calls.rs
+++ b/src/net/calls.rs
@@ -729,8 +729,10 @@
             return Ok(Answered { ends, report, rest: Some((conn, None)) });
         }
         let messages = load.messages.get();
+        // An answer that came before its request was written whole: the rest must not follow its end.
+        let rest = load.whole.get().then_some((conn, Some(body)));
         let end = (outcome(head.status, &head.headers, messages), head.status == StatusCode::GONE);
-        Ok(Answered { ends: vec![end; parts.len()], report, rest: Some((conn, Some(body))) })
+        Ok(Answered { ends: vec![end; parts.len()], report, rest })
     }
 
     fn report_end(&self, load: &Load, parts: &[Part], begun: Instant, outcome: Outcome) {
--- a/src/net/calls/tests.rs
+++ b/src/net/calls/tests.rs
@@ -272,3 +272,20 @@
     };
     LocalSet::new().run_until(run).await
 }
+
+/// Guards a message that was turned away before it was written whole: its rest does not follow.
+#[tokio::test]
+async fn an_early_answer_ends_the_writing() -> io::Result<()> {
+    let run = async {
+        let mut world = World::new().await?;
+        world.calls.start(world.line, vec![large(1)]);
+        let (mut stream, _) = world.listener.accept().await?;
+        stream.read_exact(&mut [0]).await?;
+        // The rest of the answer does not come.
+        stream.write_all(b"HTTP/1.1 503 Service Unavailable\r\ncontent-length: 9\r\n\r\n").await?;
+        assert_eq!(world.ends().await, [(1, Outcome::Full(None))]);
+        assert!(!came_whole(&mut stream).await);
+        Ok(())
+    };
+    LocalSet::new().run_until(run).await
+}
