--- a/src/net/calls.rs
+++ b/src/net/calls.rs
@@ -6,6 +6,7 @@
 use std::future::{Future, poll_fn};
 use std::io;
 use std::net::SocketAddr;
+use std::os::fd::AsFd;
 use std::pin::{Pin, pin};
 use std::rc::{Rc, Weak};
 use std::task::{Context, Poll};
@@ -48,6 +49,8 @@
     due: RefCell<Option<Due>>,
     /// The call that the connection is used for.
     load: RefCell<Weak<Load>>,
+    /// The next read asks the socket itself whether it is as idle as it should be.
+    asks: Cell<bool>,
 }
 
 /// Messages of a request that is being written.
@@ -67,6 +70,9 @@
         let whole = |due: &mut Due| self.written.get() > due.before + due.length;
         if let Some(due) = self.due.borrow_mut().take_if(whole) {
             due.figures.sent(due.messages);
+            if let Some(load) = self.load.borrow().upgrade() {
+                load.whole.set(true);
+            }
         }
     }
 
@@ -85,8 +91,29 @@
     traffic: Rc<Traffic>,
 }
 
+impl Counted {
+    /// Whether an idle connection was closed, broke, or has bytes that no request asked for; as a read tells it.
+    /// The runtime hears of that when it next looks at its sockets, which may be after a request was written:
+    /// that would end as a reset, or take those bytes for its answer.
+    fn spoilt(&self) -> Option<io::Result<()>> {
+        // Shares the socket, which does not block. With no descriptor left what the runtime knows has to do.
+        let socket = std::net::TcpStream::from(self.stream.as_fd().try_clone_to_owned().ok()?);
+        match socket.peek(&mut [0]) {
+            Ok(0) => Some(Ok(())),
+            Ok(_) => Some(Err(io::Error::other("bytes that no request asked for"))),
+            Err(why) if why.kind() == io::ErrorKind::WouldBlock => None,
+            Err(why) => Some(Err(why)),
+        }
+    }
+}
+
 impl AsyncRead for Counted {
     fn poll_read(mut self: Pin<&mut Self>, cx: &mut Context, buf: &mut ReadBuf) -> Poll<io::Result<()>> {
+        if self.traffic.asks.take()
+            && let Some(spoilt) = self.spoilt()
+        {
+            return Poll::Ready(spoilt);
+        }
         let before = buf.filled().len();
         let poll = Pin::new(&mut self.stream).poll_read(cx, buf);
         let mut answer = self.traffic.answer.borrow_mut();
@@ -163,6 +190,13 @@
         .await
     }
 
+    /// Whether a further request may be written on a connection that stood idle: up to now the other side has
+    /// neither closed it nor written anything.
+    pub async fn still_usable(&mut self) -> bool {
+        self.traffic.asks.set(true);
+        self.usable().await
+    }
+
     /// Whether a further request may be written: the other side has not closed, as far as is known.
     pub async fn usable(&mut self) -> bool {
         let driver = &mut self.driver;
@@ -237,15 +271,17 @@
     since: Instant,
 }
 
-/// What travels as one call. Which of its messages are written is settled with the first byte alone: until
-/// then each of them may come to be over.
+/// What travels as one call. Each of its messages may come to be over until the request's last byte is written:
+/// before its first the others go without it, after that they come back with it, and none of them has run.
 struct Load {
     endpoint: EndpointId,
     /// Ends the call so, with all that travel along; works once.
     off: Cell<Option<oneshot::Sender<Outcome>>>,
     /// A byte of the request may have left.
     begun: Cell<bool>,
-    /// Attempts that were over before that: nothing of them is written.
+    /// The request was handed to the socket up to its last byte.
+    whole: Cell<bool>,
+    /// Attempts that were over before that: they never run.
     left_out: RefCell<BTreeSet<(MessageId, u16)>>,
     /// The request that was composed has one of them.
     outdated: Cell<bool>,
@@ -262,6 +298,7 @@
             endpoint,
             off: Cell::new(Some(off)),
             begun: Cell::new(false),
+            whole: Cell::new(false),
             left_out: RefCell::default(),
             outdated: Cell::new(false),
             messages: Cell::new(0),
@@ -276,18 +313,23 @@
         }
     }
 
-    /// Whether the request must not be written as it is.
+    /// Whether the request must not be written as it is, or any further.
     fn stale(&self) -> bool {
-        self.outdated.get() && !self.begun.get()
+        self.outdated.get() && !self.whole.get()
     }
 
-    /// False once a byte of it may have left.
+    /// False once its last byte is written. What was begun ends there, with its connection: what the socket still
+    /// passes on lacks the end, so that nothing of it runs.
     fn leave_out(&self, attempt: (MessageId, u16)) -> bool {
-        if !self.begun.get() {
-            self.left_out.borrow_mut().insert(attempt);
-            self.outdated.set(true);
+        if self.whole.get() {
+            return false;
         }
-        !self.begun.get()
+        self.left_out.borrow_mut().insert(attempt);
+        self.outdated.set(true);
+        if self.begun.get() {
+            self.end(Outcome::Moot { no_slot: false });
+        }
+        true
     }
 
     /// How one of its messages fared whose call ended so.
@@ -420,8 +462,8 @@
         self.0.out.borrow().len()
     }
 
-    /// Starts a call with one message or several; its end comes as [`Inbound::CallOver`]. Until a connection is
-    /// there any of the messages may be given up, and is not written then.
+    /// Starts a call with one message or several; its end comes as [`Inbound::CallOver`]. Until its last byte is
+    /// written any of the messages may be given up, and never runs then.
     pub fn start(&self, line: Line, parts: Vec<Part>) {
         let shared = self.0.clone();
         let (load, called_off) = Load::new(line.endpoint);
@@ -441,9 +483,6 @@
                 result = timeout_at(until, shared.call(line, &load, &parts, until)) => match result {
                     Ok(Ok(answered)) => {
                         shared.report_ends(&load, &parts, begun, &answered);
-                        if let Some(wait) = answered.wait {
-                            shared.hold(line.route, wait);
-                        }
                         answered.rest
                     }
                     Ok(Err(outcome)) => {
@@ -451,7 +490,7 @@
                         None
                     }
                     Err(_) => {
-                        let ran = load.begun.get();
+                        let ran = load.whole.get();
                         let outcome = if ran { Outcome::TimedOut } else { Outcome::ConnectFailed };
                         shared.report_end(&load, &parts, begun, load.unread(outcome));
                         None
@@ -472,17 +511,17 @@
     }
 
     /// A message is over here: from now on nothing more of it is written, whatever travels along. Returns the
-    /// attempts that were out of which nothing was.
+    /// attempts that were out and never run.
     pub fn give_up(&self, message: MessageId) -> Vec<u16> {
         let out = self.0.out.borrow();
         let attempts = out.range((message, 0)..=(message, u16::MAX));
         attempts.filter(|(id, load)| load.leave_out(**id)).map(|(id, _)| id.1).collect()
     }
 
-    /// Ends the calls of which nothing is written yet, of all endpoints that are not to be called any more.
+    /// Ends the calls that are not written whole yet, of all endpoints that are not to be called any more.
     pub fn withdraw(&self, over: impl Fn(EndpointId) -> bool) {
         let out = self.0.out.borrow();
-        let unwritten = out.values().filter(|load| !load.begun.get() && over(load.endpoint));
+        let unwritten = out.values().filter(|load| !load.whole.get() && over(load.endpoint));
         unwritten.for_each(|load| load.end(Outcome::Moot { no_slot: false }));
     }
 
@@ -555,7 +594,6 @@
 struct Answered {
     ends: Vec<(Outcome, bool)>,
     report: Vec<f32>,
-    wait: Option<Micros>,
     rest: Option<(Busy, Option<Incoming>)>,
 }
 
@@ -604,7 +642,7 @@
     ) -> Result<(Busy, bool), Outcome> {
         let in_use = InUse::new(self);
         while let Some(mut conn) = may_reuse.then(|| self.take_idle(line)).flatten() {
-            if conn.usable().await {
+            if conn.still_usable().await {
                 return Ok((Busy(conn, in_use), true));
             }
         }
@@ -668,6 +706,11 @@
         let (mut conn, answer) = self.exchange(line, load, compose, until).await?;
         let (head, body) = answer.into_parts();
         let (report, wait) = (self.report(&head.headers), told_wait(&head.headers));
+        if let Some(wait) = wait {
+            // It binds from here, whatever becomes of the rest of the answer.
+            let _ = self.inbound.send(Inbound::Event(Event::Wait { endpoint: line.endpoint, wait }));
+            self.hold(line.route, wait);
+        }
         if load.messages.get() > 1 && head.status == StatusCode::OK {
             let body = conn.0.body(body).await.map_err(|()| Outcome::Reset)?;
             let told: Vec<BatchEnd> = serde_json::from_slice(&body).unwrap_or_default();
@@ -682,16 +725,18 @@
                 _ => (Outcome::Error, false),
             };
             let ends = parts.iter().map(end).collect();
-            return Ok(Answered { ends, report, wait, rest: Some((conn, None)) });
+            return Ok(Answered { ends, report, rest: Some((conn, None)) });
         }
         let messages = load.messages.get();
+        // An answer that came before its request was written whole: the rest must not follow its end.
+        let rest = load.whole.get().then_some((conn, Some(body)));
         let end = (outcome(head.status, &head.headers, messages), head.status == StatusCode::GONE);
-        Ok(Answered { ends: vec![end; parts.len()], report, wait, rest: Some((conn, Some(body))) })
+        Ok(Answered { ends: vec![end; parts.len()], report, rest })
     }
 
     fn report_end(&self, load: &Load, parts: &[Part], begun: Instant, outcome: Outcome) {
         let ends = vec![(outcome, false); parts.len()];
-        self.report_ends(load, parts, begun, &Answered { ends, report: vec![], wait: None, rest: None });
+        self.report_ends(load, parts, begun, &Answered { ends, report: vec![], rest: None });
     }
 
     fn report_ends(&self, load: &Load, parts: &[Part], begun: Instant, answered: &Answered) {
@@ -704,9 +749,6 @@
             let (outcome, gone, report) = (load.end_of(part, *outcome), *gone, answered.report.clone());
             over.push(AttemptOver { message, attempt, endpoint, outcome, gone, took, report });
         }
-        if let Some(wait) = answered.wait {
-            let _ = self.inbound.send(Inbound::Event(Event::Wait { endpoint, wait }));
-        }
         let _ = self.inbound.send(Inbound::CallOver(over));
     }
 
@@ -779,145 +821,4 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use myrtleyard::interface::DestinationId;
-    use tokio::io::{AsyncReadExt, AsyncWriteExt};
-    use tokio::net::TcpListener;
-    use tokio::sync::mpsc::{UnboundedReceiver, unbounded_channel};
-    use tokio::task::LocalSet;
-
-    use super::*;
-
-    const PATIENCE: Duration = Duration::from_secs(30);
-    const ANSWER: &[u8] = b"HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n";
-    const NEVER: Outcome = Outcome::Moot { no_slot: false };
-
-    fn part(message: u32) -> Part {
-        let (id, body) = (format!("m{message}"), Bytes::from_static(b"body"));
-        let until = Instant::now() + PATIENCE;
-        Part { message: MessageId(message), attempt: 0, id, key: None, body, until }
-    }
-
-    struct World {
-        calls: Calls,
-        events: UnboundedReceiver<Inbound>,
-        listener: TcpListener,
-        line: Line,
-    }
-
-    impl World {
-        async fn new() -> io::Result<Self> {
-            let (inbound, events) = unbounded_channel();
-            let limits = Limits { connect: 20_000_000, idle: 9_000_000, connections: 9, report: vec![] };
-            let calls = Calls::new(limits, Rc::new(Figures::default()), inbound);
-            let listener = TcpListener::bind("127.0.0.1:0").await?;
-            let (endpoint, address) = (EndpointId([1; 6]), listener.local_addr()?);
-            let line = Line { endpoint, address, route: (DestinationId(7), None) };
-            Ok(Self { calls, events, listener, line })
-        }
-
-        /// How the messages of the next call that ends fared.
-        async fn ends(&mut self) -> Vec<(u32, Outcome)> {
-            match timeout(PATIENCE, self.events.recv()).await {
-                Ok(Some(Inbound::CallOver(ends))) => ends.iter().map(|e| (e.message.0, e.outcome)).collect(),
-                other => panic!("{other:?}"),
-            }
-        }
-    }
-
-    /// What comes over a connection until that many bytes of a body have.
-    async fn read(stream: &mut TcpStream) -> io::Result<String> {
-        let mut text = String::new();
-        while !text.ends_with("body") && !text.ends_with("}]") {
-            let mut bytes = [0; 512];
-            let n = stream.read(&mut bytes).await?;
-            assert!(n > 0, "it ends after {text}");
-            text += &String::from_utf8_lossy(&bytes[..n]);
-        }
-        Ok(text)
-    }
-
-    /// Guards the promise that nothing is sent on after its end was told, on a new connection and on a kept one.
-    #[tokio::test]
-    async fn what_is_given_up_before_its_first_byte_is_not_written() -> io::Result<()> {
-        let run = async {
-            let mut world = World::new().await?;
-            // Nobody is left: the connection comes up, and is kept.
-            world.calls.start(world.line, vec![part(1), part(2)]);
-            assert_eq!(world.calls.give_up(MessageId(1)), [0]);
-            assert_eq!(world.calls.give_up(MessageId(2)), [0]);
-            assert_eq!(world.ends().await, [(1, NEVER), (2, NEVER)]);
-            let (mut stream, _) = world.listener.accept().await?;
-            // The others go.
-            world.calls.start(world.line, vec![part(3), part(4), part(5)]);
-            assert_eq!(world.calls.give_up(MessageId(4)), [0]);
-            let text = read(&mut stream).await?;
-            assert!(text.contains("m3") && text.contains("m5") && !text.contains("m4"), "{text}");
-            assert_eq!(world.calls.give_up(MessageId(5)), [0; 0], "it may run");
-            stream.write_all(b"HTTP/1.1 200 OK\r\ncontent-length: 26\r\n\r\n").await?;
-            stream.write_all(br#"[{"id":"m3","state":"ok"}]"#).await?;
-            assert_eq!(world.ends().await, [(3, Outcome::Delivered), (4, NEVER), (5, Outcome::Error)]);
-            // One alone goes as such.
-            world.calls.start(world.line, vec![part(6), part(7)]);
-            assert_eq!(world.calls.give_up(MessageId(6)), [0]);
-            let text = read(&mut stream).await?;
-            assert!(text.starts_with("POST /v1/messages HTTP") && text.contains("m7"), "{text}");
-            stream.write_all(ANSWER).await?;
-            assert_eq!(world.ends().await, [(6, NEVER), (7, Outcome::Delivered)]);
-            Ok(())
-        };
-        LocalSet::new().run_until(run).await
-    }
-
-    /// Guards the same against a process that stands still: each message's time binds, whatever travels along.
-    #[tokio::test]
-    async fn a_message_whose_time_is_up_is_not_written() -> io::Result<()> {
-        let run = async {
-            let mut world = World::new().await?;
-            let late = Part { until: Instant::now(), ..part(1) };
-            world.calls.start(world.line, vec![late, part(2)]);
-            let (mut stream, _) = world.listener.accept().await?;
-            let text = read(&mut stream).await?;
-            assert!(text.starts_with("POST /v1/messages HTTP") && text.contains("m2"), "{text}");
-            stream.write_all(ANSWER).await?;
-            assert_eq!(world.ends().await, [(1, NEVER), (2, Outcome::Delivered)]);
-            Ok(())
-        };
-        LocalSet::new().run_until(run).await
-    }
-
-    /// Guards the moment between composing a request and its first byte, should that not go at once.
-    #[tokio::test]
-    async fn no_byte_leaves_of_a_request_that_is_outdated() -> io::Result<()> {
-        let run = async {
-            let world = World::new().await?;
-            let (load, _off) = Load::new(world.line.endpoint);
-            let mut conn = Conn::open(world.line.address).await.map_err(io::Error::other)?;
-            conn.traffic.load.replace(Rc::downgrade(&load));
-            let parts = [part(1), part(2)];
-            let composed = load.compose(world.line, &parts, parts[0].until);
-            assert!(load.leave_out((MessageId(1), 0)));
-            let request = composed.map(|c| c.request).ok_or(io::ErrorKind::Other)?;
-            assert!(conn.send(request).await.is_err());
-            assert_eq!((conn.traffic.written.get(), load.begun.get()), (0, false));
-            // What is left goes.
-            let mut conn = Conn::open(world.line.address).await.map_err(io::Error::other)?;
-            conn.traffic.load.replace(Rc::downgrade(&load));
-            let composed = load.compose(world.line, &parts, parts[0].until);
-            let request = composed.map(|c| c.request).ok_or(io::ErrorKind::Other)?;
-            let (mut first, _) = world.listener.accept().await?;
-            assert_eq!(first.read(&mut [0]).await?, 0);
-            let (mut second, _) = world.listener.accept().await?;
-            let answered = async {
-                let text = read(&mut second).await?;
-                assert!(text.contains("m2") && !text.contains("m1"), "{text}");
-                second.write_all(ANSWER).await
-            };
-            let (answer, answered) = tokio::join!(conn.send(request), answered);
-            answered?;
-            assert!(answer.is_ok() && load.begun.get());
-            Ok(())
-        };
-        LocalSet::new().run_until(run).await
-    }
-}
+mod tests;
--- /dev/null
+++ b/src/net/calls/tests.rs
@@ -0,0 +1,291 @@
+//! Tests of calls over loopback sockets, with the orders of what crosses forced.
+
+use myrtleyard::interface::DestinationId;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpListener;
+use tokio::sync::mpsc::{UnboundedReceiver, unbounded_channel};
+use tokio::task::LocalSet;
+
+use super::*;
+
+const PATIENCE: Duration = Duration::from_secs(30);
+const ANSWER: &[u8] = b"HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n";
+const NEVER: Outcome = Outcome::Moot { no_slot: false };
+
+fn part(message: u32) -> Part {
+    let (id, body) = (format!("m{message}"), Bytes::from_static(b"body"));
+    let until = Instant::now() + PATIENCE;
+    Part { message: MessageId(message), attempt: 0, id, key: None, body, until }
+}
+
+struct World {
+    calls: Calls,
+    events: UnboundedReceiver<Inbound>,
+    listener: TcpListener,
+    line: Line,
+}
+
+impl World {
+    async fn new() -> io::Result<Self> {
+        let (inbound, events) = unbounded_channel();
+        let limits = Limits { connect: 20_000_000, idle: 9_000_000, connections: 9, report: vec![] };
+        let calls = Calls::new(limits, Rc::new(Figures::default()), inbound);
+        let listener = TcpListener::bind("127.0.0.1:0").await?;
+        let (endpoint, address) = (EndpointId([1; 6]), listener.local_addr()?);
+        let line = Line { endpoint, address, route: (DestinationId(7), None) };
+        Ok(Self { calls, events, listener, line })
+    }
+
+    /// How the messages of the next call that ends fared.
+    async fn ends(&mut self) -> Vec<(u32, Outcome)> {
+        match timeout(PATIENCE, self.events.recv()).await {
+            Ok(Some(Inbound::CallOver(ends))) => ends.iter().map(|e| (e.message.0, e.outcome)).collect(),
+            other => panic!("{other:?}"),
+        }
+    }
+}
+
+/// What comes over a connection until that many bytes of a body have.
+async fn read(stream: &mut TcpStream) -> io::Result<String> {
+    let mut text = String::new();
+    while !text.ends_with("body") && !text.ends_with("}]") {
+        let mut bytes = [0; 512];
+        let n = stream.read(&mut bytes).await?;
+        assert!(n > 0, "it ends after {text}");
+        text += &String::from_utf8_lossy(&bytes[..n]);
+    }
+    Ok(text)
+}
+
+/// Guards the promise that nothing is sent on after its end was told, on a new connection and on a kept one.
+#[tokio::test]
+async fn what_is_given_up_before_its_first_byte_is_not_written() -> io::Result<()> {
+    let run = async {
+        let mut world = World::new().await?;
+        // Nobody is left: the connection comes up, and is kept.
+        world.calls.start(world.line, vec![part(1), part(2)]);
+        assert_eq!(world.calls.give_up(MessageId(1)), [0]);
+        assert_eq!(world.calls.give_up(MessageId(2)), [0]);
+        assert_eq!(world.ends().await, [(1, NEVER), (2, NEVER)]);
+        let (mut stream, _) = world.listener.accept().await?;
+        // The others go.
+        world.calls.start(world.line, vec![part(3), part(4), part(5)]);
+        assert_eq!(world.calls.give_up(MessageId(4)), [0]);
+        let text = read(&mut stream).await?;
+        assert!(text.contains("m3") && text.contains("m5") && !text.contains("m4"), "{text}");
+        assert_eq!(world.calls.give_up(MessageId(5)), [0; 0], "it may run");
+        stream.write_all(b"HTTP/1.1 200 OK\r\ncontent-length: 26\r\n\r\n").await?;
+        stream.write_all(br#"[{"id":"m3","state":"ok"}]"#).await?;
+        assert_eq!(world.ends().await, [(3, Outcome::Delivered), (4, NEVER), (5, Outcome::Error)]);
+        // One alone goes as such.
+        world.calls.start(world.line, vec![part(6), part(7)]);
+        assert_eq!(world.calls.give_up(MessageId(6)), [0]);
+        let text = read(&mut stream).await?;
+        assert!(text.starts_with("POST /v1/messages HTTP") && text.contains("m7"), "{text}");
+        stream.write_all(ANSWER).await?;
+        assert_eq!(world.ends().await, [(6, NEVER), (7, Outcome::Delivered)]);
+        Ok(())
+    };
+    LocalSet::new().run_until(run).await
+}
+
+/// Guards the same against a process that stands still: each message's time binds, whatever travels along.
+#[tokio::test]
+async fn a_message_whose_time_is_up_is_not_written() -> io::Result<()> {
+    let run = async {
+        let mut world = World::new().await?;
+        let late = Part { until: Instant::now(), ..part(1) };
+        world.calls.start(world.line, vec![late, part(2)]);
+        let (mut stream, _) = world.listener.accept().await?;
+        let text = read(&mut stream).await?;
+        assert!(text.starts_with("POST /v1/messages HTTP") && text.contains("m2"), "{text}");
+        stream.write_all(ANSWER).await?;
+        assert_eq!(world.ends().await, [(1, NEVER), (2, Outcome::Delivered)]);
+        Ok(())
+    };
+    LocalSet::new().run_until(run).await
+}
+
+/// Guards the moment between composing a request and its first byte, should that not go at once.
+#[tokio::test]
+async fn no_byte_leaves_of_a_request_that_is_outdated() -> io::Result<()> {
+    let run = async {
+        let world = World::new().await?;
+        let (load, _off) = Load::new(world.line.endpoint);
+        let mut conn = Conn::open(world.line.address).await.map_err(io::Error::other)?;
+        conn.traffic.load.replace(Rc::downgrade(&load));
+        let parts = [part(1), part(2)];
+        let composed = load.compose(world.line, &parts, parts[0].until);
+        assert!(load.leave_out((MessageId(1), 0)));
+        let request = composed.map(|c| c.request).ok_or(io::ErrorKind::Other)?;
+        assert!(conn.send(request).await.is_err());
+        assert_eq!((conn.traffic.written.get(), load.begun.get()), (0, false));
+        // What is left goes.
+        let mut conn = Conn::open(world.line.address).await.map_err(io::Error::other)?;
+        conn.traffic.load.replace(Rc::downgrade(&load));
+        let composed = load.compose(world.line, &parts, parts[0].until);
+        let request = composed.map(|c| c.request).ok_or(io::ErrorKind::Other)?;
+        let (mut first, _) = world.listener.accept().await?;
+        assert_eq!(first.read(&mut [0]).await?, 0);
+        let (mut second, _) = world.listener.accept().await?;
+        let answered = async {
+            let text = read(&mut second).await?;
+            assert!(text.contains("m2") && !text.contains("m1"), "{text}");
+            second.write_all(ANSWER).await
+        };
+        let (answer, answered) = tokio::join!(conn.send(request), answered);
+        answered?;
+        assert!(answer.is_ok() && load.begun.get());
+        Ok(())
+    };
+    LocalSet::new().run_until(run).await
+}
+
+/// Guards a wait that is told in the head of a batch's answer: it binds at once, also if the rest never comes.
+#[tokio::test]
+async fn a_wait_told_before_an_answer_breaks_off_binds() -> io::Result<()> {
+    let run = async {
+        let mut world = World::new().await?;
+        world.calls.start(world.line, vec![part(1), part(2)]);
+        let (mut stream, _) = world.listener.accept().await?;
+        read(&mut stream).await?;
+        stream.write_all(b"HTTP/1.1 200 OK\r\nretry-after: 60\r\ncontent-length: 26\r\n\r\n[{").await?;
+        let told = timeout(PATIENCE, world.events.recv()).await?;
+        let wait = Event::Wait { endpoint: world.line.endpoint, wait: 60_000_000 };
+        assert!(matches!(&told, Some(Inbound::Event(event)) if *event == wait), "{told:?}");
+        // Before the call is over, too.
+        world.calls.start(world.line, vec![part(3)]);
+        assert_eq!(world.ends().await, [(3, NEVER)]);
+        drop(stream);
+        assert_eq!(world.ends().await, [(1, Outcome::Reset), (2, Outcome::Reset)]);
+        Ok(())
+    };
+    LocalSet::new().run_until(run).await
+}
+
+/// What the other side does to an idle connection in the very moment before it is to be used again: the runtime
+/// has not looked at its sockets since. The call goes over a new one.
+async fn spoilt_while_idle(spoil: impl FnOnce(std::net::TcpStream) -> io::Result<()>) -> io::Result<()> {
+    let mut world = World::new().await?;
+    world.calls.start(world.line, vec![part(1)]);
+    let (mut stream, _) = world.listener.accept().await?;
+    read(&mut stream).await?;
+    stream.write_all(ANSWER).await?;
+    assert_eq!(world.ends().await, [(1, Outcome::Delivered)]);
+    let kept = world.calls.clone();
+    let shelved = poll_fn(|cx| {
+        let idle = kept.0.idle.borrow().contains_key(&world.line);
+        cx.waker().wake_by_ref();
+        if idle { Poll::Ready(()) } else { Poll::Pending }
+    });
+    timeout(PATIENCE, shelved).await?;
+    // No waiting from here until the call has been begun.
+    spoil(stream.into_std()?)?;
+    world.calls.start(world.line, vec![part(2)]);
+    let (next, _) = timeout(PATIENCE, async {
+        tokio::select! {
+            end = world.events.recv() => panic!("it went over the spoilt one: {end:?}"),
+            next = world.listener.accept() => next,
+        }
+    })
+    .await??;
+    let mut next = next;
+    assert!(read(&mut next).await?.contains("m2"));
+    next.write_all(ANSWER).await?;
+    assert_eq!(world.ends().await, [(2, Outcome::Delivered)]);
+    Ok(())
+}
+
+/// Guards what may not be repeated against a reset that could have been known of: closed just before its reuse.
+#[tokio::test]
+async fn a_connection_closed_while_idle_is_not_written_to() -> io::Result<()> {
+    let spoil = |stream| {
+        drop(stream);
+        Ok(())
+    };
+    LocalSet::new().run_until(spoilt_while_idle(spoil)).await
+}
+
+/// Guards a call against an answer that was written before it: those bytes are no answer to it.
+#[tokio::test]
+async fn bytes_on_an_idle_connection_answer_no_call() -> io::Result<()> {
+    let left = std::cell::RefCell::new(None);
+    let spoil = |mut stream: std::net::TcpStream| {
+        io::Write::write_all(&mut stream, ANSWER)?;
+        // Stays open.
+        left.replace(Some(stream));
+        Ok(())
+    };
+    LocalSet::new().run_until(spoilt_while_idle(spoil)).await
+}
+
+/// A message of more bytes than the buffers between two sockets hold.
+fn large(message: u32) -> Part {
+    Part { body: Bytes::from(vec![b'x'; 32 << 20]), ..part(message) }
+}
+
+/// Reads on until the connection ends; whether the body came whole.
+async fn came_whole(stream: &mut TcpStream) -> bool {
+    let (mut bytes, mut size) = (vec![0; 1 << 16], 0);
+    while let Ok(n @ 1..) = stream.read(&mut bytes).await {
+        size += n;
+    }
+    size >= 32 << 20
+}
+
+/// Guards the promise that nothing is sent on after its end was told, once its first bytes are written.
+#[tokio::test]
+async fn what_is_given_up_half_written_never_runs() -> io::Result<()> {
+    let run = async {
+        let mut world = World::new().await?;
+        world.calls.start(world.line, vec![large(1)]);
+        let (mut stream, _) = world.listener.accept().await?;
+        stream.read_exact(&mut [0]).await?;
+        assert_eq!(world.calls.give_up(MessageId(1)), [0]);
+        assert_eq!(world.ends().await, [(1, NEVER)]);
+        assert!(!came_whole(&mut stream).await);
+        // As does what an endpoint that goes away, or a process that hands over, is still written.
+        world.calls.start(world.line, vec![large(4)]);
+        let (mut stream, _) = world.listener.accept().await?;
+        stream.read_exact(&mut [0]).await?;
+        world.calls.withdraw(|_| true);
+        assert_eq!(world.ends().await, [(4, NEVER)]);
+        assert!(!came_whole(&mut stream).await);
+        Ok(())
+    };
+    LocalSet::new().run_until(run).await
+}
+
+/// Guards what may not be repeated: a request that was not written whole in its time can still go elsewhere.
+#[tokio::test]
+async fn a_request_half_written_when_its_time_is_up_never_ran() -> io::Result<()> {
+    let run = async {
+        let mut world = World::new().await?;
+        world.calls.start(world.line, vec![large(1)]);
+        let (mut stream, _) = world.listener.accept().await?;
+        stream.read_exact(&mut [0]).await?;
+        tokio::time::pause();
+        tokio::time::advance(PATIENCE).await;
+        assert_eq!(world.ends().await, [(1, Outcome::ConnectFailed)]);
+        assert!(!came_whole(&mut stream).await);
+        Ok(())
+    };
+    LocalSet::new().run_until(run).await
+}
+
+/// Guards a message that was turned away before it was written whole: its rest does not follow.
+#[tokio::test]
+async fn an_early_answer_ends_the_writing() -> io::Result<()> {
+    let run = async {
+        let mut world = World::new().await?;
+        world.calls.start(world.line, vec![large(1)]);
+        let (mut stream, _) = world.listener.accept().await?;
+        stream.read_exact(&mut [0]).await?;
+        // The rest of the answer does not come.
+        stream.write_all(b"HTTP/1.1 503 Service Unavailable\r\ncontent-length: 9\r\n\r\n").await?;
+        assert_eq!(world.ends().await, [(1, Outcome::Full(None))]);
+        assert!(!came_whole(&mut stream).await);
+        Ok(())
+    };
+    LocalSet::new().run_until(run).await
+}
