--- a/src/net/mgmt.rs
+++ b/src/net/mgmt.rs
@@ -311,41 +311,4 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use tokio::io::{AsyncReadExt, AsyncWriteExt};
-
-    use super::*;
-
-    /// Guards the operators' answers against callers that take up every place and say nothing, or half.
-    #[tokio::test(start_paused = true)]
-    async fn a_call_is_answered_within_a_second_behind_silent_callers() -> std::io::Result<()> {
-        let (inbound, _events) = tokio::sync::mpsc::unbounded_channel();
-        let (_standing, standing) = watch::channel(Standing::InService);
-        let listener = TcpListener::bind("127.0.0.1:0").await?;
-        let address = listener.local_addr()?;
-        let local = tokio::task::LocalSet::new();
-        local.spawn_local(
-            Rc::new(Mgmt::new(standing, Rc::default(), Rc::default(), inbound)).listen(listener),
-        );
-        local
-            .run_until(async {
-                let mut silent = Vec::new();
-                for n in 0..PLACES {
-                    let mut caller = TcpStream::connect(address).await?;
-                    if n % 2 == 0 {
-                        caller.write_all(b"GET /control/ready HT").await?;
-                    }
-                    silent.push(caller);
-                }
-                let begun = Instant::now();
-                let mut caller = TcpStream::connect(address).await?;
-                caller.write_all(b"GET /control/ready HTTP/1.1\r\nHost: mgmt\r\n\r\n").await?;
-                let mut told = String::new();
-                caller.read_to_string(&mut told).await?;
-                assert!(told.starts_with("HTTP/1.1 200 "), "{told}");
-                assert!(begun.elapsed() < Duration::from_secs(1), "{:?}", begun.elapsed());
-                Ok(())
-            })
-            .await
-    }
-}
+mod tests;
