Close clients' connections by a lingering close, so that no reset follows an answer

Seen: with the next request, or the rest of a refused body, in the socket's buffer as a connection ended, the client found its connection reset behind the answer (EPIPE on its socket). Where the way is longer than loopback, or the client still writes, such a reset takes a written 202 along: taken on, with no whole answer.

Cause: `serve` dropped the socket as soon as hyper was done with it (src/net/intake.rs), and a close over unread bytes resets. Excluded: small writes held back, since TCP_NODELAY is set at once; hyper reading on after its end, since its future has resolved and its buffer is dropped with it.

The place for a client is kept meanwhile, so that `most` still bounds the descriptors. While the process ends, connections are kept 400 ms less, so that the last lingering close is over before the end.

--- a/src/net/intake.rs
+++ b/src/net/intake.rs
@@ -15,6 +15,7 @@
 use hyper_util::rt::{TokioIo, TokioTimer};
 use myrtleyard::interface::Micros;
 use serde::{Deserialize, Serialize};
+use tokio::io::{AsyncReadExt, AsyncWriteExt, copy, sink};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{Semaphore, mpsc::UnboundedSender, oneshot, watch};
 use tokio::time::{Instant, timeout};
@@ -29,8 +30,16 @@
 /// A process that was asked to end keeps connections for so long. Clients go on using each that stays open until the
 /// process is killed, whatever that does to their last requests. So from then on each answer ends its connection, and
 /// what stands idle has gone by `HEAD_WITHIN` before the end: none is closed that a request may be on its way over.
-const KEPT_WHILE_STOPPING: Duration =
-    Duration::from_micros(STOP_WITHIN).saturating_sub(HEAD_WITHIN).saturating_sub(Duration::from_millis(50));
+const KEPT_WHILE_STOPPING: Duration = Duration::from_micros(STOP_WITHIN)
+    .saturating_sub(HEAD_WITHIN)
+    .saturating_sub(LINGER_WITHIN)
+    .saturating_sub(Duration::from_millis(50));
+/// A lingering close lasts so long at most: no client waits longer than 400 ms for its answer, so that one whose
+/// request crossed the close has gone by then, and a bad peer is let go 3 s after connecting.
+const LINGER_WITHIN: Duration = Duration::from_millis(400);
+/// Bytes that a lingering close reads and discards at most: some of the longest requests. Whoever sends more, as
+/// floods do, finds its connection reset, which is an end, too.
+const LINGER_BYTES: u64 = 16 * BODY_LIMIT as u64;
 /// How long a body may take after its head: no client waits longer than 400 ms for its answer.
 const BODY_WITHIN: Duration = Duration::from_millis(500);
 
@@ -114,6 +123,17 @@
     headers.get(name)?.to_str().ok().map(str::trim).filter(|text| !text.is_empty())
 }
 
+/// Lingering close: a close over bytes that nobody has read resets the connection, and the reset takes along what
+/// the client has not read yet, be it a 202. So the sending side ends first, and what still comes is read, never
+/// parsed, until the client has closed, too, or for so long.
+pub async fn linger(mut stream: TcpStream, within: Duration) {
+    // Fails where the client has gone already: nothing can be lost then.
+    if stream.shutdown().await.is_ok() {
+        let mut rest = stream.take(LINGER_BYTES);
+        let _ = timeout(within, copy(&mut rest, &mut sink())).await;
+    }
+}
+
 impl Intake {
     /// What connections share.
     pub fn new(
@@ -157,16 +177,17 @@
         }
     }
 
-    async fn serve(&self, stream: TcpStream) {
+    async fn serve(&self, mut stream: TcpStream) {
         let _ = stream.set_nodelay(true);
         let service = service_fn(|request| self.answer(request));
         let connection = http1::Builder::new()
             .timer(TokioTimer::new())
             .header_read_timeout(HEAD_WITHIN)
             .max_buf_size(HEAD_LIMIT)
-            .serve_connection(TokioIo::new(stream), service);
-        // Nothing ends it but its client, its own time or an answer: that crosses no request already written.
+            .serve_connection(TokioIo::new(&mut stream), service);
+        // Nothing ends it but its client, its own time or an answer.
         let _ = connection.await;
+        linger(stream, LINGER_WITHIN).await;
     }
 
     /// Whether a connection is good for more than the answer at hand.
--- a/src/net/intake/tests.rs
+++ b/src/net/intake/tests.rs
@@ -73,3 +73,107 @@
     assert!(kept < Duration::from_secs(3), "{kept:?}");
     Ok(())
 }
+
+/// What connections are served with here, and what they hand in.
+fn intake(standing: Standing) -> (Rc<Intake>, tokio::sync::mpsc::UnboundedReceiver<Inbound>) {
+    let (inbound, events) = tokio::sync::mpsc::unbounded_channel();
+    let names = Names { classes: vec!["order".into()], ..Names::default() };
+    let (_, standing) = watch::channel(standing);
+    (Rc::new(Intake::new(Clock::new(), Rc::new(RefCell::new(names)), inbound, standing)), events)
+}
+
+fn handing_in(id: &str, length: usize) -> Vec<u8> {
+    let head = "X-Consignee: dest=7\r\nReq-Deadline-Ms: 900";
+    let body = "b".repeat(length);
+    format!("POST /order HTTP/1.1\r\nReq-Id: {id}\r\n{head}\r\nContent-Length: {length}\r\n\r\n{body}").into()
+}
+
+/// What a client finds that has written all this before its connection is let in, and the ids that are handed in.
+/// Each of them is taken on.
+async fn crossing(written: Vec<u8>) -> std::io::Result<(std::io::Result<String>, Vec<String>)> {
+    let (intake, mut events) = intake(Standing::OutOfService);
+    let listener = TcpListener::bind("127.0.0.1:0").await?;
+    let mut client = std::net::TcpStream::connect(listener.local_addr()?)?;
+    std::io::Write::write_all(&mut client, &written)?;
+    client.set_nonblocking(true)?;
+    let local = tokio::task::LocalSet::new();
+    local.spawn_local(intake.listen(listener, 1));
+    local
+        .run_until(async {
+            let mut client = TcpStream::from_std(client)?;
+            let mut ids = Vec::new();
+            let mut told = Vec::new();
+            let read = {
+                let read = client.read_to_end(&mut told);
+                tokio::pin!(read);
+                loop {
+                    tokio::select! {
+                        read = &mut read => break read,
+                        Some(said) = events.recv() => if let Inbound::HandedIn(message) = said {
+                            ids.push(message.taken.id);
+                            let _ = message.answer.send(Answer::Taken);
+                        },
+                    }
+                }
+            };
+            // A reset that comes behind the end is one that overtakes the answer where the way is longer.
+            let read = read.and_then(|n| client.take_error()?.map_or(Ok(n), Err));
+            Ok((read.map(|_| String::from_utf8_lossy(&told).into_owned()), ids))
+        })
+        .await
+}
+
+/// Guards a written 202 against the reset of a close over unread bytes, and the next request against being taken on
+/// once nobody can be answered.
+#[tokio::test]
+async fn a_last_answer_arrives_whole_though_the_next_request_is_there() -> std::io::Result<()> {
+    // The second is longer than what is read at once with the first.
+    let written = [handing_in("first", 9), handing_in("second", 40_000)].concat();
+    let (told, ids) = crossing(written).await?;
+    let told = told?;
+    assert!(told.starts_with("HTTP/1.1 202") && told.matches("HTTP/1.1").count() == 1, "{told}");
+    assert_eq!(ids, ["first"]);
+    Ok(())
+}
+
+/// Guards early errors against the reset of a close while the body is still unread.
+#[tokio::test]
+async fn an_early_error_arrives_whole_though_the_body_is_unread() -> std::io::Result<()> {
+    let coded = b"POST /order HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n".to_vec();
+    let strange = b"\x01\x02\x03\r\n\r\n".to_vec();
+    let long = format!("POST /order HTTP/1.1\r\nX-Pad: {}\r\n", "p".repeat(2 * HEAD_LIMIT)).into();
+    for (head, answer) in [(coded, "411"), (strange, "400"), (long, "431")] {
+        let (told, ids) = crossing([head, vec![b'x'; 40_000]].concat()).await?;
+        let told = told.unwrap_or_else(|e| panic!("{answer}: {e}"));
+        assert!(told.starts_with(&format!("HTTP/1.1 {answer}")), "{told}");
+        assert!(ids.is_empty());
+    }
+    Ok(())
+}
+
+/// Guards the places for clients against whoever is told that its connection is over and stays.
+#[tokio::test(start_paused = true)]
+async fn a_lingering_close_is_over_in_time() -> std::io::Result<()> {
+    let (intake, _events) = intake(Standing::InService);
+    let listener = TcpListener::bind("127.0.0.1:0").await?;
+    let address = listener.local_addr()?;
+    let local = tokio::task::LocalSet::new();
+    local.spawn_local(intake.listen(listener, 1));
+    local
+        .run_until(async {
+            let begun = Instant::now();
+            let mut kept = Vec::new();
+            for _ in 0..3 {
+                let mut peer = TcpStream::connect(address).await?;
+                peer.write_all(b"GET /ready HTTP/1.1\r\n\r\n").await?;
+                let mut told = String::new();
+                peer.read_to_string(&mut told).await?;
+                assert!(told.starts_with("HTTP/1.1 200"), "{told}");
+                kept.push(peer);
+            }
+            assert!(begun.elapsed() >= LINGER_WITHIN, "the next one waits for the place");
+            assert!(begun.elapsed() < LINGER_WITHIN * 3, "{:?}", begun.elapsed());
+            Ok(())
+        })
+        .await
+}
