Give operators' calls the lingering close, too

Seen: an operator's call whose body is too long got its 413 with a reset behind it, since the rest of the body was unread as the socket was dropped (`serve` in src/net/mgmt.rs). The cause is that of clients' connections.

Change: the same lingering close, for 100 ms: a silent caller's place is free again after 500 ms, which leaves an answer within 1 s to whoever waits for it, and `CALL_WITHIN` bounds the whole.

Measured: an_answer_to_a_call_that_is_too_long_arrives_whole fails without it and passes with it; a_call_is_answered_within_a_second_behind_silent_callers passes as before.

--- a/src/net/mgmt.rs
+++ b/src/net/mgmt.rs
@@ -28,7 +28,7 @@
 use super::config::{self, InForce};
 use super::control::{Ask, Reply, StatusCall};
 use super::figures::Figures;
-use super::intake::{SESSION_TOKEN, closing, plain, readiness};
+use super::intake::{SESSION_TOKEN, closing, linger, plain, readiness};
 use super::refusals::NoCall;
 use super::{Inbound, Standing};
 
@@ -36,6 +36,8 @@
 pub const PLACES: usize = 16;
 /// An answer is due 1 s after the call: whoever waits for a place that a silent caller has still gets one.
 const HEAD_WITHIN: Duration = Duration::from_millis(400);
+/// How long a lingering close may last: a place is free again 500 ms after a silent caller came.
+const LINGER_WITHIN: Duration = Duration::from_millis(100);
 /// From connecting to the end of the answer.
 const CALL_WITHIN: Duration = Duration::from_millis(900);
 const HEAD_LIMIT: usize = 8 * 1024;
@@ -89,7 +91,7 @@
         }
     }
 
-    async fn serve(&self, stream: TcpStream) {
+    async fn serve(&self, mut stream: TcpStream) {
         let _ = stream.set_nodelay(true);
         let begun = Instant::now();
         let service = service_fn(|request| self.answer(request, begun));
@@ -99,8 +101,9 @@
             .header_read_timeout(HEAD_WITHIN)
             .max_buf_size(HEAD_LIMIT)
             .keep_alive(false)
-            .serve_connection(TokioIo::new(stream), service)
+            .serve_connection(TokioIo::new(&mut stream), service)
             .await;
+        linger(stream, LINGER_WITHIN).await;
     }
 
     async fn answer(
--- a/src/net/mgmt/tests.rs
+++ b/src/net/mgmt/tests.rs
@@ -32,3 +32,28 @@
         })
         .await
 }
+
+/// Guards an operator's early answer against the reset of a close while the call's body is still unread.
+#[tokio::test]
+async fn an_answer_to_a_call_that_is_too_long_arrives_whole() -> std::io::Result<()> {
+    let (inbound, _events) = tokio::sync::mpsc::unbounded_channel();
+    let (_standing, standing) = watch::channel(Standing::InService);
+    let listener = TcpListener::bind("127.0.0.1:0").await?;
+    let mut caller = std::net::TcpStream::connect(listener.local_addr()?)?;
+    let head = "POST /control/endpoints/drain HTTP/1.1\r\nHost: mgmt\r\nContent-Length: 60000\r\n\r\n";
+    // All of it is there before the call is read.
+    std::io::Write::write_all(&mut caller, &[head.as_bytes(), &[b' '; 60_000]].concat())?;
+    caller.set_nonblocking(true)?;
+    let local = tokio::task::LocalSet::new();
+    local.spawn_local(Rc::new(Mgmt::new(standing, Rc::default(), Rc::default(), inbound)).listen(listener));
+    local
+        .run_until(async {
+            let mut told = String::new();
+            let mut caller = TcpStream::from_std(caller)?;
+            caller.read_to_string(&mut told).await?;
+            assert!(caller.take_error()?.is_none(), "no reset follows the end");
+            assert!(told.starts_with("HTTP/1.1 413 "), "{told}");
+            Ok(())
+        })
+        .await
+}
