Serve whom the listen backlog holds before the process ends

Found by reading: `may_end` asks for open connections, but one counted only once its task had first run, and whoever stood in the listen backlog counted not at all. Returning from `run` closes the listener, which resets both, with requests that are written already: ended with no answer.

Cause: `listen` counted inside the spawned task (src/net/intake.rs); the end of the loop did not look at the backlog (src/net/driver.rs).

Change: a connection counts as open from its acceptance. Before the process ends it has the runtime look at its sockets once more, serves what the backlog holds, as many as there are places, and looks again whether it may end. A listener that the platform holds for every process of the sender is left alone: the next one serves its backlog.

Measured: whom_the_backlog_holds_at_the_end_is_served fails with the count in the task, and fails without the look at the backlog; it passes with both.

--- a/src/net/driver.rs
+++ b/src/net/driver.rs
@@ -213,11 +213,16 @@
     };
     driver.turn(first);
 
+    let no_listener = |why| NoStart::Listen { address: config.listen, why };
+    // What waits at a socket that others inherit, too, is theirs to serve after this process's end.
+    let own_door = inherited.is_none();
     let listener = match inherited {
         Some(listener) => TcpListener::from_std(listener),
         None => TcpListener::bind(config.listen).await,
     };
-    let listener = listener.map_err(|why| NoStart::Listen { address: config.listen, why })?;
+    let listener = listener.map_err(no_listener)?;
+    let listener = Rc::new(listener);
+    let door = own_door.then(|| listener.clone());
     let address = listener.local_addr().map_err(|why| NoStart::Listen { address: config.listen, why })?;
     driver.standing.send_replace(Standing::InService);
     let shared = config.start.as_ref().is_some_and(|section| section.source == Source::Service);
@@ -279,6 +284,12 @@
             driver.turn(said);
         }
         if driver.may_end(intake.open()) {
+            if let Some(door) = &door {
+                intake.admit_waiting(door, sides.max(1)).await;
+            }
+            if !driver.may_end(intake.open()) {
+                continue;
+            }
             driver.leave_waiting();
             return Ok(());
         }
--- a/src/net/intake.rs
+++ b/src/net/intake.rs
@@ -3,6 +3,7 @@
 use std::cell::{Cell, RefCell};
 use std::convert::Infallible;
 use std::rc::Rc;
+use std::task::{Context, Poll, Waker};
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -17,7 +18,7 @@
 use serde::{Deserialize, Serialize};
 use tokio::io::{AsyncReadExt, AsyncWriteExt, copy, sink};
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::{Semaphore, mpsc::UnboundedSender, oneshot, watch};
+use tokio::sync::{OwnedSemaphorePermit, Semaphore, mpsc::UnboundedSender, oneshot, watch};
 use tokio::time::{Instant, timeout};
 
 use super::journal::Taken;
@@ -151,7 +152,7 @@
     }
 
     /// Takes connections for as long as the process runs, `most` at a time.
-    pub async fn listen(self: Rc<Self>, listener: TcpListener, most: usize) {
+    pub async fn listen(self: Rc<Self>, listener: Rc<TcpListener>, most: usize) {
         let places = std::sync::Arc::new(Semaphore::new(most));
         let noted = self.clone();
         tokio::task::spawn_local(async move {
@@ -167,13 +168,30 @@
                 tokio::time::sleep(Duration::from_millis(10)).await;
                 continue;
             };
-            let intake = self.clone();
-            tokio::task::spawn_local(async move {
-                intake.open.set(intake.open.get() + 1);
-                intake.serve(stream).await;
-                intake.open.set(intake.open.get() - 1);
-                drop(place);
-            });
+            self.clone().admit(stream, Some(place));
+        }
+    }
+
+    /// Serves a connection. It counts as open from here on, not only once its task has begun to run: the process
+    /// may look whether it can end before that.
+    fn admit(self: Rc<Self>, stream: TcpStream, place: Option<OwnedSemaphorePermit>) {
+        self.open.set(self.open.get() + 1);
+        tokio::task::spawn_local(async move {
+            self.serve(stream).await;
+            self.open.set(self.open.get() - 1);
+            drop(place);
+        });
+    }
+
+    /// Serves what the listen backlog still holds, `most` connections at once: closing the listener would reset them,
+    /// with the requests that their clients have written already.
+    pub async fn admit_waiting(self: &Rc<Self>, door: &TcpListener, most: usize) {
+        // What has come since the runtime last looked at its sockets is seen when it looks again.
+        tokio::task::yield_now().await;
+        let mut look = Context::from_waker(Waker::noop());
+        for _ in 0..most {
+            let Poll::Ready(Ok((stream, _))) = door.poll_accept(&mut look) else { return };
+            self.clone().admit(stream, None);
         }
     }
 
--- a/src/net/intake/tests.rs
+++ b/src/net/intake/tests.rs
@@ -12,7 +12,7 @@
     let listener = TcpListener::bind("127.0.0.1:0").await?;
     let address = listener.local_addr()?;
     let local = tokio::task::LocalSet::new();
-    local.spawn_local(intake.listen(listener, 1));
+    local.spawn_local(intake.listen(listener.into(), 1));
     local
         .run_until(async {
             let mut peer = TcpStream::connect(address).await?;
@@ -97,7 +97,7 @@
     std::io::Write::write_all(&mut client, &written)?;
     client.set_nonblocking(true)?;
     let local = tokio::task::LocalSet::new();
-    local.spawn_local(intake.listen(listener, 1));
+    local.spawn_local(intake.listen(listener.into(), 1));
     local
         .run_until(async {
             let mut client = TcpStream::from_std(client)?;
@@ -158,7 +158,7 @@
     let listener = TcpListener::bind("127.0.0.1:0").await?;
     let address = listener.local_addr()?;
     let local = tokio::task::LocalSet::new();
-    local.spawn_local(intake.listen(listener, 1));
+    local.spawn_local(intake.listen(listener.into(), 1));
     local
         .run_until(async {
             let begun = Instant::now();
@@ -177,3 +177,37 @@
         })
         .await
 }
+
+/// Guards requests that are written while the process ends: whom the listen backlog holds is served, and counts as
+/// open before its task has run.
+#[tokio::test]
+async fn whom_the_backlog_holds_at_the_end_is_served() -> std::io::Result<()> {
+    let (intake, mut events) = intake(Standing::Stopping);
+    let door = TcpListener::bind("127.0.0.1:0").await?;
+    let mut clients = Vec::new();
+    for id in ["first", "second"] {
+        let mut client = std::net::TcpStream::connect(door.local_addr()?)?;
+        std::io::Write::write_all(&mut client, &handing_in(id, 9))?;
+        client.set_nonblocking(true)?;
+        clients.push(TcpStream::from_std(client)?);
+    }
+    tokio::task::LocalSet::new()
+        .run_until(async {
+            intake.admit_waiting(&door, 1).await;
+            assert_eq!(intake.open(), 1, "no more than there is room for");
+            intake.admit_waiting(&door, 9).await;
+            assert_eq!(intake.open(), 2);
+            drop(door);
+            for _ in &clients {
+                let Some(Inbound::HandedIn(message)) = events.recv().await else { panic!("a message comes") };
+                let _ = message.answer.send(Answer::Taken);
+            }
+            for client in &mut clients {
+                let mut told = [0; 12];
+                client.read_exact(&mut told).await?;
+                assert_eq!(&told, b"HTTP/1.1 202");
+            }
+            Ok(())
+        })
+        .await
+}
