Hold the shares of the descriptors by a process that idle clients fill

Need: idle clients may fill the descriptors while discovery is down, and `sockets` of the configuration is held.

Change: a test over loopback: 128 descriptors, 128 idle clients, an agent that never lets a connection come up. A message on an old connection is taken on, called and written down as delivered, operators are answered, the process holds no more than 128 descriptors, and a new client is served at last. Nothing in the program changes.

--- /dev/null
+++ b/tests/node/door.rs
@@ -0,0 +1,37 @@
+//! Clients' connections: how they end, and what those that stand idle may not take from the others.
+
+use std::net::TcpStream;
+
+use serde_json::json;
+
+use super::world::*;
+
+/// Idle clients fill every place that there is for clients, and the platform's agent is silent: who has a connection
+/// is served, and calls, operators and the journal go on, within the descriptors that are allowed.
+#[test]
+fn idle_clients_that_fill_all_places_leave_descriptors_for_all_else() {
+    let (platform, endpoint, nowhere) = (Platform::new(), Served::new(), Crowded::new());
+    let sockets = 128;
+    let node = Node::start(&platform, &[listing("e1", 7, "plain", endpoint.address)], |config| {
+        config["mgmt"] = json!("127.0.0.1:0");
+        config["limits"]["sockets"] = json!(sockets);
+    });
+    node.reload(|config| config["discovery"] = json!(nowhere.address.to_string()));
+    wait_until(|| node.call("GET", "/control/counters").json()["conf_loaded"] == 1);
+    let mut old = Client::new(&node);
+    assert_eq!(old.ask(&handing_in("before", "order", 7, 20_000)).status(), 202);
+    endpoint.next().reply(status(200));
+    let idle: Vec<_> = (0..sockets).map(|_| TcpStream::connect(node.address).unwrap()).collect();
+    assert_eq!(old.ask(&handing_in("old", "order", 7, 20_000)).status(), 202);
+    let call = endpoint.next();
+    assert_eq!(call.http.headers["req-id"], "old");
+    let before = node.journal_length();
+    call.reply(status(200));
+    wait_until(|| node.journal_length() > before);
+    assert_eq!(node.call("GET", "/control/counters").json()["answered"]["order"], 2);
+    assert!(node.descriptors() <= sockets, "{}", node.descriptors());
+    // It waits for a place for as long as those before it in the backlog are kept.
+    assert_eq!(node.hand_in("new", "order", 7, 20_000).status(), 202);
+    assert_eq!(endpoint.next().http.headers["req-id"], "new");
+    drop(idle);
+}
--- a/tests/node/main.rs
+++ b/tests/node/main.rs
@@ -2,6 +2,7 @@
 
 mod charging;
 mod configuration;
+mod door;
 mod draining;
 mod estimating;
 mod late;
--- a/tests/node/world.rs
+++ b/tests/node/world.rs
@@ -404,6 +404,11 @@
         self.folder.path().join("state")
     }
 
+    /// How many file descriptors the process holds.
+    pub fn descriptors(&self) -> usize {
+        std::fs::read_dir(format!("/proc/{}/fd", self.child.id())).unwrap().count()
+    }
+
     /// What is in it.
     pub fn files(&self) -> Vec<String> {
         let entries = std::fs::read_dir(self.state()).unwrap();
