--- a/src/net/intake.rs
+++ b/src/net/intake.rs
@@ -3,6 +3,7 @@
 use std::cell::{Cell, RefCell};
 use std::convert::Infallible;
 use std::rc::Rc;
+use std::task::{Context, Poll, Waker};
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -15,8 +16,9 @@
 use hyper_util::rt::{TokioIo, TokioTimer};
 use myrtleyard::interface::Micros;
 use serde::{Deserialize, Serialize};
+use tokio::io::{AsyncReadExt, AsyncWriteExt, copy, sink};
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::{Semaphore, mpsc::UnboundedSender, oneshot, watch};
+use tokio::sync::{OwnedSemaphorePermit, Semaphore, mpsc::UnboundedSender, oneshot, watch};
 use tokio::time::{Instant, timeout};
 
 use super::journal::Taken;
@@ -29,8 +31,16 @@
 /// A process that was asked to end keeps connections for so long. Clients go on using each that stays open until the
 /// process is killed, whatever that does to their last requests. So from then on each answer ends its connection, and
 /// what stands idle has gone by `HEAD_WITHIN` before the end: none is closed that a request may be on its way over.
-const KEPT_WHILE_STOPPING: Duration =
-    Duration::from_micros(STOP_WITHIN).saturating_sub(HEAD_WITHIN).saturating_sub(Duration::from_millis(50));
+const KEPT_WHILE_STOPPING: Duration = Duration::from_micros(STOP_WITHIN)
+    .saturating_sub(HEAD_WITHIN)
+    .saturating_sub(LINGER_WITHIN)
+    .saturating_sub(Duration::from_millis(50));
+/// A lingering close lasts so long at most: no client waits longer than 400 ms for its answer, so that one whose
+/// request crossed the close has gone by then, and a bad peer is let go 3 s after connecting.
+const LINGER_WITHIN: Duration = Duration::from_millis(400);
+/// Bytes that a lingering close reads and discards at most: some of the longest requests. Whoever sends more, as
+/// floods do, finds its connection reset, which is an end, too.
+const LINGER_BYTES: u64 = 16 * BODY_LIMIT as u64;
 /// How long a body may take after its head: no client waits longer than 400 ms for its answer.
 const BODY_WITHIN: Duration = Duration::from_millis(500);
 
@@ -114,6 +124,17 @@
     headers.get(name)?.to_str().ok().map(str::trim).filter(|text| !text.is_empty())
 }
 
+/// Lingering close: a close over bytes that nobody has read resets the connection, and the reset takes along what
+/// the client has not read yet, be it a 202. So the sending side ends first, and what still comes is read, never
+/// parsed, until the client has closed, too, or for so long.
+pub async fn linger(mut stream: TcpStream, within: Duration) {
+    // Fails where the client has gone already: nothing can be lost then.
+    if stream.shutdown().await.is_ok() {
+        let mut rest = stream.take(LINGER_BYTES);
+        let _ = timeout(within, copy(&mut rest, &mut sink())).await;
+    }
+}
+
 impl Intake {
     /// What connections share.
     pub fn new(
@@ -131,7 +152,7 @@
     }
 
     /// Takes connections for as long as the process runs, `most` at a time.
-    pub async fn listen(self: Rc<Self>, listener: TcpListener, most: usize) {
+    pub async fn listen(self: Rc<Self>, listener: Rc<TcpListener>, most: usize) {
         let places = std::sync::Arc::new(Semaphore::new(most));
         let noted = self.clone();
         tokio::task::spawn_local(async move {
@@ -147,26 +168,44 @@
                 tokio::time::sleep(Duration::from_millis(10)).await;
                 continue;
             };
-            let intake = self.clone();
-            tokio::task::spawn_local(async move {
-                intake.open.set(intake.open.get() + 1);
-                intake.serve(stream).await;
-                intake.open.set(intake.open.get() - 1);
-                drop(place);
-            });
+            self.clone().admit(stream, Some(place));
+        }
+    }
+
+    /// Serves a connection. It counts as open from here on, not only once its task has begun to run: the process
+    /// may look whether it can end before that.
+    fn admit(self: Rc<Self>, stream: TcpStream, place: Option<OwnedSemaphorePermit>) {
+        self.open.set(self.open.get() + 1);
+        tokio::task::spawn_local(async move {
+            self.serve(stream).await;
+            self.open.set(self.open.get() - 1);
+            drop(place);
+        });
+    }
+
+    /// Serves what the listen backlog still holds, `most` connections at once: closing the listener would reset them,
+    /// with the requests that their clients have written already.
+    pub async fn admit_waiting(self: &Rc<Self>, door: &TcpListener, most: usize) {
+        // What has come since the runtime last looked at its sockets is seen when it looks again.
+        tokio::task::yield_now().await;
+        let mut look = Context::from_waker(Waker::noop());
+        for _ in 0..most {
+            let Poll::Ready(Ok((stream, _))) = door.poll_accept(&mut look) else { return };
+            self.clone().admit(stream, None);
         }
     }
 
-    async fn serve(&self, stream: TcpStream) {
+    async fn serve(&self, mut stream: TcpStream) {
         let _ = stream.set_nodelay(true);
         let service = service_fn(|request| self.answer(request));
         let connection = http1::Builder::new()
             .timer(TokioTimer::new())
             .header_read_timeout(HEAD_WITHIN)
             .max_buf_size(HEAD_LIMIT)
-            .serve_connection(TokioIo::new(stream), service);
-        // Nothing ends it but its client, its own time or an answer: that crosses no request already written.
+            .serve_connection(TokioIo::new(&mut stream), service);
+        // Nothing ends it but its client, its own time or an answer.
         let _ = connection.await;
+        linger(stream, LINGER_WITHIN).await;
     }
 
     /// Whether a connection is good for more than the answer at hand.
@@ -267,80 +306,4 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use tokio::io::{AsyncReadExt, AsyncWriteExt};
-
-    use super::*;
-
-    /// What a peer is told that writes these pieces, half a second apart, and how long it is kept.
-    async fn told(pieces: &[&str]) -> std::io::Result<(String, Duration)> {
-        let (inbound, _events) = tokio::sync::mpsc::unbounded_channel();
-        let names = Names { classes: vec!["order".into()], ..Names::default() };
-        let (_standing, standing) = watch::channel(Standing::InService);
-        let names = Rc::new(RefCell::new(names));
-        let intake = Rc::new(Intake::new(Clock::new(), names, inbound, standing));
-        let listener = TcpListener::bind("127.0.0.1:0").await?;
-        let address = listener.local_addr()?;
-        let local = tokio::task::LocalSet::new();
-        local.spawn_local(intake.listen(listener, 1));
-        local
-            .run_until(async {
-                let mut peer = TcpStream::connect(address).await?;
-                let begun = Instant::now();
-                for (n, piece) in pieces.iter().enumerate() {
-                    tokio::time::sleep(Duration::from_millis(if n == 0 { 0 } else { 500 })).await;
-                    if peer.write_all(piece.as_bytes()).await.is_err() {
-                        break;
-                    }
-                }
-                let mut told = Vec::new();
-                // That it closes is what counts, with a reset or without.
-                let _ = timeout(Duration::from_secs(600), peer.read_to_end(&mut told)).await;
-                Ok((String::from_utf8_lossy(&told).into_owned(), begun.elapsed()))
-            })
-            .await
-    }
-
-    /// Guards the places for clients against peers that bring nothing, or never come to an end.
-    #[tokio::test(start_paused = true)]
-    async fn whoever_brings_no_whole_request_is_answered_or_closed_in_time() -> std::io::Result<()> {
-        let head = "POST /order HTTP/1.1\r\nReq-Id: a\r\nX-Consignee: dest=7\r\nReq-Deadline-Ms: 900\r\n";
-        let begun = format!("{head}Content-Length: 9\r\n\r\nbody");
-        let other = "GET /other HTTP/1.1\r\n\r\n";
-        for (pieces, answer) in [
-            (vec![], ""),
-            (vec![head], ""),
-            (head.split_inclusive('\n').collect(), ""),
-            (vec![begun.as_str()], "HTTP/1.1 408"),
-            (vec![begun.as_str(), "o", "f", " "], "HTTP/1.1 408"),
-            (vec![other], "HTTP/1.1 404"),
-        ] {
-            let (told, kept) = told(&pieces).await?;
-            assert!(told.starts_with(answer) && told.is_empty() == answer.is_empty(), "{pieces:?}: {told}");
-            assert!(kept < Duration::from_secs(3), "{pieces:?}: {kept:?}");
-            // The platform's clients may keep an idle connection for 2 s.
-            assert!(answer != "HTTP/1.1 404" || kept > Duration::from_secs(2), "{pieces:?}: {kept:?}");
-        }
-        Ok(())
-    }
-
-    /// Guards the places for clients against those who look and stay.
-    #[tokio::test(start_paused = true)]
-    async fn a_look_at_readiness_keeps_no_connection() -> std::io::Result<()> {
-        let (told, kept) = told(&["GET /ready HTTP/1.1\r\n\r\n"]).await?;
-        assert!(told.starts_with("HTTP/1.1 200"), "{told}");
-        assert!(kept < Duration::from_secs(1), "{kept:?}");
-        Ok(())
-    }
-
-    /// Guards the memory against heads without end; whoever still writes may find the connection reset.
-    #[tokio::test(start_paused = true)]
-    async fn a_head_beyond_all_measure_is_refused() -> std::io::Result<()> {
-        let pad = "p".repeat(200_000);
-        let rest = "Req-Id: a\r\nX-Consignee: dest=7\r\nReq-Deadline-Ms: 900\r\nContent-Length: 0\r\n\r\n";
-        let (told, kept) = told(&[&format!("POST /order HTTP/1.1\r\nX-Pad: {pad}\r\n{rest}")]).await?;
-        assert!(told.is_empty() || told.starts_with("HTTP/1.1 431"), "{told}");
-        assert!(kept < Duration::from_secs(3), "{kept:?}");
-        Ok(())
-    }
-}
+mod tests;
--- a/src/net/mgmt.rs
+++ b/src/net/mgmt.rs
@@ -28,7 +28,7 @@
 use super::config::{self, InForce};
 use super::control::{Ask, Reply, StatusCall};
 use super::figures::Figures;
-use super::intake::{SESSION_TOKEN, closing, plain, readiness};
+use super::intake::{SESSION_TOKEN, closing, linger, plain, readiness};
 use super::refusals::NoCall;
 use super::{Inbound, Standing};
 
@@ -36,6 +36,8 @@
 pub const PLACES: usize = 16;
 /// An answer is due 1 s after the call: whoever waits for a place that a silent caller has still gets one.
 const HEAD_WITHIN: Duration = Duration::from_millis(400);
+/// How long a lingering close may last: a place is free again 500 ms after a silent caller came.
+const LINGER_WITHIN: Duration = Duration::from_millis(100);
 /// From connecting to the end of the answer.
 const CALL_WITHIN: Duration = Duration::from_millis(900);
 const HEAD_LIMIT: usize = 8 * 1024;
@@ -89,7 +91,7 @@
         }
     }
 
-    async fn serve(&self, stream: TcpStream) {
+    async fn serve(&self, mut stream: TcpStream) {
         let _ = stream.set_nodelay(true);
         let begun = Instant::now();
         let service = service_fn(|request| self.answer(request, begun));
@@ -99,8 +101,9 @@
             .header_read_timeout(HEAD_WITHIN)
             .max_buf_size(HEAD_LIMIT)
             .keep_alive(false)
-            .serve_connection(TokioIo::new(stream), service)
+            .serve_connection(TokioIo::new(&mut stream), service)
             .await;
+        linger(stream, LINGER_WITHIN).await;
     }
 
     async fn answer(
@@ -311,41 +314,4 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use tokio::io::{AsyncReadExt, AsyncWriteExt};
-
-    use super::*;
-
-    /// Guards the operators' answers against callers that take up every place and say nothing, or half.
-    #[tokio::test(start_paused = true)]
-    async fn a_call_is_answered_within_a_second_behind_silent_callers() -> std::io::Result<()> {
-        let (inbound, _events) = tokio::sync::mpsc::unbounded_channel();
-        let (_standing, standing) = watch::channel(Standing::InService);
-        let listener = TcpListener::bind("127.0.0.1:0").await?;
-        let address = listener.local_addr()?;
-        let local = tokio::task::LocalSet::new();
-        local.spawn_local(
-            Rc::new(Mgmt::new(standing, Rc::default(), Rc::default(), inbound)).listen(listener),
-        );
-        local
-            .run_until(async {
-                let mut silent = Vec::new();
-                for n in 0..PLACES {
-                    let mut caller = TcpStream::connect(address).await?;
-                    if n % 2 == 0 {
-                        caller.write_all(b"GET /control/ready HT").await?;
-                    }
-                    silent.push(caller);
-                }
-                let begun = Instant::now();
-                let mut caller = TcpStream::connect(address).await?;
-                caller.write_all(b"GET /control/ready HTTP/1.1\r\nHost: mgmt\r\n\r\n").await?;
-                let mut told = String::new();
-                caller.read_to_string(&mut told).await?;
-                assert!(told.starts_with("HTTP/1.1 200 "), "{told}");
-                assert!(begun.elapsed() < Duration::from_secs(1), "{:?}", begun.elapsed());
-                Ok(())
-            })
-            .await
-    }
-}
+mod tests;
