Write no keyed repeat after its idempotency window, however late its connection comes up

With it the margin in the module is a quarter of what it was, so that nothing is ended that could still go, and an old message of the section start has its turn before its window is over.

--- a/src/interface.rs
+++ b/src/interface.rs
@@ -225,6 +225,13 @@
         let every = self.rules.ask_every.unwrap_or(0);
         (every / 140 * self.senders as Micros).clamp(every / 10, every / 10 * 7)
     }
+
+    /// How long before the end of a keyed class's idempotency window its last repeat must be written, so that it is
+    /// read while the key is remembered. It is a quarter of what a connection may take, or of a short window's
+    /// quarter: the connection itself is no part of it, since what it outlasts is not written.
+    pub fn repeat_margin(&self, window: Micros) -> Micros {
+        self.connect_timeout.min(window / 4) / 4
+    }
 }
 
 /// State of an endpoint in the list. It says nothing of health.
--- a/src/net/calls.rs
+++ b/src/net/calls.rs
@@ -251,6 +251,8 @@
     pub body: Bytes,
     /// It is not written later, nor waited for after that unless others travel along that are.
     pub until: Instant,
+    /// Nor is it written later than this, though an answer may be: a repeat must come before its key is forgotten.
+    pub write_by: Instant,
 }
 
 /// Limits that calls keep to.
@@ -349,7 +351,7 @@
     /// What is written, decided when it can be.
     fn compose(&self, line: Line, parts: &[Part], until: Instant) -> Option<Composed> {
         let now = Instant::now();
-        let late = parts.iter().filter(|part| part.until <= now);
+        let late = parts.iter().filter(|part| part.until.min(part.write_by) <= now);
         self.left_out.borrow_mut().extend(late.map(|part| (part.message, part.attempt)));
         self.outdated.set(false);
         let left_out = self.left_out.borrow();
--- a/src/net/calls/tests.rs
+++ b/src/net/calls/tests.rs
@@ -15,7 +15,7 @@
 fn part(message: u32) -> Part {
     let (id, body) = (format!("m{message}"), Bytes::from_static(b"body"));
     let until = Instant::now() + PATIENCE;
-    Part { message: MessageId(message), attempt: 0, id, key: None, body, until }
+    Part { message: MessageId(message), attempt: 0, id, key: None, body, until, write_by: until }
 }
 
 struct World {
--- a/src/net/driver.rs
+++ b/src/net/driver.rs
@@ -370,7 +370,7 @@
             let class = self.names.borrow().class(&live.taken.class);
             let given_up = match (live.given_up, class) {
                 (None, Some(_)) if self.parts.starting.is_some() => {
-                    old.push((number, live.taken.deadline));
+                    old.push((number, self.pressing(number, &live, now)));
                     continue;
                 }
                 (None, Some(class)) => {
@@ -983,6 +983,20 @@
         Some(Line { endpoint, address, route: self.policy.route_of(endpoint)? })
     }
 
+    /// Until when a keyed message's call may be written: a repeat must be read while the key is remembered, however
+    /// late its connection comes up. What is covered is bound from when it was taken on, unless it is past that:
+    /// then it goes with a grant alone.
+    fn write_by(&self, number: u32, live: &Live, attempt: Option<u16>, now: Micros) -> Option<Micros> {
+        let class = self.policy.class_of(MessageId(number));
+        let class = class.or_else(|| self.names.borrow().class(&live.taken.class))?;
+        let effect = self.settings.classes.get(class)?.effect.stricter(live.taken.effect.unwrap_or(Effect::Once));
+        let Effect::Keyed { window, .. } = effect else { return None };
+        let ran = live.attempts.iter().filter(|earlier| Some(earlier.number) != attempt && !earlier.never_ran);
+        let covered = live.covered.as_ref().map(|(_, since)| *since).filter(|since| now < since + window);
+        let first = ran.map(|earlier| earlier.at).chain(covered).min()?;
+        Some(first.saturating_add(window).saturating_sub(self.settings.repeat_margin(window)))
+    }
+
     /// Starts the calls of a turn: what goes to one endpoint travels together as far as its kind allows.
     /// Their time runs from the module's.
     fn begin(&mut self, sends: Vec<(MessageId, u16, EndpointId, Micros)>, now: Micros) {
@@ -990,6 +1004,9 @@
         let mut last: HashMap<EndpointId, usize> = HashMap::new();
         for (message, attempt, endpoint, wait) in sends {
             let Some(live) = self.journal.live().get(&message.0) else { continue };
+            let until = now + wait;
+            let write_by = self.write_by(message.0, live, Some(attempt), now).map_or(until, |by| by.min(until));
+            let (until, write_by) = (self.clock.instant(until), self.clock.instant(write_by));
             if let Some(indexing) = &mut self.parts.indexing {
                 indexing.calling(&live.taken, attempt, self.clock.now());
             }
@@ -997,7 +1014,7 @@
             let known = self.endpoints.get(&endpoint);
             let (name, bundle) = known.map_or(("", 1), |known| (known.name.as_str(), known.bundle));
             tracing::debug!(id, attempt, endpoint = name, "a call begins");
-            let part = Part { message, attempt, id, key, body, until: self.clock.instant(now + wait) };
+            let part = Part { message, attempt, id, key, body, until, write_by };
             let call = last.get(&endpoint).copied().and_then(|at| calls.get_mut(at));
             match call.filter(|call| call.1.len() < bundle) {
                 Some(call) => call.1.push(part),
--- a/src/net/driver/starting.rs
+++ b/src/net/driver/starting.rs
@@ -6,6 +6,7 @@
 use myrtleyard::interface::*;
 
 use super::super::control::Reply;
+use super::super::journal::Live;
 use super::super::listing::{Listing, Shape};
 use super::super::parts::Part;
 use super::super::parts::starting::named;
@@ -106,6 +107,11 @@
         }
     }
 
+    /// By when an old message must have had its turn: its end, or that of the window in which it may be repeated.
+    pub(super) fn pressing(&self, number: u32, live: &Live, now: Micros) -> Micros {
+        live.taken.deadline.min(self.write_by(number, live, None, now).unwrap_or(Micros::MAX))
+    }
+
     /// Old messages have their turn, as far as they are still this sender's to end.
     fn resume_old(&mut self, old: Vec<u32>, said: &mut Vec<Event>) {
         let now = self.clock.now();
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -815,8 +815,8 @@
             Effect::Repeatable => true,
             Effect::Once => false,
             Effect::Keyed { group, window } => {
-                // The repeat must get there, connection and all, while the key is remembered.
-                let margin = self.settings.connect_timeout.min(window / 4);
+                // The repeat must get there while the key is remembered.
+                let margin = self.settings.repeat_margin(window);
                 // Two zones that the settings do not name may be different ones.
                 let zone = |e: EndpointId| self.endpoints.get(&e).map_or(u16::MAX, |e| e.zone);
                 self.now + margin < first.1 + window
