Mend what an attack on the calls' arguments found

Cause, by reading: a message left out of a batch, since its time or its window was over when the connection came up, got the answer of the one that was written: after 410 it was dropped with neither end nor notice (report_ends handed 'gone' on). 13 bytes were taken for a whole first line that says 200 (says_delivered), so that 'HTTP/1.1 200 O' and a cut was a delivery. 410 and 504 to a batch, which the protocol does not have, counted as never run: a message that may not be repeated could go twice. A request half written went on after its window. What was cut between its last body byte but a head's length and its end ended as a reset, though it never ran. Change: gone holds for what was written alone; a first line has to end; 410 and 504 tell of single messages alone; Load keeps the window of what is composed; cut is what was not flushed whole.

--- a/src/net/calls.rs
+++ b/src/net/calls.rs
@@ -36,8 +36,8 @@
 /// How long the meaningless rest of an answer may take before its connection is given up.
 const REST_OF_ANSWER: Duration = Duration::from_secs(1);
 
-/// So many bytes of an answer tell its status: `HTTP/1.1 200 `.
-const STATUS_BYTES: usize = 13;
+/// So many bytes of an answer are kept to tell its first line; a longer line is not taken for one.
+const FIRST_LINE_LIMIT: usize = 64;
 
 /// What went over a connection, as far as it tells how a call fared.
 #[derive(Default)]
@@ -76,12 +76,14 @@
         }
     }
 
-    /// Whether the first line of the answer says 200, whatever can be read of the rest.
+    /// Whether the first line of the answer says 200, whatever can be read of the rest. A line that breaks off is
+    /// none yet.
     fn says_delivered(&self) -> bool {
         let answer = self.answer.borrow();
-        answer.len() == STATUS_BYTES
+        answer.contains(&b'\n')
             && answer.starts_with(b"HTTP/1.")
-            && matches!(&answer[8..], b" 200 " | b" 200\r")
+            && answer.get(8..12) == Some(b" 200")
+            && answer.get(12).is_some_and(u8::is_ascii_whitespace)
     }
 }
 
@@ -117,7 +119,7 @@
         let before = buf.filled().len();
         let poll = Pin::new(&mut self.stream).poll_read(cx, buf);
         let mut answer = self.traffic.answer.borrow_mut();
-        let wanted = STATUS_BYTES - answer.len();
+        let wanted = FIRST_LINE_LIMIT - answer.len();
         answer.extend(buf.filled()[before..].iter().take(wanted));
         poll
     }
@@ -287,6 +289,8 @@
     left_out: RefCell<BTreeSet<(MessageId, u16)>>,
     /// The request that was composed has one of them.
     outdated: Cell<bool>,
+    /// Until when the request that was composed may be written, if a message in it is a repeat that must come in time.
+    write_by: Cell<Option<Instant>>,
     /// Messages in the request that was composed.
     messages: Cell<usize>,
     /// The connection that the request goes over.
@@ -303,6 +307,7 @@
             whole: Cell::new(false),
             left_out: RefCell::default(),
             outdated: Cell::new(false),
+            write_by: Cell::new(None),
             messages: Cell::new(0),
             traffic: RefCell::default(),
         };
@@ -317,7 +322,8 @@
 
     /// Whether the request must not be written as it is, or any further.
     fn stale(&self) -> bool {
-        self.outdated.get() && !self.whole.get()
+        let late = || self.begun.get() && self.write_by.get().is_some_and(|by| by <= Instant::now());
+        !self.whole.get() && (self.outdated.get() || late())
     }
 
     /// False once its last byte is written. What was begun ends there, with its connection: what the socket still
@@ -357,6 +363,8 @@
         let left_out = self.left_out.borrow();
         let parts = parts.iter().filter(|part| !left_out.contains(&(part.message, part.attempt)));
         let parts: Vec<&Part> = parts.collect();
+        let bound = parts.iter().filter(|part| part.write_by < part.until).map(|part| part.write_by);
+        self.write_by.set(bound.min());
         let left = until.saturating_duration_since(now).as_millis().max(1);
         let request = Request::builder()
             .method(Method::POST)
@@ -688,11 +696,9 @@
                     may_reuse &= !reused;
                     load.traffic.replace(None);
                 }
-                Err(()) => {
-                    // A head of at least a byte goes before the body: the last byte never left.
-                    let cut = traffic.written.get() - before <= length as u64;
-                    return Err(if cut { Outcome::ConnectFailed } else { Outcome::Reset });
-                }
+                // What was cut before its last byte never runs.
+                Err(()) if !load.whole.get() => return Err(Outcome::ConnectFailed),
+                Err(()) => return Err(Outcome::Reset),
             }
         }
     }
@@ -732,7 +738,8 @@
         let messages = load.messages.get();
         // An answer that came before its request was written whole: the rest must not follow its end.
         let rest = load.whole.get().then_some((conn, Some(body)));
-        let end = (outcome(head.status, &head.headers, messages), head.status == StatusCode::GONE);
+        let gone = head.status == StatusCode::GONE && messages == 1;
+        let end = (outcome(head.status, &head.headers, messages), gone);
         Ok(Answered { ends: vec![end; parts.len()], report, rest })
     }
 
@@ -748,7 +755,10 @@
         for (part, (outcome, gone)) in parts.iter().zip(&answered.ends) {
             let (message, attempt) = (part.message, part.attempt);
             self.out.borrow_mut().remove(&(message, attempt));
-            let (outcome, gone, report) = (load.end_of(part, *outcome), *gone, answered.report.clone());
+            let left_out = load.left_out.borrow().contains(&(message, attempt));
+            // An endpoint knows nothing of what was not written: that one is still owed its end.
+            let gone = *gone && !left_out;
+            let (outcome, report) = (load.end_of(part, *outcome), answered.report.clone());
             over.push(AttemptOver { message, attempt, endpoint, outcome, gone, took, report });
         }
         let _ = self.inbound.send(Inbound::CallOver(over));
@@ -815,8 +825,8 @@
             Outcome::Moot { no_slot: true }
         }
         503 => Outcome::Full(told_wait(headers)),
-        // Not sent, or a batch that was not taken whole: it never ran.
-        410 | 504 => Outcome::Moot { no_slot: false },
+        // Not sent, or a batch that was not taken whole: it never ran. Of a batch each message's end tells that.
+        410 | 504 if messages <= 1 => Outcome::Moot { no_slot: false },
         400 | 413 if messages > 1 => Outcome::Moot { no_slot: false },
         _ => Outcome::Error,
     }
--- a/src/net/calls/tests.rs
+++ b/src/net/calls/tests.rs
@@ -289,3 +289,85 @@
     };
     LocalSet::new().run_until(run).await
 }
+
+/// Guards what did not travel along against an answer to what did: an endpoint that says 410 to the one message that
+/// was written knows nothing of the others, which are still owed their ends.
+#[tokio::test]
+async fn an_answer_ends_no_message_that_was_left_out() -> io::Result<()> {
+    let run = async {
+        let mut world = World::new().await?;
+        let late = Part { until: Instant::now(), ..part(1) };
+        world.calls.start(world.line, vec![late, part(2)]);
+        let (mut stream, _) = world.listener.accept().await?;
+        assert!(read(&mut stream).await?.starts_with("POST /v1/messages HTTP"));
+        stream.write_all(b"HTTP/1.1 410 Gone\r\ncontent-length: 0\r\n\r\n").await?;
+        let ends = timeout(PATIENCE, world.events.recv()).await?;
+        let Some(Inbound::CallOver(ends)) = ends else { panic!("{ends:?}") };
+        let gone: Vec<_> = ends.iter().map(|end| (end.message.0, end.outcome, end.gone)).collect();
+        assert_eq!(gone, [(1, NEVER, false), (2, NEVER, true)]);
+        Ok(())
+    };
+    LocalSet::new().run_until(run).await
+}
+
+/// Guards the idempotency window against a connection that comes up late: what may be answered until later is not
+/// written any more.
+#[tokio::test]
+async fn a_repeat_whose_window_is_over_is_not_written() -> io::Result<()> {
+    let run = async {
+        let mut world = World::new().await?;
+        let late = Part { write_by: Instant::now(), ..part(1) };
+        world.calls.start(world.line, vec![late, part(2)]);
+        let (mut stream, _) = world.listener.accept().await?;
+        let text = read(&mut stream).await?;
+        assert!(text.starts_with("POST /v1/messages HTTP") && text.contains("m2"), "{text}");
+        stream.write_all(ANSWER).await?;
+        assert_eq!(world.ends().await, [(1, NEVER), (2, Outcome::Delivered)]);
+        Ok(())
+    };
+    LocalSet::new().run_until(run).await
+}
+
+/// Guards against half a first line, taken for a whole one: only a line that came to its end is told.
+#[tokio::test]
+async fn half_a_first_line_delivers_nothing() -> io::Result<()> {
+    let run = async {
+        let mut world = World::new().await?;
+        for (answer, outcome) in [
+            ("HTTP/1.1 200 O", Outcome::Reset),
+            ("HTTP/1.1 200 OK\r\n", Outcome::Delivered),
+            ("HTTP/1.1 200 OK\r\ncontent-le", Outcome::Delivered),
+        ] {
+            world.calls.start(world.line, vec![part(1)]);
+            let (mut stream, _) = world.listener.accept().await?;
+            read(&mut stream).await?;
+            stream.write_all(answer.as_bytes()).await?;
+            drop(stream);
+            assert_eq!(world.ends().await, [(1, outcome)], "{answer}");
+        }
+        Ok(())
+    };
+    LocalSet::new().run_until(run).await
+}
+
+/// Guards what may not run twice: a batch is told by each message's end, and any other whole answer but those that the
+/// protocol names may hide one that ran.
+#[tokio::test]
+async fn a_batch_is_not_over_by_an_answer_that_no_batch_has() -> io::Result<()> {
+    let run = async {
+        let mut world = World::new().await?;
+        for answer in ["HTTP/1.1 410 Gone", "HTTP/1.1 504 Late"] {
+            world.calls.start(world.line, vec![part(1), part(2)]);
+            let (mut stream, _) = world.listener.accept().await?;
+            read(&mut stream).await?;
+            stream
+                .write_all(format!("{answer}\r\ncontent-length: 0\r\nconnection: close\r\n\r\n").as_bytes())
+                .await?;
+            let ends = timeout(PATIENCE, world.events.recv()).await?;
+            let Some(Inbound::CallOver(ends)) = ends else { panic!("{ends:?}") };
+            assert!(ends.iter().all(|end| end.outcome == Outcome::Error && !end.gone), "{answer}: {ends:?}");
+        }
+        Ok(())
+    };
+    LocalSet::new().run_until(run).await
+}
