Ask the platform over a kept connection only if it is as idle as it should be

Cause, by reading: bytes on an idle connection to the platform could pass as a list or as a notice's 204, and the notice was forgotten. A connection that broke while a call waited was asked over anew at once, by all senders together where discovery turns calls away after 2 s. A silent call for the whole list was waited for as long as a held watch, 21.5 s where one service answers all. Change: ask looks at the socket as calls do, repeats only what broke within 50 ms, and the whole list has 2.5 s.

--- a/src/net/platform.rs
+++ b/src/net/platform.rs
@@ -55,8 +55,19 @@
     address: SocketAddr,
     request: Request<Full<Bytes>>,
 ) -> Result<(StatusCode, Bytes), ()> {
-    let crossed = match kept.take() {
-        Some(mut conn) => conn.send(request.clone()).await.ok().map(|answer| (conn, answer)),
+    // Bytes that nothing asked for must not be taken for the answer.
+    let usable = match kept.take() {
+        Some(mut conn) => conn.still_usable().await.then_some(conn),
+        None => None,
+    };
+    let asked = Instant::now();
+    let crossed = match usable {
+        Some(mut conn) => match conn.send(request.clone()).await {
+            Ok(answer) => Some((conn, answer)),
+            // That broke while it waited, which is an answer of a kind: all senders asking anew at once is none.
+            Err(()) if asked.elapsed() > AGAIN => return Err(()),
+            Err(()) => None,
+        },
         None => None,
     };
     let (mut conn, answer) = match crossed {
@@ -166,8 +177,10 @@
             return;
         };
         let asked = Instant::now();
+        // The whole list is told at once, whoever tells it.
+        let patience = if whole { following.patience().min(POLL_WITHIN) } else { following.patience() };
         let answer = tokio::select! {
-            answer = timeout(following.patience(), ask(&mut conn, address, request)) => answer,
+            answer = timeout(patience, ask(&mut conn, address, request)) => answer,
             () = wanted.whole.notified() => {
                 whole = true;
                 continue;
@@ -284,12 +297,6 @@
             .header("content-type", "application/json")
             .body(Full::new(Bytes::from(body)));
         let Ok(request) = request else { return };
-        // The platform closes idle connections when it likes: a kept one that is closed is no failure.
-        if let Some(mut kept) = conn.take()
-            && kept.usable().await
-        {
-            conn = Some(kept);
-        }
         match timeout(NOTICE_TIMEOUT, ask(&mut conn, address, request)).await {
             Ok(Ok((StatusCode::NO_CONTENT, _))) => {
                 owed.retain(|message, _| !told.contains(message));
