Mend what an attack on the restart's and settings' arguments found

A message that waits for its turn after a start and whose class a reload takes away had no end (resume_old). Offers that failed left a task each. The early price took a resumed message's time off its deadline, below zero at a clock of 0. Change: the module's class alone bounds what has no effect written down; such a message ends as at a start; ended tasks are dropped.

--- a/src/net/driver.rs
+++ b/src/net/driver.rs
@@ -307,6 +307,8 @@
                 Ok(told) => told,
                 Err(e) => {
                     tracing::warn!("the new process did not take over, and this one goes on: {e}");
+                    // Who asks and dies again and again leaves nothing behind.
+                    tasks.retain(|task| !task.is_finished());
                     let rest = tokio::task::spawn_local(tokio::time::sleep(OFFER_AGAIN));
                     tasks.push(tokio::task::spawn_local(succeed(
                         folder.clone(),
@@ -381,16 +383,9 @@
                     continue;
                 }
                 (Some(how), _) => how,
-                // Its class is not one of the settings' any more, so that the module can't judge it.
-                (None, None) if live.covered.is_none() && live.attempts.iter().all(|a| a.never_ran) => {
-                    GivenUp::Deferred(0)
-                }
-                (None, None) => GivenUp::Undeliverable,
+                (None, None) => live.unjudged(),
             };
-            self.index_ended(number, end_of(given_up));
-            self.figures.ended(&live.taken.class, given_up.into());
-            self.unwritten.push(Record::GivenUp(number, given_up));
-            self.unsaid.push((number, given_up, live.taken.id));
+            self.end_old(number, given_up, live.taken);
         }
         if let Some(starting) = &self.parts.starting {
             starting.core.borrow_mut().backlog = Backlog::new(old, now);
@@ -398,6 +393,14 @@
         said
     }
 
+    /// An old message ends so, and the platform is told.
+    fn end_old(&mut self, number: u32, how: GivenUp, taken: Taken) {
+        self.index_ended(number, end_of(how));
+        self.figures.ended(&taken.class, how.into());
+        self.unwritten.push(Record::GivenUp(number, how));
+        self.unsaid.push((number, how, taken.id));
+    }
+
     /// The class that an old message goes by: the one of its name, but that it may be repeated no more than when it
     /// was taken on; what an older version wrote down does not tell, and may not be repeated. Such a class is for
     /// these messages alone.
@@ -989,9 +992,15 @@
     fn write_by(&self, number: u32, live: &Live, attempt: Option<u16>, now: Micros) -> Option<Micros> {
         let class = self.policy.class_of(MessageId(number));
         let class = class.or_else(|| self.names.borrow().class(&live.taken.class))?;
-        let effect = self.settings.classes.get(class)?.effect.stricter(live.taken.effect.unwrap_or(Effect::Once));
+        let effect = self
+            .settings
+            .classes
+            .get(class)?
+            .effect
+            .stricter(live.taken.effect.unwrap_or(Effect::Repeatable));
         let Effect::Keyed { window, .. } = effect else { return None };
-        let ran = live.attempts.iter().filter(|earlier| Some(earlier.number) != attempt && !earlier.never_ran);
+        let ran =
+            live.attempts.iter().filter(|earlier| Some(earlier.number) != attempt && !earlier.never_ran);
         let covered = live.covered.as_ref().map(|(_, since)| *since).filter(|since| now < since + window);
         let first = ran.map(|earlier| earlier.at).chain(covered).min()?;
         Some(first.saturating_add(window).saturating_sub(self.settings.repeat_margin(window)))
@@ -1005,7 +1014,8 @@
         for (message, attempt, endpoint, wait) in sends {
             let Some(live) = self.journal.live().get(&message.0) else { continue };
             let until = now + wait;
-            let write_by = self.write_by(message.0, live, Some(attempt), now).map_or(until, |by| by.min(until));
+            let write_by =
+                self.write_by(message.0, live, Some(attempt), now).map_or(until, |by| by.min(until));
             let (until, write_by) = (self.clock.instant(until), self.clock.instant(write_by));
             if let Some(indexing) = &mut self.parts.indexing {
                 indexing.calling(&live.taken, attempt, self.clock.now());
--- a/src/net/driver/starting.rs
+++ b/src/net/driver/starting.rs
@@ -125,12 +125,14 @@
                 continue;
             }
             let class = self.names.borrow().class(&live.taken.class);
-            if let Some(class) = class {
-                let class = self.as_taken(class, &live.taken, said);
-                let (id, destination) = (&live.taken.id, live.taken.destination);
-                tracing::debug!(id, destination, attempts = live.attempts.len(), "taken up again");
-                said.push(self.resumed(number, class, &live, now));
-            }
+            let Some(class) = class else {
+                self.end_old(number, live.unjudged(), live.taken);
+                continue;
+            };
+            let class = self.as_taken(class, &live.taken, said);
+            let (id, destination) = (&live.taken.id, live.taken.destination);
+            tracing::debug!(id, destination, attempts = live.attempts.len(), "taken up again");
+            said.push(self.resumed(number, class, &live, now));
         }
     }
 
--- a/src/net/journal.rs
+++ b/src/net/journal.rs
@@ -99,6 +99,14 @@
     pub covered: Option<(Tag, Micros)>,
 }
 
+impl Live {
+    /// How it ends where its class is not one of the settings' any more, so that the module can't judge it.
+    pub fn unjudged(&self) -> GivenUp {
+        let untried = self.covered.is_none() && self.attempts.iter().all(|attempt| attempt.never_ran);
+        if untried { GivenUp::Deferred(0) } else { GivenUp::Undeliverable }
+    }
+}
+
 /// What a message's later records take at most: its attempts, their ends and its own.
 const LATER_RECORDS: u64 = 672;
 /// What the record of its covers takes at most.
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -946,7 +946,7 @@
         let time = held.message.time_left;
         let until = held.deadline - (time as f64 * EARLY) as Micros;
         let told = self.usable(held).map(|(_, route)| route.wait_until).min().is_some_and(|at| at > until);
-        let fresh = held.deadline - time == self.now;
+        let fresh = held.deadline == self.now + time;
         let reason = fresh || told || self.now >= until || held.attempts >= self.settings.try_limit;
         let worth = self.settings.classes[held.message.class].worth * self.within_share(held.message.tenant);
         if reason { 0.0 } else { EARLY * worth }
