Put the message that is waited for longest first in a batch

Excluded: restarts, one key twice in a batch, a body cut short, stray bytes. Cause: the order in a batch was that of the queue, by aim, so that what runs out first comes first. Change: begin orders a call's messages by how long each is waited for, the longest first: a call lasts no longer than that, so that its first message is not given up while the others still wait.

--- a/src/net/driver.rs
+++ b/src/net/driver.rs
@@ -1034,7 +1034,9 @@
                 }
             }
         }
-        for (endpoint, parts) in calls {
+        for (endpoint, mut parts) in calls {
+            // The first is waited for as long as the call lasts, so that it is not given up while the others still wait.
+            parts.sort_by_key(|part| std::cmp::Reverse(part.until));
             let Some(line) = self.line(endpoint) else {
                 // An address that can't be read is one where no connection can be made.
                 let failed = Outcome::ConnectFailed;
