--- a/src/interface.rs
+++ b/src/interface.rs
@@ -18,7 +18,7 @@
 pub struct EndpointId(pub [u8; 6]);
 
 /// Identifies a destination.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct DestinationId(pub u16);
 
 /// What a breaker guards: a destination, or one endpoint of it where its routes are apart.
@@ -115,6 +115,13 @@
     pub bundle: usize,
 }
 
+impl Default for Kind {
+    /// One route, and a call for each message.
+    fn default() -> Self {
+        Self { routes_apart: false, bundle: 1 }
+    }
+}
+
 /// What the weight of an endpoint's listing says.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Weights {
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -2,8 +2,6 @@
 //! A three-state breaker per destination decides the ordinary path of every message. All sends pass
 //! [`Policy::dispatch`] and [`Policy::admit`]; all final answers pass [`Policy::answer`].
 
-mod adopted;
-
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 use serde::{Deserialize, Serialize};
@@ -46,7 +44,6 @@
 const EARLY: f64 = 0.3;
 /// What each further message adds to the weight of a call at a cold destination.
 const BUNDLE_WEIGHT: f64 = 0.25;
-
 /// From the end of a process until the next one repeats what was out, connection and all.
 const RESTART: Micros = 2_000_000;
 
@@ -362,12 +359,12 @@
                 self.delivered_at = now;
                 self.late = false;
                 self.granted = faded(self.granted, now, aim, 1.0);
-                // The longer without a refusal, the faster the pace grows.
-                let calm = now.saturating_sub(self.cut_at) as f64 / aim.max(1) as f64;
                 let step = now.saturating_sub(self.grown_at.max(self.cut_at)) as f64 / aim.max(1) as f64;
                 // Beyond our part of a limit that is told, little is to be gained.
                 let known = self.told > 0.0 && self.pace > self.told / settings.senders as f64;
-                let calm = if known { calm.min(0.5) } else { calm.min(4.0) };
+                // The longer without a refusal, the faster the pace grows.
+                let calm = now.saturating_sub(self.cut_at) as f64 / aim.max(1) as f64;
+                let calm = calm.min(if known { 0.5 } else { 4.0 });
                 self.pace *= 1.0 + PACE_GROWTH * calm * step.min(1.0);
                 self.grown_at = now;
                 (self.bad_run, self.fulls) = (0, 0);
@@ -396,7 +393,7 @@
     }
 }
 
-#[derive(Serialize, Deserialize)]
+#[derive(Default, Serialize, Deserialize)]
 struct Endpoint {
     destination: DestinationId,
     zone: u16,
@@ -528,14 +525,10 @@
                 }
                 Event::Left(message) => self.forget(*message),
                 Event::List(entries) => {
-                    self.asks_failed = 0;
                     self.endpoints.values_mut().for_each(|e| e.ready = false);
                     self.list(entries);
                 }
-                Event::Changes(entries) => {
-                    self.asks_failed = 0;
-                    self.list(entries);
-                }
+                Event::Changes(entries) => self.list(entries),
                 Event::ListFailed if self.settings.must_ask => {
                     // Asked again well inside the interval after which we would be deemed told.
                     let every = self.settings.rules.ask_every.unwrap_or(RESET_TIMEOUT);
@@ -553,8 +546,7 @@
                 Event::Streaming { .. } | Event::ListFailed | Event::Reminder(_) => {}
             }
         }
-        if self.ask_at.is_some_and(|at| at <= now) {
-            self.ask_at = None;
+        if self.ask_at.take_if(|at| *at <= now).is_some() {
             actions.push(Action::Watch);
         }
         let aim = self.settings.shortest_aim();
@@ -591,14 +583,13 @@
 
     /// What is known of a destination and a tenant, for estimates; nothing is decided by it.
     pub fn outlook(&self, to: DestinationId, tenant: usize) -> Outlook {
-        let (rules, now) = (&self.settings.rules, self.now);
+        let (rules, aim, now) = (&self.settings.rules, self.settings.shortest_aim(), self.now);
         let routes = self.routes.range((to, None)..=(to, Some(EndpointId([u8::MAX; 6])))).map(|(_, r)| {
             let rates = [r.limit(), r.pace, r.usual_rate(rules)];
             RouteOutlook::new(rates, r.wait_until.max(r.breaker.due()), r.cold_share(rules, now), r.usual)
         });
         let backlog = self.held.values().filter(|held| held.message.destination == to).count();
-        let rate =
-            self.tenants.get(tenant).map_or(0.0, |r| faded(*r, now, self.settings.shortest_aim(), 0.0).0);
+        let rate = self.tenants.get(tenant).map_or(0.0, |r| faded(*r, now, aim, 0.0).0);
         Outlook { backlog, tenant_rate: rate, routes: routes.collect(), ..Outlook::default() }
     }
 
@@ -609,6 +600,40 @@
         routes.filter(shut).count()
     }
 
+    /// Whether a message that is held goes by the class at this position.
+    pub fn holds_class(&self, class: usize) -> bool {
+        self.held.values().any(|held| held.message.class == class)
+    }
+
+    /// The position of the class that a message goes by, if it is held.
+    pub fn class_of(&self, message: MessageId) -> Option<usize> {
+        Some(self.held.get(&message)?.message.class)
+    }
+
+    /// What is held keeps its aim, its deadline, its class and its tenant; all that comes next goes by the new
+    /// settings, attempts allowed among them: a message that has had more is answered.
+    fn adopt(&mut self, settings: &Settings) {
+        // Who sent how much goes by the tenant's name, wherever its place is now.
+        let places = settings.tenants_after(&self.settings);
+        let rates = std::mem::replace(&mut self.tenants, vec![(0.0, self.now); settings.tenants.len()]);
+        for (rate, place) in rates.into_iter().zip(&places) {
+            if let Some(now) = self.tenants.get_mut(*place) {
+                *now = rate;
+            }
+        }
+        for held in self.held.values_mut() {
+            held.message.tenant = places.get(held.message.tenant).copied().unwrap_or(usize::MAX);
+        }
+        if settings.idle_close != self.settings.idle_close {
+            self.keep = settings.idle_close;
+        }
+        // What was told of a limit in another form is no figure of this one; whoever has the list tells it anew.
+        if (settings.weights, settings.report) != (self.settings.weights, self.settings.report) {
+            self.routes.values_mut().for_each(|route| (route.told, route.reported) = (0.0, 0.0));
+        }
+        self.settings = settings.clone();
+    }
+
     /// A message that outlived the process that took it: what may have run then still binds.
     fn resume(&mut self, message: &Message, attempts: u32, may_have_run: &[(Micros, EndpointId)]) {
         self.hold(message);
@@ -641,27 +666,21 @@
     }
 
     fn list(&mut self, entries: &[Entry]) {
+        self.asks_failed = 0;
         for entry in entries {
-            let plain = Kind { routes_apart: false, bundle: 1 };
-            let kind = self.settings.kinds.get(entry.kind).copied().unwrap_or(plain);
+            let kind = self.settings.kinds.get(entry.kind).copied().unwrap_or_default();
             let before = self.route_of(entry.endpoint).and_then(|id| self.routes.get(&id));
             let wait_until = before.map_or(0, |route| route.wait_until);
-            let endpoint = self.endpoints.entry(entry.endpoint).or_insert(Endpoint {
+            let endpoint = self.endpoints.entry(entry.endpoint).or_insert_with(|| Endpoint {
                 destination: entry.destination,
-                zone: entry.zone,
-                kind,
-                ready: false,
-                out: 0,
-                bad_run: 0,
-                sent_at: 0,
                 gap: Micros::MAX,
+                ..Endpoint::default()
             });
             (endpoint.zone, endpoint.kind) = (entry.zone, kind);
             endpoint.ready = entry.listing == Listing::Ready;
             self.cells.entry(endpoint.destination).or_default().insert(entry.endpoint);
             let id = (entry.destination, kind.routes_apart.then_some(entry.endpoint));
-            let now = self.now;
-            let route = self.routes.entry(id).or_insert_with(|| Route::new(now));
+            let route = self.routes.entry(id).or_insert_with(|| Route::new(self.now));
             // A kind may be one route or several from now on: a wait that was told binds either way.
             route.wait_until = route.wait_until.max(wait_until);
             route.told = match self.settings.weights {
@@ -680,32 +699,28 @@
 
     fn note_report(&mut self, endpoint: EndpointId, report: &[f32]) {
         let limit = self.settings.report.1.and_then(|at| report.get(at)).copied().unwrap_or(0.0);
-        let id = self.route_of(endpoint);
-        let route = id.and_then(|id| self.routes.get_mut(&id));
-        if let (true, Some(route)) = (limit > 0.0, route) {
-            route.told = f64::from(limit);
-            let (known, limit) = (std::mem::replace(&mut route.reported, route.told), route.told);
-            let changed = limit > known * LIMIT_CHANGE || limit * LIMIT_CHANGE < known;
-            if let (true, Some(id)) = (changed && known > 0.0, id) {
-                self.news.insert((NOTE_LIMIT, id.0));
-            }
-            // What was learnt of a limit does not hold once that has risen, by more than reports are off.
-            if route.told > route.told_at_cut * TOLD_RISE {
-                route.refill(self.now);
-                route.pace = route.pace.max(route.told / self.settings.senders as f64 * PACE_CUT);
-                route.told_at_cut = f64::INFINITY;
-            }
+        let Some(id) = self.route_of(endpoint).filter(|_| limit > 0.0) else { return };
+        let Some(route) = self.routes.get_mut(&id) else { return };
+        route.told = f64::from(limit);
+        let (known, limit) = (std::mem::replace(&mut route.reported, route.told), route.told);
+        let changed = limit > known * LIMIT_CHANGE || limit * LIMIT_CHANGE < known;
+        if changed && known > 0.0 {
+            self.news.insert((NOTE_LIMIT, id.0));
+        }
+        // What was learnt of a limit does not hold once that has risen, by more than reports are off.
+        if route.told > route.told_at_cut * TOLD_RISE {
+            route.refill(self.now);
+            route.pace = route.pace.max(route.told / self.settings.senders as f64 * PACE_CUT);
+            route.told_at_cut = f64::INFINITY;
         }
     }
 
     /// Takes up a note from another sender, a hint that costs a wait of at most a round if it is wrong.
     fn note(&mut self, content: &[u8]) {
         let [kind, low, high, ref limit @ ..] = *content else { return };
-        let destination = DestinationId(u16::from_le_bytes([low, high]));
+        let id = (DestinationId(u16::from_le_bytes([low, high])), None);
         let (now, senders) = (self.now, self.settings.senders);
-        let Some(route) = self.routes.get_mut(&(destination, None)).filter(|r| r.limit() > 0.0) else {
-            return;
-        };
+        let Some(route) = self.routes.get_mut(&id).filter(|r| r.limit() > 0.0) else { return };
         match (kind, limit) {
             (NOTE_TURN, []) => {
                 for _ in 0..turns_a_note(senders) {
@@ -804,7 +819,7 @@
     /// In a drain with a time: the last moment at which a call for the message could still be answered.
     fn last_start(&self, held: &Held) -> Micros {
         let aim = self.settings.classes[held.message.class].aim;
-        let patience = self.usable(held).map(|(_, route)| route.patience(aim)).min().unwrap_or(0);
+        let patience = self.usable(held).map(|route| route.patience(aim)).min().unwrap_or(0);
         self.last_call(held).saturating_sub(patience)
     }
 
@@ -867,7 +882,7 @@
                     None => (self.last_call(held), 0),
                 };
                 let due = |r: &Route| r.breaker.due().max(r.wait_until.min(until));
-                let trial = self.usable(held).map(|(_, r)| due(r)).min().unwrap_or(until);
+                let trial = self.usable(held).map(|r| due(r)).min().unwrap_or(until);
                 // What was never called is not handed back early for a breaker's sake.
                 let called = self.drain_by.is_some() || held.attempts > 0;
                 let late = trial.max(until.min(now)) > last && (called || self.early_price(held) == 0.0);
@@ -888,12 +903,11 @@
         let (Some(rate), Some(t)) = (self.tenants.get(tenant), self.settings.tenants.get(tenant)) else {
             return 1.0;
         };
-        let (sent, quota) =
-            self.tenants.iter().zip(&self.settings.tenants).fold((0.0, 0.0), |sum, (r, t)| {
-                (sum.0 + r.0 * self.settings.senders as f64, sum.1 + t.quota)
-            });
+        let senders = self.settings.senders as f64;
+        let sent: f64 = self.tenants.iter().map(|rate| rate.0 * senders).sum();
+        let quota: f64 = self.settings.tenants.iter().map(|t| t.quota).sum();
         // A busier sender than others hears more of every tenant: only the mix tells who is beyond its share.
-        let total = rate.0 * self.settings.senders as f64 / (sent / quota.max(1e-9)).max(1.0);
+        let total = rate.0 * senders / (sent / quota.max(1e-9)).max(1.0);
         let within = if total > t.quota { t.quota / total } else { 1.0 };
         within + (1.0 - within) * self.settings.over_share_worth
     }
@@ -925,7 +939,7 @@
         for (id, held) in self.held.iter().filter(|(_, h)| h.out == 0 && h.may_have_run.is_empty()) {
             let backlog = queued.get(&held.message.destination).copied().unwrap_or(0.0);
             // An outage is taken to last as long again as it has; a backlog to go at the pace of late.
-            let wait = self.usable(held).map(|(_, r)| {
+            let wait = self.usable(held).map(|r| {
                 let down = if r.down(&self.settings.rules, now) { now - r.answered_at.min(now) } else { 0 };
                 down + (backlog / r.granted.0.max(r.usual_rate(&self.settings.rules)).max(0.1) * 1e6)
                     as Micros
@@ -945,7 +959,7 @@
     fn early_price(&self, held: &Held) -> f64 {
         let time = held.message.time_left;
         let until = held.deadline - (time as f64 * EARLY) as Micros;
-        let told = self.usable(held).map(|(_, route)| route.wait_until).min().is_some_and(|at| at > until);
+        let told = self.usable(held).map(|route| route.wait_until).min().is_some_and(|at| at > until);
         let fresh = held.deadline == self.now + time;
         let reason = fresh || told || self.now >= until || held.attempts >= self.settings.try_limit;
         let worth = self.settings.classes[held.message.class].worth * self.within_share(held.message.tenant);
@@ -961,12 +975,9 @@
         backlog
     }
 
-    /// Endpoints that are listed for the message's destination, with their routes.
-    fn usable<'a>(&'a self, held: &'a Held) -> impl Iterator<Item = (EndpointId, &'a Route)> + 'a {
-        self.cell(held).filter(|(_, e)| e.ready).filter_map(|(id, _)| {
-            let route = self.route_of(id)?;
-            Some((id, self.routes.get(&route)?))
-        })
+    /// The routes of the endpoints that are listed for the message's destination.
+    fn usable<'a>(&'a self, held: &'a Held) -> impl Iterator<Item = &'a Route> + 'a {
+        self.cell(held).filter(|(_, e)| e.ready).filter_map(|(id, _)| self.routes.get(&self.route_of(id)?))
     }
 
     /// Endpoints of the message's destination, in any state.
@@ -1088,15 +1099,13 @@
         // Our turn among all senders at a limit that is told.
         let shared = self.settings.peers && self.settings.senders > 1 && route_id.1.is_none();
         if joined.is_none() && shared && route.limit() > 0.0 && route.breaker.state == State::Closed {
-            let at = match route.slot.filter(|at| now < at + LIMIT_AHEAD) {
-                Some(at) => at,
-                None => {
-                    if self.rng.usize(0..turns_a_note(self.settings.senders)) == 0 {
-                        self.news.insert((NOTE_TURN, route_id.0));
-                    }
-                    route.book(now, self.settings.senders)
+            let slot = route.slot.filter(|at| now < at + LIMIT_AHEAD);
+            let at = slot.unwrap_or_else(|| {
+                if self.rng.usize(0..turns_a_note(self.settings.senders)) == 0 {
+                    self.news.insert((NOTE_TURN, route_id.0));
                 }
-            };
+                route.book(now, self.settings.senders)
+            });
             route.slot = Some(at);
             if now < at {
                 return false;
@@ -1116,11 +1125,10 @@
             if route.breaker.state == State::HalfOpen {
                 route.breaker.trial = Some(call);
             }
-            let new = Call { route: route_id, endpoint: endpoint_id, sent: now, messages: 0, judged: false };
-            self.calls.insert(call, new);
         }
         begun.insert(endpoint_id, (call, joined.map_or(1, |b| b.1 + 1)));
-        self.calls.entry(call).and_modify(|call| call.messages += 1);
+        let new = Call { route: route_id, endpoint: endpoint_id, sent: now, messages: 0, judged: false };
+        self.calls.entry(call).or_insert(new).messages += 1;
         if let (true, Some(e)) = (joined.is_none(), self.endpoints.get_mut(&endpoint_id)) {
             e.out += 1;
             (e.gap, e.sent_at) = (now - e.sent_at, now);
