--- a/src/policy.rs
+++ b/src/policy.rs
@@ -610,8 +610,8 @@
         Some(self.held.get(&message)?.message.class)
     }
 
-    /// What is held keeps its aim, its deadline, its class and its tenant; all that comes next goes by the new
-    /// settings, attempts allowed among them: a message that has had more is answered.
+    /// What is held keeps its aim, deadline, class and tenant; all that comes next goes by the new settings,
+    /// attempts allowed among them: a message that has had more is answered.
     fn adopt(&mut self, settings: &Settings) {
         // Who sent how much goes by the tenant's name, wherever its place is now.
         let places = settings.tenants_after(&self.settings);
@@ -627,7 +627,7 @@
         if settings.idle_close != self.settings.idle_close {
             self.keep = settings.idle_close;
         }
-        // What was told of a limit in another form is no figure of this one; whoever has the list tells it anew.
+        // What was told of a limit in another form is no figure of this one; the list tells it anew.
         if (settings.weights, settings.report) != (self.settings.weights, self.settings.report) {
             self.routes.values_mut().for_each(|route| (route.told, route.reported) = (0.0, 0.0));
         }
@@ -1054,7 +1054,7 @@
         }
         let route_id = (endpoint.destination, endpoint.kind.routes_apart.then_some(endpoint_id));
         let Some(route) = self.routes.get_mut(&route_id) else { return false };
-        // Nothing may be out at the end of the process that the next one must not repeat, unless it may have run.
+        // Nothing may be out at the end that the next process must not repeat, unless it may have run.
         let binds = |end: &Micros| match class.effect {
             Effect::Repeatable => false,
             Effect::Once => true,
--- a/tests/policy.rs
+++ b/tests/policy.rs
@@ -635,10 +635,10 @@
     let mut s = one();
     let unsafe_one = resumed(&mut s, ONCE, 1, &[SECOND]);
     assert_eq!(s.failed, [unsafe_one]);
-    let late = resumed(&mut s, KEYED, 1, &[5 * SECOND]);
+    let late = resumed(&mut s, KEYED, 1, &[23 * SECOND / 4]);
     assert_eq!(s.failed, [unsafe_one, late], "the key is remembered for too short a time");
     assert!(s.sent.is_empty());
-    resumed(&mut s, KEYED, 1, &[2 * SECOND]);
+    resumed(&mut s, KEYED, 1, &[57 * SECOND / 10]);
     resumed(&mut s, ONCE, 1, &[]);
     assert_eq!(s.sent.len(), 2, "both can do no harm");
     let used_up = resumed(&mut s, ONCE, 4, &[]);
