--- a/src/policy.rs
+++ b/src/policy.rs
@@ -882,7 +882,7 @@
                     None => (self.last_call(held), 0),
                 };
                 let due = |r: &Route| r.breaker.due().max(r.wait_until.min(until));
-                let trial = self.usable(held).map(|r| due(r)).min().unwrap_or(until);
+                let trial = self.usable(held).map(due).min().unwrap_or(until);
                 // What was never called is not handed back early for a breaker's sake.
                 let called = self.drain_by.is_some() || held.attempts > 0;
                 let late = trial.max(until.min(now)) > last && (called || self.early_price(held) == 0.0);
