Give destinations numbers of four bytes

Need: the design size has 310,000 destinations; numbers of two bytes end at 65,535, and a list with a larger one could not be read at all.

--- a/src/drain.rs
+++ b/src/drain.rs
@@ -32,7 +32,7 @@
     /// Its name.
     pub name: &'a str,
     /// Its destination.
-    pub destination: u16,
+    pub destination: u32,
     /// Discovery says that it may be used.
     pub active: bool,
 }
@@ -48,7 +48,7 @@
     Unknown(Vec<String>),
     /// Destinations that would be left without an active endpoint.
     #[error("no active endpoint would be left for destination {}", joined(.0))]
-    Last(Vec<u16>),
+    Last(Vec<u32>),
     /// More marks than are kept.
     #[error("more than {0} endpoints would be marked")]
     TooMany(usize),
@@ -164,7 +164,7 @@
         if with.marks.len() > self.most {
             return Err(Refusal::TooMany(self.most));
         }
-        let last: Vec<u16> = with.bare(list).difference(&self.bare(list)).copied().collect();
+        let last: Vec<u32> = with.bare(list).difference(&self.bare(list)).copied().collect();
         if !force && !last.is_empty() {
             return Err(Refusal::Last(last));
         }
@@ -186,9 +186,9 @@
     }
 
     /// Listed destinations that have no active endpoint left, whoever took them out.
-    pub fn bare(&self, list: &[Listed]) -> BTreeSet<u16> {
+    pub fn bare(&self, list: &[Listed]) -> BTreeSet<u32> {
         let usable = |listed: &&Listed| listed.active && !self.marks.contains_key(listed.name);
-        let usable: BTreeSet<u16> = list.iter().filter(usable).map(|listed| listed.destination).collect();
+        let usable: BTreeSet<u32> = list.iter().filter(usable).map(|listed| listed.destination).collect();
         list.iter().map(|listed| listed.destination).filter(|d| !usable.contains(d)).collect()
     }
 }
--- a/src/drain/tests.rs
+++ b/src/drain/tests.rs
@@ -4,7 +4,7 @@
     names.iter().map(|name| (*name).to_owned()).collect()
 }
 
-fn list<'a>(of: &[(&'a str, u16, bool)]) -> Vec<Listed<'a>> {
+fn list<'a>(of: &[(&'a str, u32, bool)]) -> Vec<Listed<'a>> {
     of.iter()
         .map(|(name, destination, active)| Listed { name, destination: *destination, active: *active })
         .collect()
--- a/src/estimate/sending.rs
+++ b/src/estimate/sending.rs
@@ -39,7 +39,7 @@
     #[serde(default)]
     pub tenant: String,
     /// Where to, evenly.
-    pub destinations: Vec<u16>,
+    pub destinations: Vec<u32>,
     /// How many messages.
     pub messages: u64,
     /// Bytes of a body.
@@ -64,7 +64,7 @@
     Destinations(usize),
     /// A destination without endpoints.
     #[error("destination {0} has no endpoint in the list")]
-    Nowhere(u16),
+    Nowhere(u32),
 }
 
 told! { NoRun {
@@ -110,7 +110,7 @@
     /// Whether all are there within the class's deadline.
     pub in_time: bool,
     /// Destinations at which nothing goes now, and for how long yet, microseconds.
-    pub shut: BTreeMap<u16, Micros>,
+    pub shut: BTreeMap<u32, Micros>,
     /// Whether it fits into the tenant's share.
     #[serde(flatten)]
     pub fits: Fits,
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -19,7 +19,7 @@
 
 /// Identifies a destination.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
-pub struct DestinationId(pub u16);
+pub struct DestinationId(pub u32);
 
 /// What a breaker guards: a destination, or one endpoint of it where its routes are apart.
 pub type RouteId = (DestinationId, Option<EndpointId>);
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -55,6 +55,7 @@
 pub mod interface;
 pub mod membership;
 pub mod mesh;
+pub mod note;
 pub mod plans;
 pub mod policy;
 pub mod start;
--- a/src/net/driver/starting.rs
+++ b/src/net/driver/starting.rs
@@ -77,8 +77,8 @@
 
     /// Destinations all of whose endpoints started of late, and when the first of them did. The clock of the list is
     /// all machines'.
-    fn cold(&self, now: Micros) -> BTreeMap<u16, Micros> {
-        let mut cold: BTreeMap<u16, Micros> = BTreeMap::new();
+    fn cold(&self, now: Micros) -> BTreeMap<u32, Micros> {
+        let mut cold: BTreeMap<u32, Micros> = BTreeMap::new();
         for known in self.endpoints.values().filter(|known| known.listed && known.active()) {
             let since = known.since_ms.saturating_mul(1000).min(now);
             cold.entry(known.group).and_modify(|first| *first = since.min(*first)).or_insert(since);
@@ -95,7 +95,7 @@
         if !core.shares(now) {
             return;
         }
-        let mut held: BTreeMap<u16, usize> = BTreeMap::new();
+        let mut held: BTreeMap<u32, usize> = BTreeMap::new();
         for live in self.journal.live().values().filter(|live| live.given_up.is_none()) {
             *held.entry(live.taken.destination).or_default() += 1;
         }
--- a/src/net/journal.rs
+++ b/src/net/journal.rs
@@ -66,7 +66,7 @@
     #[serde(skip)]
     pub effect: Option<Effect>,
     /// Its destination.
-    pub destination: u16,
+    pub destination: u32,
     /// When its time is up.
     pub deadline: Micros,
     /// Its body.
--- a/src/net/parts/starting.rs
+++ b/src/net/parts/starting.rs
@@ -37,13 +37,13 @@
     /// When the list was last written down, and whether it has changed since.
     written: (Micros, bool),
     /// Names that are written down as active, with their destinations.
-    active: BTreeSet<(String, u16)>,
+    active: BTreeSet<(String, u32)>,
     /// This process has come through its start.
     through: bool,
 }
 
 /// Those that may be called, with their destinations.
-fn active(list: &[Listing]) -> BTreeSet<(String, u16)> {
+fn active(list: &[Listing]) -> BTreeSet<(String, u32)> {
     named(list).filter(|named| named.2).map(|(name, group, _)| (name, group)).collect()
 }
 
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -7,6 +7,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::interface::*;
+use crate::note::{Note, Topic};
 
 /// Consecutive errors or failed connections that open a breaker.
 const MAX_FAILURES: u32 = 5;
@@ -31,12 +32,8 @@
 /// are off by some percent, and what is refused uses the limit up as well.
 const LIMIT_MARGIN: f64 = 0.95;
 const LIMIT_AHEAD: Micros = 500_000;
-/// Notes: what is told, with the version of their form.
 /// So many senders hear of each turn; among more, one note stands for as many turns more.
 const NOTE_SENDERS: usize = 32;
-const NOTE_TURN: u8 = 0x11;
-const NOTE_FULL: u8 = 0x12;
-const NOTE_LIMIT: u8 = 0x13;
 /// A report that is further off from what is known of a limit, up or down, tells of another limit.
 const LIMIT_CHANGE: f64 = 1.5;
 /// A message that was taken on costs this part of its worth if it is handed back unrun while more than this
@@ -465,7 +462,7 @@
     keep: Micros,
     /// To be told to the other senders at the end of the tick.
     #[serde(skip)]
-    news: BTreeSet<(u8, DestinationId)>,
+    news: BTreeSet<(Topic, DestinationId)>,
     /// When this process ends, once that is known.
     stop_at: Option<Micros>,
     /// Out of service: when all that is held must have ended, if a time was given.
@@ -565,14 +562,9 @@
         self.close_idle(events, actions);
         self.remind(actions);
         let news = std::mem::take(&mut self.news);
-        for (kind, destination) in news.into_iter().filter(|_| self.settings.peers) {
-            let mut content = vec![kind];
-            content.extend(destination.0.to_le_bytes());
-            if kind == NOTE_LIMIT {
-                let limit = self.routes.get(&(destination, None)).map_or(0.0, |route| route.reported);
-                content.extend(((limit * 8.0) as u16).to_le_bytes());
-            }
-            actions.push(Action::Tell { to: None, content });
+        for (topic, destination) in news.into_iter().filter(|_| self.settings.peers) {
+            let limit = self.routes.get(&(destination, None)).map_or(0.0, |route| route.reported);
+            actions.push(Action::Tell { to: None, content: Note { topic, destination, limit }.encode() });
         }
     }
 
@@ -705,7 +697,7 @@
         let (known, limit) = (std::mem::replace(&mut route.reported, route.told), route.told);
         let changed = limit > known * LIMIT_CHANGE || limit * LIMIT_CHANGE < known;
         if changed && known > 0.0 {
-            self.news.insert((NOTE_LIMIT, id.0));
+            self.news.insert((Topic::Limit, id.0));
         }
         // What was learnt of a limit does not hold once that has risen, by more than reports are off.
         if route.told > route.told_at_cut * TOLD_RISE {
@@ -717,22 +709,19 @@
 
     /// Takes up a note from another sender, a hint that costs a wait of at most a round if it is wrong.
     fn note(&mut self, content: &[u8]) {
-        let [kind, low, high, ref limit @ ..] = *content else { return };
-        let id = (DestinationId(u16::from_le_bytes([low, high])), None);
+        let Some(Note { topic, destination, limit }) = Note::decode(content) else { return };
         let (now, senders) = (self.now, self.settings.senders);
-        let Some(route) = self.routes.get_mut(&id).filter(|r| r.limit() > 0.0) else { return };
-        match (kind, limit) {
-            (NOTE_TURN, []) => {
+        let route = self.routes.get_mut(&(destination, None));
+        let Some(route) = route.filter(|r| r.limit() > 0.0) else { return };
+        match topic {
+            Topic::Turn => {
                 for _ in 0..turns_a_note(senders) {
                     route.book(now, senders);
                 }
             }
-            (NOTE_FULL, []) => route.book_full(now),
-            (NOTE_LIMIT, [low, high]) => {
-                let limit = f64::from(u16::from_le_bytes([*low, *high])) / 8.0;
-                route.reported = if limit > 0.0 { limit } else { route.reported };
-            }
-            _ => {}
+            Topic::Full => route.book_full(now),
+            Topic::Limit if limit > 0.0 => route.reported = limit,
+            Topic::Limit => {}
         }
     }
 
@@ -763,7 +752,7 @@
                 }
                 if let (true, Outcome::Full(_), true) = (first, outcome, self.settings.peers) {
                     if route.booked < now + LIMIT_AHEAD / 2 && call.route.1.is_none() {
-                        self.news.insert((NOTE_FULL, call.route.0));
+                        self.news.insert((Topic::Full, call.route.0));
                     }
                     route.book_full(now);
                 }
@@ -1102,7 +1091,7 @@
             let slot = route.slot.filter(|at| now < at + LIMIT_AHEAD);
             let at = slot.unwrap_or_else(|| {
                 if self.rng.usize(0..turns_a_note(self.settings.senders)) == 0 {
-                    self.news.insert((NOTE_TURN, route_id.0));
+                    self.news.insert((Topic::Turn, route_id.0));
                 }
                 route.book(now, self.settings.senders)
             });
--- a/src/start/hint.rs
+++ b/src/start/hint.rs
@@ -27,8 +27,9 @@
     pub trouble: u8,
     /// Calls a second that it believes the list service to bear, in eighths.
     pub bears: u32,
-    /// Destinations, and the messages that it holds for each: the first [`MOST_HELD`].
-    pub held: Vec<(u16, u16)>,
+    /// Destinations, and the messages that it holds for each: the first [`MOST_HELD`]. A destination whose number
+    /// needs more than two bytes is left out.
+    pub held: Vec<(u32, u16)>,
 }
 
 impl Hint {
@@ -41,9 +42,12 @@
         bytes.extend(self.version.to_le_bytes());
         bytes.push(self.trouble);
         bytes.extend(self.bears.to_le_bytes());
-        let held = self.held.iter().take(MOST_HELD);
+        let short = self.held.iter().filter_map(|(to, count)| Some((u16::try_from(*to).ok()?, *count)));
+        let held: Vec<(u16, u16)> = short.take(MOST_HELD).collect();
         bytes.push(held.len() as u8);
-        held.for_each(|(to, count)| bytes.extend([to.to_le_bytes(), count.to_le_bytes()].as_flattened()));
+        for (to, count) in held {
+            bytes.extend([to.to_le_bytes(), count.to_le_bytes()].as_flattened());
+        }
         bytes.extend(crc32fast::hash(&bytes).to_le_bytes());
         bytes
     }
@@ -69,7 +73,7 @@
             bears: u32::from_le_bytes(body[18..22].try_into().ok()?),
             held: held
                 .iter()
-                .map(|[a, b, c, d]| (u16::from_le_bytes([*a, *b]), u16::from_le_bytes([*c, *d])))
+                .map(|[a, b, c, d]| (u16::from_le_bytes([*a, *b]).into(), u16::from_le_bytes([*c, *d])))
                 .collect(),
         })
     }
--- a/src/start/mod.rs
+++ b/src/start/mod.rs
@@ -90,7 +90,7 @@
 }
 
 /// An endpoint in a word on the list: its name, its destination, and whether it may be used.
-pub type Named = (String, u16, bool);
+pub type Named = (String, u32, bool);
 
 /// What senders say on their channels.
 #[derive(Debug, Serialize, Deserialize)]
@@ -139,7 +139,7 @@
     version: u64,
     trouble: f64,
     bears: f64,
-    held: BTreeMap<u16, u16>,
+    held: BTreeMap<u32, u16>,
 }
 
 /// What this process begins with.
@@ -209,7 +209,7 @@
     list: Option<Vec<Named>>,
     list_at: Option<Micros>,
     /// Names and destinations that this sender goes by.
-    names: BTreeMap<String, u16>,
+    names: BTreeMap<String, u32>,
     /// Who said of which endpoint that it is gone, since this sender's own last answer; and who said anything.
     denied: BTreeMap<String, BTreeSet<Rank>>,
     witnesses: BTreeMap<Rank, u64>,
@@ -218,8 +218,8 @@
     pub counts: Counts,
     phase: (Phase, Micros),
     /// Destinations that this sender holds the most messages for, and its parts that were told.
-    held: Vec<(u16, u16)>,
-    parts: BTreeMap<u16, f64>,
+    held: Vec<(u32, u16)>,
+    parts: BTreeMap<u32, f64>,
     /// Old messages that wait for their turn.
     pub backlog: pace::Backlog,
 }
@@ -428,8 +428,8 @@
     }
 
     /// Messages that this sender holds, by destination.
-    pub fn holds(&mut self, held: impl IntoIterator<Item = (u16, usize)>) {
-        let mut held: Vec<(u16, usize)> = held.into_iter().filter(|held| held.1 > 0).collect();
+    pub fn holds(&mut self, held: impl IntoIterator<Item = (u32, usize)>) {
+        let mut held: Vec<(u32, usize)> = held.into_iter().filter(|held| held.1 > 0).collect();
         held.sort_unstable_by_key(|held| (Reverse(held.1), held.0));
         let short = held.into_iter().take(hint::MOST_HELD);
         self.held = short.map(|(to, count)| (to, count.min(u16::MAX.into()) as u16)).collect();
@@ -437,7 +437,7 @@
 
     /// This sender's part of the calls that a cold destination bears from all: half of it even, half by how much of what
     /// all hold is held here. The even half bounds what a false hint takes away; all senders' parts come to about 1.
-    pub fn part(&self, destination: u16) -> f64 {
+    pub fn part(&self, destination: u32) -> f64 {
         let there = self.there.max(1) as f64;
         let own = self.held.iter().find(|held| held.0 == destination).map_or(0.0, |held| f64::from(held.1));
         let heard = self.heard.values().map(|heard| f64::from(*heard.held.get(&destination).unwrap_or(&0)));
@@ -448,15 +448,15 @@
 
     /// This sender's parts of cold destinations, as far as they have changed by a tenth; none are told without hints of
     /// others to go by.
-    pub fn parts(&mut self, cold: impl IntoIterator<Item = u16>) -> Vec<(u16, f64)> {
+    pub fn parts(&mut self, cold: impl IntoIterator<Item = u32>) -> Vec<(u32, f64)> {
         if self.heard.len() < ENOUGH.min(self.size.saturating_sub(1)) {
             return Vec::new();
         }
-        let parts: Vec<(u16, f64)> = cold.into_iter().map(|to| (to, self.part(to))).collect();
-        let news = |(to, part): &(u16, f64)| {
+        let parts: Vec<(u32, f64)> = cold.into_iter().map(|to| (to, self.part(to))).collect();
+        let news = |(to, part): &(u32, f64)| {
             self.parts.get(to).is_none_or(|told| (told - part).abs() > part.max(*told) / 10.0)
         };
-        let news: Vec<(u16, f64)> = parts.into_iter().filter(news).collect();
+        let news: Vec<(u32, f64)> = parts.into_iter().filter(news).collect();
         self.parts.extend(news.iter().copied());
         news
     }
@@ -611,7 +611,7 @@
         if self.watches() || version <= self.version {
             return;
         }
-        let usable: BTreeMap<&str, u16> =
+        let usable: BTreeMap<&str, u32> =
             list.iter().filter(|named| named.2).map(|named| (named.0.as_str(), named.1)).collect();
         for (name, group) in &self.names {
             if usable.get(name.as_str()) == Some(group) {
--- a/src/status/mod.rs
+++ b/src/status/mod.rs
@@ -177,7 +177,7 @@
     /// Its tenant, by name; empty for none.
     pub tenant: String,
     /// Its destination.
-    pub destination: u16,
+    pub destination: u32,
     /// CRC-32 of its idempotency key, if it has one: tells whether two are alike, never what it is.
     pub key: Option<u32>,
     /// When it was taken on, Unix microseconds: the same in all logs, since it tells the shard.
@@ -243,7 +243,7 @@
     pub classes: Vec<String>,
     /// For one of these destinations; all if it is empty.
     #[serde(default)]
-    pub destinations: Vec<u16>,
+    pub destinations: Vec<u32>,
     /// Rows at most, of [`MOST_ROWS`].
     #[serde(default = "rows")]
     pub limit: u32,
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -261,7 +261,7 @@
         key: (key != 0).then_some(key),
         time_left: r.u32(21).into(),
         hint: (options & 1 != 0).then(|| r.u32(25).into()),
-        destination: DestinationId(destination as u16),
+        destination: DestinationId(destination as u32),
     }))
 }
 
@@ -271,7 +271,7 @@
         kind: e.0[2].into(),
         weight: f64::from(e.f32(3)),
         endpoint: e.endpoint(7),
-        destination: DestinationId(e.u16(13)),
+        destination: DestinationId(e.u16(13).into()),
         listing: match e.0[15] {
             0 => Listing::Gone,
             1 => Listing::Ready,
--- a/tests/estimate/main.rs
+++ b/tests/estimate/main.rs
@@ -25,7 +25,7 @@
 pub const SPAN: u64 = 60_000_000;
 const NOW: u64 = 20 * SPAN;
 
-pub fn entry(id: u64, tenant: &str, class: u8, destination: u16, taken_at: u64, state: State) -> Entry {
+pub fn entry(id: u64, tenant: &str, class: u8, destination: u32, taken_at: u64, state: State) -> Entry {
     Entry {
         id: format!("m-{id}"),
         class: ["note", "order", "bill"][usize::from(class % 3)].into(),
@@ -140,7 +140,7 @@
 
 fn any_entry() -> impl Strategy<Value = Entry> {
     let tenant = prop_oneof![3 => 0..4u32, 2 => 0..90u32];
-    (0..400u64, tenant, 0..3u8, 0..40u16, 10 * SPAN..NOW, 0..6usize).prop_map(
+    (0..400u64, tenant, 0..3u8, 0..40u32, 10 * SPAN..NOW, 0..6usize).prop_map(
         |(id, tenant, class, destination, at, state)| {
             entry(id, &format!("t{tenant}"), class, destination, at, State::ALL[state])
         },
@@ -151,7 +151,7 @@
     let times = (8 * SPAN..NOW, 0..12 * SPAN);
     let ids = prop::collection::vec(0..500u64, 0..5);
     let lists = (prop::collection::vec(0..6usize, 0..3), prop::collection::vec(0..3usize, 0..2));
-    let to = prop::collection::vec(0..50u16, 0..3);
+    let to = prop::collection::vec(0..50u32, 0..3);
     ((0..6u32, any::<bool>()), times, ids, lists, to).prop_map(
         |((tenant, after), (from, long), ids, lists, to)| Query {
             ids: ids.iter().map(|id| format!("m-{id}")).collect(),
@@ -209,7 +209,7 @@
                     n + 1_000_000 * u64::from(owner),
                     &tenant(n),
                     (n % 3) as u8,
-                    (n % 20) as u16,
+                    (n % 20) as u32,
                     at,
                     State::Delivered,
                 )
--- a/tests/estimate/tier.rs
+++ b/tests/estimate/tier.rs
@@ -60,7 +60,7 @@
                 let rate = [4.0, 1.5, 0.6, 0.2][n] * wave * self.burst[n];
                 if self.rng.f64() < rate * STEP as f64 / 1e6 {
                     self.ids += 1;
-                    let (class, to) = (self.rng.u8(0..3), self.rng.u16(0..12));
+                    let (class, to) = (self.rng.u8(0..3), self.rng.u32(0..12));
                     let taken = entry(self.ids, tenant, class, to, now + at as u64, State::Taken);
                     self.entries[at].push_back(taken);
                     self.upto[at] += 1;
@@ -118,7 +118,7 @@
             0 => all,
             1 => Query { states: vec![State::Delivered], ..all },
             2 => Query { classes: vec!["note".into(), "bill".into()], ..all },
-            3 => Query { destinations: vec![rng.u16(0..12), rng.u16(0..12), rng.u16(0..12)], ..all },
+            3 => Query { destinations: vec![rng.u32(0..12), rng.u32(0..12), rng.u32(0..12)], ..all },
             _ => {
                 let recent = self.ids.saturating_sub(6_000)..=self.ids + 50;
                 let ids = (0..24).map(|_| format!("m-{}", rng.u64(recent.clone()))).collect();
--- a/tests/status.rs
+++ b/tests/status.rs
@@ -38,7 +38,7 @@
             attempts,
             changed_at: taken_at + later,
             deadline: 100 + u64::from(words % 2),
-            destination: words,
+            destination: words.into(),
             owner,
             ..entry("a", "t", taken_at, &[])
         },
