Lay out the list's core: its reader, table, bounds and errors

Need: several hands work on the list of 310,000 destinations at once; they meet at these types. Change: src/endpoints with Listing and ListBody moved there, a reader and a table with the interface they will have and a plain stand-in behind it, and the errors with codes and remedies on the operators' page. Nothing uses them yet.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -51,6 +51,7 @@
 pub mod channel;
 pub mod check;
 pub mod drain;
+pub mod endpoints;
 pub mod estimate;
 pub mod interface;
 pub mod membership;
--- a/src/net/listing.rs
+++ b/src/net/listing.rs
@@ -1,56 +1,17 @@
-//! Endpoints, as discovery writes them and as the sender keeps them.
+//! Endpoints as the sender keeps them.
 
 use std::net::SocketAddr;
 
+pub use myrtleyard::endpoints::listing::{ListBody, Listing};
 use serde::{Deserialize, Serialize};
 
-/// The list of endpoints, whole or changes of it, as discovery writes it.
-#[derive(Debug, Default, Clone, Deserialize)]
-pub struct ListBody {
-    /// Its version.
-    #[serde(default)]
-    pub index: u64,
-    /// Whether it is the whole list.
-    #[serde(default)]
-    pub snapshot: bool,
-    /// Its entries.
-    #[serde(default)]
-    pub endpoints: Vec<Listing>,
-}
-
-/// One entry.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
-pub struct Listing {
-    /// The same at every sender.
-    pub name: String,
-    /// Where this sender dials it.
-    #[serde(default)]
-    pub address: String,
-    /// Its zone, by name.
-    #[serde(default)]
-    pub zone: String,
-    /// Its kind, by name.
-    #[serde(default, rename = "type")]
-    pub kind: String,
-    /// Its destination.
-    pub group: u16,
-    /// `active`, `leaving` or `left`.
-    pub status: String,
-    /// Its weight.
-    #[serde(default)]
-    pub weight: f64,
-    /// When it last started, Unix time in milliseconds; 0 for long ago.
-    #[serde(default)]
-    pub since_ms: u64,
-}
-
 /// An endpoint as the list has it.
 #[derive(Serialize, Deserialize)]
 pub struct Known {
     /// Its name.
     pub name: String,
     /// Its destination.
-    pub group: u16,
+    pub group: u32,
     /// Where it is dialled, if that can be read.
     pub address: Option<SocketAddr>,
     /// It is in the list.
--- a/src/net/refusals/tests.rs
+++ b/src/net/refusals/tests.rs
@@ -1,6 +1,7 @@
 use std::collections::BTreeSet;
 
 use myrtleyard::drain::{Refusal, Unread};
+use myrtleyard::endpoints::ListError;
 use myrtleyard::estimate::decide::Cut;
 use myrtleyard::estimate::estimator::NoEstimate;
 use myrtleyard::estimate::sending::NoRun;
@@ -49,6 +50,7 @@
         Denied::CODES,
         Unreadable::CODES,
         Unfit::CODES,
+        ListError::CODES,
         &status(),
     ];
     let mut own: BTreeSet<&str> = own.concat().into_iter().collect();
