--- a/src/lib.rs
+++ b/src/lib.rs
@@ -51,10 +51,12 @@
 pub mod channel;
 pub mod check;
 pub mod drain;
+pub mod endpoints;
 pub mod estimate;
 pub mod interface;
 pub mod membership;
 pub mod mesh;
+pub mod note;
 pub mod plans;
 pub mod policy;
 pub mod start;
