Let the test of a changed following bear two connections read out of turn

Change: of the four requests after the reload one at most may be a watch, wherever it stands but last; any number was let pass before the first whole list.

--- a/tests/node/configuration.rs
+++ b/tests/node/configuration.rs
@@ -166,11 +166,12 @@
         config["settings"]["discovery"] = json!("ask");
         config["settings"]["obligations"]["ask_every_us"] = json!(1_000_000);
     });
-    // A watch may have been asked for once more meanwhile.
-    wait_until(|| asked() == "/v1/endpoints");
-    for _ in 0..2 {
-        assert_eq!(asked(), "/v1/endpoints");
-    }
+    // A watch may have been asked for once more just before, on a connection of its own, which may be read later.
+    let asks: Vec<String> = (0..4).map(|_| asked()).collect();
+    let watches = asks.iter().filter(|path| path.contains("from=")).count();
+    assert!(watches <= 1, "{asks:?}");
+    assert!(asks.iter().filter(|path| *path == "/v1/endpoints").count() >= 3, "{asks:?}");
+    assert_eq!(asks[3], "/v1/endpoints", "{asks:?}");
     node.reload_and_wait(|config| config["settings"]["discovery"] = json!("push"));
     wait_until(|| asked().contains("from="));
 }
