--- a/src/net/driver.rs
+++ b/src/net/driver.rs
@@ -1,46 +1,42 @@
-//! The loop round the module: events are collected into a turn, the module decides, the journal is
-//! written, and only then are clients answered and calls started.
+//! The driver round the module: what happened becomes events, and what the module decides is carried out. Events are
+//! collected into a turn ([`turn`]), turn after turn for as long as the process runs ([`service`]).
 
 mod covered;
 mod draining;
 pub mod estimating;
 mod indexed;
+mod service;
 mod starting;
+mod turn;
 
 use std::cell::RefCell;
 use std::collections::{BTreeMap, BTreeSet, HashMap};
-use std::net::SocketAddr;
-use std::path::PathBuf;
 use std::rc::Rc;
-use std::time::Duration;
 
 use myrtleyard::interface::*;
 use myrtleyard::policy::Policy;
-use myrtleyard::start::Source;
 use myrtleyard::start::pace::Backlog;
 use myrtleyard::status::State;
 use myrtleyard::takeover::lots::Fact;
 use myrtleyard::told::Told;
-use tokio::net::{TcpListener, UnixStream};
-use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel};
+use tokio::net::UnixStream;
+use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender};
 use tokio::sync::{oneshot, watch};
 use tokio::task::JoinHandle;
 
-use super::calls::{Calls, Limits, Line, Part};
-use super::config::{Config, InForce};
-use super::figures::{End, Figures, Now};
+use super::calls::{Calls, Limits};
+use super::figures::{End, Figures};
 use super::handover::{self, Claim, Order, Predecessor, Relay};
 use super::intake::{Answer, HandedIn, Intake};
-use super::journal::{Attempt, GivenUp, Journal, Live, Record, Taken, taken_on};
+use super::journal::{GivenUp, Journal, Live, Record, Taken};
 use super::listing::{Known, ListBody, Shape};
-use super::mgmt::{self, Mgmt};
 use super::names::{Names, following};
 use super::parts::indexing::end_of;
 use super::parts::{self, Parts};
 use super::peers::Peers;
 use super::platform::{self, Notice};
-use super::refusals::NoStart;
 use covered::Covered;
+pub use service::run;
 
 use super::{AttemptOver, Clock, Inbound, STOP_WITHIN, Standing};
 
@@ -48,10 +44,6 @@
 const STILL_CALLED: Micros = 1_000_000;
 /// Advice to clients while the journal has no room.
 const NO_ROOM_AGAIN: Micros = 1_000_000;
-/// Rest after a process that asked for the folder and did not take over: telling what is known costs time.
-const OFFER_AGAIN: Duration = Duration::from_millis(500);
-/// Descriptors that are neither clients' nor endpoints'.
-const OWN_SOCKETS: usize = 32;
 
 /// A drain of this process that is under way.
 #[derive(Debug, Clone, Copy)]
@@ -126,220 +118,6 @@
     successor: Option<UnixStream>,
 }
 
-/// Runs the sender until it is asked to end and has.
-///
-/// # Errors
-/// Fails when it can't start: an address or the journal is not to be had.
-pub async fn run(
-    config: Config,
-    inherited: Option<std::net::TcpListener>,
-    discovery: watch::Receiver<SocketAddr>,
-    in_force: InForce,
-    inbound: UnboundedSender<Inbound>,
-    mut events: UnboundedReceiver<Inbound>,
-) -> Result<(), NoStart> {
-    let (standing, stand) = watch::channel(Standing::Starting);
-    let figures = Rc::new(Figures::default());
-    figures.name(&config.names);
-    let mut own_sockets = OWN_SOCKETS;
-    let mut called_at = String::new();
-    if let Some(address) = config.mgmt {
-        own_sockets += mgmt::PLACES;
-        let listener = TcpListener::bind(address).await.map_err(|why| NoStart::Mgmt { address, why })?;
-        let bound = listener.local_addr().map_err(|why| NoStart::Mgmt { address, why })?;
-        called_at = format!(", operators call at {bound}");
-        tokio::task::spawn_local(
-            Rc::new(Mgmt::new(stand.clone(), figures.clone(), in_force, inbound.clone())).listen(listener),
-        );
-    }
-    let folder = config.state.clone();
-    let (mut claim, predecessor) = match inherited.is_some() {
-        true => handover::claim(&folder).await.map(|(claim, before)| (Some(claim), before)),
-        false => Ok((None, None)),
-    }
-    .map_err(|why| NoStart::Folder { folder: folder.clone(), why })?;
-    let clock = match &predecessor {
-        Some(predecessor) => Clock::new().from(predecessor.knowledge.now),
-        None => Clock::new(),
-    };
-    let disk = config.disk - Parts::room(&config);
-    let journal =
-        Journal::open(&folder, disk).map_err(|why| NoStart::Journal { folder: folder.clone(), why })?;
-    let peers = Peers::open(&config, inbound.clone()).await.map_err(NoStart::Peers)?;
-    let (notices, owed) = unbounded_channel();
-    let wanted = Rc::new(platform::Wanted::default());
-    let sides = config.sockets.saturating_sub(own_sockets) / 2;
-    let parts = Parts::open(&config, &folder, clock.now());
-    let names = Rc::new(RefCell::new(config.names));
-    let limits = limits(&config.settings, &names.borrow(), sides.max(1));
-    let intake = Rc::new(Intake::new(clock, names.clone(), inbound.clone(), stand));
-    let mut driver = Driver {
-        clock,
-        names,
-        connections: sides.max(1),
-        next_message: journal.live().keys().next_back().map_or(0, |last| last.wrapping_add(1)),
-        journal,
-        calls: Calls::new(limits, figures.clone(), inbound.clone()),
-        figures,
-        peers,
-        notices,
-        wanted: wanted.clone(),
-        shared: config.start.as_ref().is_some_and(|section| section.source == Source::Service),
-        inbound: inbound.clone(),
-        standing,
-        stop_at: None,
-        drain: None,
-        parts,
-        covered: Covered::default(),
-        intake: intake.clone(),
-        endpoints: HashMap::new(),
-        ids: HashMap::new(),
-        given: 0,
-        index: config.known.index,
-        timers: BTreeSet::new(),
-        held: HashMap::new(),
-        attempts: HashMap::new(),
-        fresh: BTreeMap::new(),
-        unwritten: Vec::new(),
-        unsaid: Vec::new(),
-        predecessor: None,
-        successor: None,
-        policy: Policy::new(config.settings.clone(), config.seed, clock.now()),
-        settings: config.settings,
-    };
-    driver.resume_covered();
-    driver.resume_indexed();
-    let from = driver.parts.starting.as_mut().and_then(|part| part.from.take());
-    let (first, followed) = match predecessor {
-        Some(predecessor) => {
-            let (first, followed) = driver.take_over(predecessor, inbound.clone(), config.seed);
-            (first, Some(followed))
-        }
-        None => (driver.start(from.unwrap_or(config.known)), None),
-    };
-    driver.turn(first);
-
-    let no_listener = |why| NoStart::Listen { address: config.listen, why };
-    // What waits at a socket that others inherit, too, is theirs to serve after this process's end.
-    let own_door = inherited.is_none();
-    let listener = match inherited {
-        Some(listener) => TcpListener::from_std(listener),
-        None => TcpListener::bind(config.listen).await,
-    };
-    let listener = listener.map_err(no_listener)?;
-    let listener = Rc::new(listener);
-    let door = own_door.then(|| listener.clone());
-    let address = listener.local_addr().map_err(|why| NoStart::Listen { address: config.listen, why })?;
-    driver.standing.send_replace(Standing::InService);
-    let following = platform::Following::new(&driver.settings, driver.shared, driver.index, config.seed);
-    let pace =
-        driver.parts.starting.as_ref().filter(|_| !driver.settings.must_ask).map(|part| part.pace(clock));
-    let mut tasks = vec![
-        tokio::task::spawn_local(intake.clone().listen(listener, sides.max(1))),
-        tokio::task::spawn_local(platform::notices(discovery.clone(), owed, inbound.clone())),
-        tokio::task::spawn_local(platform::follow(discovery, following, pace, wanted, inbound.clone())),
-    ];
-    if claim.is_some() {
-        // One handover at a time: what the process before still does is passed on to this one alone.
-        tasks.push(tokio::task::spawn_local(succeed(folder.clone(), inbound.clone(), followed)));
-    }
-    let in_hand = driver.journal.live().len();
-    tracing::info!("{} is ready on {address} with {in_hand} messages in hand{called_at}", config.name);
-
-    let mut turned = tokio::time::Instant::now();
-    loop {
-        let due = driver.timers.first().map_or(Micros::MAX / 2, |timer| timer.0);
-        // What is looked at now and then: an end that is near, a journal that could not be written.
-        let watchful = driver.stop_at.is_some() || !driver.unwritten.is_empty();
-        let due = if watchful { due.min(clock.now() + 50_000) } else { due };
-        let due = due.min(driver.parts.due().unwrap_or(due)).min(driver.covered.due().unwrap_or(due));
-        let first = tokio::select! {
-            first = events.recv() => first,
-            () = tokio::time::sleep_until(clock.instant(due.min(clock.now() + 60_000_000))) => None,
-        };
-        // Turns are a period apart at least, as the module is told.
-        tokio::time::sleep_until(turned + Duration::from_micros(driver.settings.period)).await;
-        turned = tokio::time::Instant::now();
-        let mut said: Vec<Event> = Vec::new();
-        first.into_iter().for_each(|inbound| driver.fold(inbound, &mut said));
-        while let Ok(inbound) = events.try_recv() {
-            driver.fold(inbound, &mut said);
-        }
-        let now = clock.now();
-        driver.with_parts(|parts, out| parts.tick(now, out));
-        driver.covered(&mut said);
-        driver.starting(&mut said);
-        while let Some(timer) = driver.timers.pop_first() {
-            if timer.0 > now {
-                driver.timers.insert(timer);
-                break;
-            }
-            said.push(Event::Reminder(timer.1));
-        }
-        if !said.is_empty() || !driver.unwritten.is_empty() || !driver.unsaid.is_empty() {
-            driver.turn(said);
-        }
-        if driver.may_end(intake.open()) {
-            if let Some(door) = &door {
-                intake.admit_waiting(door, sides.max(1)).await;
-            }
-            if !driver.may_end(intake.open()) {
-                continue;
-            }
-            driver.leave_waiting();
-            return Ok(());
-        }
-        // What can't be written down yet can't be told either.
-        if driver.unwritten.is_empty() && driver.successor.is_some() {
-            let old = driver.resume_all();
-            if !old.is_empty() {
-                driver.turn(old);
-            }
-        }
-        // That turn may have had something to write, too: the next process waits until it is written.
-        if driver.unwritten.is_empty()
-            && let Some(stream) = driver.successor.take()
-            && claim.is_some()
-        {
-            // After the last turn: what it kept back ends as not made, which the next process hears.
-            driver.give_waiting_up();
-            let told = match driver.offer(stream).await {
-                Ok(told) => told,
-                Err(e) => {
-                    tracing::warn!("the new process did not take over, and this one goes on: {e}");
-                    // Who asks and dies again and again leaves nothing behind.
-                    tasks.retain(|task| !task.is_finished());
-                    let rest = tokio::task::spawn_local(tokio::time::sleep(OFFER_AGAIN));
-                    tasks.push(tokio::task::spawn_local(succeed(
-                        folder.clone(),
-                        inbound.clone(),
-                        Some(rest),
-                    )));
-                    continue;
-                }
-            };
-            let Some(claim) = claim.take() else { continue };
-            for task in std::mem::take(&mut tasks) {
-                task.abort();
-                let _ = task.await;
-            }
-            driver.hand_over(told, claim, intake, events).await;
-            return Ok(());
-        }
-    }
-}
-
-/// Waits for the next process to ask for the folder, once this is over.
-async fn succeed(folder: PathBuf, inbound: UnboundedSender<Inbound>, first: Option<JoinHandle<()>>) {
-    if let Some(first) = first {
-        let _ = first.await;
-    }
-    match handover::successor(&folder).await {
-        Ok(stream) => drop(inbound.send(Inbound::Successor(stream))),
-        Err(e) => tracing::warn!("no process can take over from this one: {e}"),
-    }
-}
-
 fn limits(settings: &Settings, names: &Names, connections: usize) -> Limits {
     Limits {
         connect: settings.connect_timeout.max(1),
@@ -808,248 +586,6 @@
         if list.snapshot { Event::List(entries) } else { Event::Changes(entries) }
     }
 
-    /// One turn: the module decides, the journal is written, then clients hear and calls begin.
-    fn turn(&mut self, said: Vec<Event>) {
-        let now = self.clock.now();
-        let mut actions = Vec::new();
-        self.policy.handle(now, &said, &mut actions);
-        self.withdraw_calls(&said);
-        let mut records = std::mem::take(&mut self.unwritten);
-        let mut fresh = std::mem::take(&mut self.fresh);
-        // Answered in the turn that took them: the journal never hears of these.
-        let mut given_up = Vec::new();
-        let mut sends: Vec<(MessageId, u16, EndpointId, Micros)> = Vec::new();
-        for action in actions {
-            match action {
-                Action::Attempt { message, endpoint, timeout } => {
-                    if let Some(attempt) = self.attempts_of(message, &fresh) {
-                        sends.push((message, attempt, endpoint, timeout));
-                    }
-                }
-                Action::Refuse { message, retry_after } => {
-                    given_up.push((message.0, GivenUp::Deferred(retry_after)));
-                }
-                Action::Fail(message) => given_up.push((message.0, GivenUp::Undeliverable)),
-                Action::Cancel { message, attempt } => {
-                    self.calls.cancel(message, attempt);
-                    if let Some(predecessor) = &self.predecessor {
-                        let _ = predecessor.send(Order::Cancel(message, attempt));
-                    }
-                }
-                Action::Probe(endpoint) => match self.line(endpoint) {
-                    Some(line) => self.calls.probe(line),
-                    None => {
-                        let outcome = Outcome::ConnectFailed;
-                        let event = Event::Probed { endpoint, outcome, report: vec![] };
-                        let _ = self.inbound.send(Inbound::Event(event));
-                    }
-                },
-                Action::CloseIdle(endpoint) => self.calls.close_idle(endpoint),
-                Action::Watch => self.wanted.watch.notify_one(),
-                Action::FetchList => self.wanted.whole.notify_one(),
-                Action::Tell { to, content } => {
-                    if let Some(peers) = &self.peers {
-                        peers.tell(to, &content);
-                    }
-                }
-                Action::Remind { at, token } => {
-                    self.timers.insert((at, token));
-                }
-                Action::Log(line) => tracing::info!("{line}"),
-            }
-        }
-        for (number, how) in given_up {
-            if let Some(fresh) = fresh.remove(&number) {
-                self.forget(number, &fresh.taken.id);
-                self.figures.ended(&fresh.taken.class, how.into());
-                let (id, destination) = (&fresh.taken.id, fresh.taken.destination);
-                tracing::debug!(id, destination, ?how, "turned away");
-                fresh.answer(match how {
-                    GivenUp::Deferred(again) => Answer::Refused(again),
-                    GivenUp::Undeliverable => Answer::Failed,
-                });
-            } else if let Some(live) = self.journal.live().get(&number) {
-                let unwritten = self.calls.give_up(MessageId(number));
-                let never_ran = |a: &Attempt| a.never_ran || unwritten.contains(&a.number);
-                // The module can't know how far a call has come. What others called for is not known here.
-                let how = match how {
-                    GivenUp::Undeliverable
-                        if live.covered.is_none() && live.attempts.iter().all(never_ran) =>
-                    {
-                        GivenUp::Deferred(0)
-                    }
-                    how => how,
-                };
-                let id = live.taken.id.clone();
-                let (destination, attempts) = (live.taken.destination, live.attempts.len());
-                tracing::debug!(id, destination, attempts, ?how, "given up");
-                self.figures.ended(&live.taken.class, how.into());
-                records.push(Record::GivenUp(number, how));
-                self.index_ended(number, end_of(how));
-                self.unsaid.push((number, how, id));
-            }
-        }
-        let kept = records.len();
-        for (number, fresh) in &fresh {
-            records.extend(taken_on(*number, &fresh.taken));
-            let tag = self.place(&fresh.taken, now);
-            records.extend(tag.map(|tag| Record::Covered(*number, tag, now)));
-        }
-        records.extend(sends.iter().map(|(message, attempt, endpoint, _)| Record::Begun {
-            message: message.0,
-            attempt: *attempt,
-            endpoint: self.endpoints.get(endpoint).map(|known| known.name.clone()).unwrap_or_default(),
-            at: now,
-        }));
-        if let Err(e) = self.journal.append(&records) {
-            tracing::error!("the journal can't be written: {e}");
-            records.truncate(kept);
-            self.withhold(records, fresh, &sends);
-        } else {
-            self.index_taken(&fresh, now);
-            for (number, fresh) in fresh {
-                self.cover(number, now);
-                let Taken { id, class, destination, .. } = &fresh.taken;
-                tracing::debug!(id, class, destination, "taken on");
-                let answer = self.taken_answer(&fresh.taken);
-                fresh.answer(answer);
-            }
-            for (number, how, id) in std::mem::take(&mut self.unsaid) {
-                self.end_told(number, how, id);
-            }
-            let sends = self.keep_back(sends, now);
-            self.begin(sends, now);
-            self.with_parts(|parts, out| {
-                if let Some(covering) = &mut parts.covering {
-                    covering.flush(now, out);
-                }
-                if let Some(indexing) = &mut parts.indexing {
-                    indexing.flush(now, out);
-                }
-            });
-        }
-        self.figures.stand(Now {
-            current: self.policy.held(),
-            cluster_size: self.endpoints.values().filter(|known| known.listed).count(),
-            cluster_unhealthy: self.policy.avoided(),
-        });
-    }
-
-    /// Guards the promise that what is taken on outlasts the process: with no journal nothing is taken on
-    /// and no call begins.
-    fn withhold(
-        &mut self,
-        records: Vec<Record>,
-        fresh: BTreeMap<u32, Fresh>,
-        sends: &[(MessageId, u16, EndpointId, Micros)],
-    ) {
-        self.unwritten = records;
-        sends.iter().for_each(|send| self.not_made(*send));
-        for (number, fresh) in fresh {
-            self.forget(number, &fresh.taken.id);
-            self.figures.ended(&fresh.taken.class, End::Deferred);
-            let _ = self.inbound.send(Inbound::Event(Event::Left(MessageId(number))));
-            fresh.answer(Answer::Refused(NO_ROOM_AGAIN));
-        }
-    }
-
-    /// What waits for a connection to an endpoint that is leaving, or gone, goes elsewhere at once.
-    fn withdraw_calls(&self, said: &[Event]) {
-        let listed = |entries: &[Entry], endpoint, ready| {
-            entries.iter().any(|e| e.endpoint == endpoint && (e.listing == Listing::Ready) == ready)
-        };
-        for event in said {
-            match event {
-                Event::List(entries) => self.calls.withdraw(|endpoint| !listed(entries, endpoint, true)),
-                Event::Changes(entries) => self.calls.withdraw(|endpoint| listed(entries, endpoint, false)),
-                _ => {}
-            }
-        }
-    }
-
-    /// Tells the module that a call of its was not made.
-    fn not_made(&self, (message, attempt, endpoint, _): (MessageId, u16, EndpointId, Micros)) {
-        let end = AttemptOver::unanswered(message, attempt, endpoint, Outcome::Moot { no_slot: false });
-        let _ = self.inbound.send(Inbound::CallOver(vec![end]));
-    }
-
-    /// The number of a message's next attempt, if it is held.
-    fn attempts_of(&mut self, message: MessageId, fresh: &BTreeMap<u32, Fresh>) -> Option<u16> {
-        let known = fresh.contains_key(&message.0) || self.journal.live().contains_key(&message.0);
-        let count = self.attempts.entry(message.0).or_default();
-        *count += 1;
-        known.then_some(*count - 1)
-    }
-
-    fn line(&self, endpoint: EndpointId) -> Option<Line> {
-        let address = self.endpoints.get(&endpoint)?.address?;
-        Some(Line { endpoint, address, route: self.policy.route_of(endpoint)? })
-    }
-
-    /// Until when a keyed message's call may be written: a repeat must be read while the key is remembered, however
-    /// late its connection comes up. What is covered is bound from when it was taken on, unless it is past that:
-    /// then it goes with a grant alone.
-    fn write_by(&self, number: u32, live: &Live, attempt: Option<u16>, now: Micros) -> Option<Micros> {
-        let class = self.policy.class_of(MessageId(number));
-        let class = class.or_else(|| self.names.borrow().class(&live.taken.class))?;
-        let effect = self
-            .settings
-            .classes
-            .get(class)?
-            .effect
-            .stricter(live.taken.effect.unwrap_or(Effect::Repeatable));
-        let Effect::Keyed { window, .. } = effect else { return None };
-        let ran =
-            live.attempts.iter().filter(|earlier| Some(earlier.number) != attempt && !earlier.never_ran);
-        let covered = live.covered.as_ref().map(|(_, since)| *since).filter(|since| now < since + window);
-        let first = ran.map(|earlier| earlier.at).chain(covered).min()?;
-        Some(first.saturating_add(window).saturating_sub(self.settings.repeat_margin(window)))
-    }
-
-    /// Starts the calls of a turn: what goes to one endpoint travels together as far as its kind allows.
-    /// Their time runs from the module's.
-    fn begin(&mut self, sends: Vec<(MessageId, u16, EndpointId, Micros)>, now: Micros) {
-        let mut calls: Vec<(EndpointId, Vec<Part>)> = Vec::new();
-        let mut last: HashMap<EndpointId, usize> = HashMap::new();
-        for (message, attempt, endpoint, wait) in sends {
-            let Some(live) = self.journal.live().get(&message.0) else { continue };
-            let until = now + wait;
-            let write_by =
-                self.write_by(message.0, live, Some(attempt), now).map_or(until, |by| by.min(until));
-            let (until, write_by) = (self.clock.instant(until), self.clock.instant(write_by));
-            if let Some(indexing) = &mut self.parts.indexing {
-                indexing.calling(&live.taken, attempt, self.clock.now());
-            }
-            let Taken { id, key, body, .. } = live.taken.clone();
-            let known = self.endpoints.get(&endpoint);
-            let (name, bundle) = known.map_or(("", 1), |known| (known.name.as_str(), known.bundle));
-            tracing::debug!(id, attempt, endpoint = name, "a call begins");
-            let part = Part { message, attempt, id, key, body, until, write_by };
-            let call = last.get(&endpoint).copied().and_then(|at| calls.get_mut(at));
-            match call.filter(|call| call.1.len() < bundle) {
-                Some(call) => call.1.push(part),
-                None => {
-                    last.insert(endpoint, calls.len());
-                    calls.push((endpoint, vec![part]));
-                }
-            }
-        }
-        for (endpoint, mut parts) in calls {
-            // The first is waited for as long as the call lasts, so that it is not given up while the others still wait.
-            parts.sort_by_key(|part| std::cmp::Reverse(part.until));
-            let Some(line) = self.line(endpoint) else {
-                // An address that can't be read is one where no connection can be made.
-                let failed = Outcome::ConnectFailed;
-                let ends = parts
-                    .into_iter()
-                    .map(|part| AttemptOver::unanswered(part.message, part.attempt, endpoint, failed));
-                let _ = self.inbound.send(Inbound::CallOver(ends.collect()));
-                continue;
-            };
-            self.calls.start(line, parts);
-        }
-    }
-
     /// Whether a process that was asked to end has nothing left to do that the next one can't.
     fn may_end(&self, clients: usize) -> bool {
         let Some(at) = self.stop_at else { return false };
--- a/src/net/driver/covered.rs
+++ b/src/net/driver/covered.rs
@@ -14,6 +14,7 @@
 use super::super::journal::{self, GivenUp, Live, Record, Taken, taken_on};
 use super::super::parts::Part;
 use super::super::refusals::NoCall;
+use super::turn::PlannedCall;
 use super::{Driver, End, NO_ROOM_AGAIN};
 
 /// Messages that are adopted in a turn at most: a turn stays short, and what the sender's own clients bring gets in
@@ -37,7 +38,7 @@
     lot: LotId,
     upto: u32,
     since: Micros,
-    send: (MessageId, u16, EndpointId, Micros),
+    call: PlannedCall,
 }
 
 /// A notice that waits for its grant, or for the message's time to be up.
@@ -129,10 +130,10 @@
 
     fn drop_waiting(&mut self, number: u32) {
         self.covered.bare.remove(&number);
-        let over = |held: &mut HeldCall| held.send.0.0 == number;
+        let over = |held: &mut HeldCall| held.call.message.0 == number;
         let over: Vec<HeldCall> = self.covered.calls.extract_if(.., over).collect();
         // The module counts them as out until it hears of them.
-        over.into_iter().for_each(|held| self.not_made(held.send));
+        over.into_iter().for_each(|held| self.not_made(held.call));
         self.covered.notices.retain(|held| held.message != number);
     }
 
@@ -159,31 +160,27 @@
     }
 
     /// Tells the intents of a turn's calls, and keeps back those that wait for their grant.
-    pub(super) fn keep_back(
-        &mut self,
-        sends: Vec<(MessageId, u16, EndpointId, Micros)>,
-        now: Micros,
-    ) -> Vec<(MessageId, u16, EndpointId, Micros)> {
+    pub(super) fn keep_back(&mut self, calls: Vec<PlannedCall>, now: Micros) -> Vec<PlannedCall> {
         if self.parts.covering.is_none() {
-            return sends;
+            return calls;
         }
-        let mut free = Vec::with_capacity(sends.len());
-        for send in sends {
-            let live = self.journal.live().get(&send.0.0);
+        let mut free = Vec::with_capacity(calls.len());
+        for call in calls {
+            let live = self.journal.live().get(&call.message.0);
             let Some((live, (tag, since))) = live.and_then(|live| Some((live, live.covered.clone()?))) else {
-                free.push(send);
+                free.push(call);
                 continue;
             };
-            let needs = self.needs_grant(send.0, live, since, now);
-            let upto = self.tell(&tag, Fact::Intent(send.1), now);
+            let needs = self.needs_grant(call.message, live, since, now);
+            let upto = self.tell(&tag, Fact::Intent(call.attempt), now);
             let owned = self.parts.covering.as_ref().is_some_and(|covering| covering.core.owns(tag.lot));
             match upto {
                 Some(upto) if needs => {
-                    self.covered.calls.push(HeldCall { lot: tag.lot, upto, since: now, send });
+                    self.covered.calls.push(HeldCall { lot: tag.lot, upto, since: now, call });
                 }
                 // It is about to hear that another owns it.
-                None if needs && !owned => self.not_made(send),
-                _ => free.push(send),
+                None if needs && !owned => self.not_made(call),
+                _ => free.push(call),
             }
         }
         free
@@ -192,7 +189,7 @@
     /// No call that waits is made by this process; the next one hears so.
     pub(super) fn give_waiting_up(&mut self) {
         for held in std::mem::take(&mut self.covered.calls) {
-            self.not_made(held.send);
+            self.not_made(held.call);
         }
     }
 
@@ -200,8 +197,8 @@
     pub(super) fn leave_waiting(&mut self) {
         let calls = std::mem::take(&mut self.covered.calls).into_iter();
         let never = calls.map(|held| {
-            let (MessageId(message), attempt, ..) = held.send;
-            Record::Ended { message, attempt, never_ran: true }
+            let PlannedCall { message, attempt, .. } = held.call;
+            Record::Ended { message: message.0, attempt, never_ran: true }
         });
         if let Err(e) = self.journal.append(&never.collect::<Vec<_>>()) {
             tracing::error!("the journal can't be written: {e}");
@@ -292,7 +289,7 @@
         let lease = self.parts.covering.as_ref().map_or(0, |covering| covering.core.lease());
         let late = |held: &mut HeldCall| now > held.since + lease.min(WAITS_FOR);
         let late: Vec<HeldCall> = self.covered.calls.extract_if(.., late).collect();
-        late.into_iter().for_each(|held| self.not_made(held.send));
+        late.into_iter().for_each(|held| self.not_made(held.call));
         let due = |held: &mut HeldNotice| now >= held.until;
         let due: Vec<HeldNotice> = self.covered.notices.extract_if(.., due).collect();
         // Somebody else may have called, or be calling: that it never ran can't be said any more.
@@ -352,13 +349,14 @@
         let free = |held: &mut HeldCall| held.lot == lot && held.upto <= upto;
         let free: Vec<HeldCall> = self.covered.calls.extract_if(.., free).collect();
         let owed = |held: &HeldCall| {
-            let live = self.journal.live().get(&held.send.0.0);
+            let live = self.journal.live().get(&held.call.message.0);
             live.is_some_and(|live| live.given_up.is_none())
         };
         let (free, over): (Vec<HeldCall>, _) = free.into_iter().partition(owed);
-        over.into_iter().for_each(|held| self.not_made(held.send));
-        let left = |HeldCall { since, send: (message, attempt, endpoint, wait), .. }: HeldCall| {
-            (message, attempt, endpoint, wait.saturating_sub(now - since))
+        over.into_iter().for_each(|held| self.not_made(held.call));
+        let left = |HeldCall { since, call, .. }: HeldCall| {
+            let timeout = call.timeout.saturating_sub(now - since);
+            PlannedCall { timeout, ..call }
         };
         self.begin(free.into_iter().map(left).collect(), now);
         let told = |held: &mut HeldNotice| held.lot == lot && held.upto <= upto;
--- /dev/null
+++ b/src/net/driver/service.rs
@@ -0,0 +1,383 @@
+//! The process round the driver: what it opens at its start, the tasks that it runs beside the loop, the loop itself,
+//! and its two ways to end: because it was asked to, or because a new process takes over.
+
+use std::cell::RefCell;
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::rc::Rc;
+use std::time::Duration;
+
+use myrtleyard::interface::*;
+use myrtleyard::policy::Policy;
+use myrtleyard::start::Source;
+use tokio::net::{TcpListener, UnixStream};
+use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel};
+use tokio::sync::watch;
+use tokio::task::JoinHandle;
+use tokio::time::Instant;
+
+use super::super::calls::Calls;
+use super::super::config::{Config, InForce};
+use super::super::figures::Figures;
+use super::super::handover::{self, Claim, Offered, Predecessor};
+use super::super::intake::Intake;
+use super::super::journal::Journal;
+use super::super::listing::ListBody;
+use super::super::mgmt::{self, Mgmt};
+use super::super::parts::Parts;
+use super::super::peers::Peers;
+use super::super::platform::{self, Notice};
+use super::super::refusals::NoStart;
+use super::super::{Clock, Inbound, Standing};
+use super::covered::Covered;
+use super::{Driver, limits};
+
+/// Rest after a process that asked for the folder and did not take over: telling what is known costs time.
+const OFFER_AGAIN: Duration = Duration::from_millis(500);
+/// Descriptors that are neither clients' nor endpoints'.
+const OWN_SOCKETS: usize = 32;
+/// How often an end that is near, or a journal that could not be written, is looked at, microseconds.
+const WATCHFUL_EVERY: Micros = 50_000;
+/// The loop turns at least this often, microseconds.
+const IDLE_TURN: Micros = 60_000_000;
+
+/// What the driver, the tasks round it and the operators' calls share.
+struct Channels {
+    inbound: UnboundedSender<Inbound>,
+    notices: UnboundedSender<Notice>,
+    standing: watch::Sender<Standing>,
+    stand: watch::Receiver<Standing>,
+    figures: Rc<Figures>,
+}
+
+/// Runs the sender until it is asked to end and has.
+///
+/// # Errors
+/// Fails when it can't start: an address or the journal is not to be had.
+pub async fn run(
+    config: Config,
+    inherited: Option<std::net::TcpListener>,
+    discovery: watch::Receiver<SocketAddr>,
+    in_force: InForce,
+    inbound: UnboundedSender<Inbound>,
+    events: UnboundedReceiver<Inbound>,
+) -> Result<(), NoStart> {
+    let (standing, stand) = watch::channel(Standing::Starting);
+    let figures = Rc::new(Figures::default());
+    figures.name(&config.names);
+    let called_at = open_mgmt(&config, &stand, &figures, in_force, &inbound).await?;
+    let own_sockets = OWN_SOCKETS + called_at.map_or(0, |_| mgmt::PLACES);
+    let places = (config.sockets.saturating_sub(own_sockets) / 2).max(1);
+    let (claim, predecessor) = claim(&config, inherited.is_some()).await?;
+    let (name, folder, listen, seed) =
+        (config.name.clone(), config.state.clone(), config.listen, config.seed);
+    let clock = match &predecessor {
+        Some(predecessor) => Clock::new().from(predecessor.knowledge.now),
+        None => Clock::new(),
+    };
+    let (notices, owed) = unbounded_channel();
+    let channels = Channels { inbound: inbound.clone(), notices, standing, stand, figures };
+    let (mut driver, known) = Driver::open(config, places, clock, channels).await?;
+    let (first, followed) = match predecessor {
+        Some(predecessor) => {
+            let (first, followed) = driver.take_over(predecessor, inbound.clone(), seed);
+            (first, Some(followed))
+        }
+        None => (driver.start(known), None),
+    };
+    driver.turn(first);
+
+    // What waits at a socket that others inherit, too, is theirs to serve after this process's end.
+    let own_door = inherited.is_none();
+    let (listener, address) = open_listener(inherited, listen).await?;
+    driver.standing.send_replace(Standing::InService);
+    let mut tasks = driver.spawn_tasks(&listener, discovery, owed, seed);
+    if claim.is_some() {
+        // One handover at a time: what the process before still does is passed on to this one alone.
+        tasks.push(tokio::task::spawn_local(succeed(folder.clone(), inbound, followed)));
+    }
+    let in_hand = driver.journal.live().len();
+    let called_at = called_at.map_or_else(String::new, |at| format!(", operators call at {at}"));
+    tracing::info!("{name} is ready on {address} with {in_hand} messages in hand{called_at}");
+    let door = own_door.then_some(listener);
+    Service { driver, events, tasks, folder, claim, door, places, turned: Instant::now() }.serve().await;
+    Ok(())
+}
+
+/// Listens where operators call, if they do; the address that it came to be.
+async fn open_mgmt(
+    config: &Config,
+    stand: &watch::Receiver<Standing>,
+    figures: &Rc<Figures>,
+    in_force: InForce,
+    inbound: &UnboundedSender<Inbound>,
+) -> Result<Option<SocketAddr>, NoStart> {
+    let Some(address) = config.mgmt else { return Ok(None) };
+    let failed = |why| NoStart::Mgmt { address, why };
+    let listener = TcpListener::bind(address).await.map_err(failed)?;
+    let bound = listener.local_addr().map_err(failed)?;
+    let mgmt = Rc::new(Mgmt::new(stand.clone(), figures.clone(), in_force, inbound.clone()));
+    tokio::task::spawn_local(mgmt.listen(listener));
+    Ok(Some(bound))
+}
+
+/// Claims the folder that lasts, where a platform starts new versions beside old ones; with the process that had it.
+async fn claim(config: &Config, shared: bool) -> Result<(Option<Claim>, Option<Predecessor>), NoStart> {
+    if !shared {
+        return Ok((None, None));
+    }
+    let failed = |why| NoStart::Folder { folder: config.state.clone(), why };
+    let (claim, before) = handover::claim(&config.state).await.map_err(failed)?;
+    Ok((Some(claim), before))
+}
+
+async fn open_listener(
+    inherited: Option<std::net::TcpListener>,
+    address: SocketAddr,
+) -> Result<(Rc<TcpListener>, SocketAddr), NoStart> {
+    let failed = |why| NoStart::Listen { address, why };
+    let listener = match inherited {
+        Some(listener) => TcpListener::from_std(listener),
+        None => TcpListener::bind(address).await,
+    };
+    let listener = listener.map_err(failed)?;
+    let bound = listener.local_addr().map_err(failed)?;
+    Ok((Rc::new(listener), bound))
+}
+
+/// Waits for the next process to ask for the folder, once this is over.
+async fn succeed(folder: PathBuf, inbound: UnboundedSender<Inbound>, first: Option<JoinHandle<()>>) {
+    if let Some(first) = first {
+        let _ = first.await;
+    }
+    match handover::successor(&folder).await {
+        Ok(stream) => drop(inbound.send(Inbound::Successor(stream))),
+        Err(e) => tracing::warn!("no process can take over from this one: {e}"),
+    }
+}
+
+impl Driver {
+    /// A driver with its journal, its other senders and its optional parts, which has decided nothing yet; and the list
+    /// that it begins from.
+    async fn open(
+        config: Config,
+        places: usize,
+        clock: Clock,
+        channels: Channels,
+    ) -> Result<(Self, ListBody), NoStart> {
+        let Channels { inbound, notices, standing, stand, figures } = channels;
+        let disk = config.disk - Parts::room(&config);
+        let failed = |why| NoStart::Journal { folder: config.state.clone(), why };
+        let journal = Journal::open(&config.state, disk).map_err(failed)?;
+        let peers = Peers::open(&config, inbound.clone()).await.map_err(NoStart::Peers)?;
+        let parts = Parts::open(&config, &config.state, clock.now());
+        let names = Rc::new(RefCell::new(config.names));
+        let limits = limits(&config.settings, &names.borrow(), places);
+        let mut driver = Self {
+            clock,
+            connections: places,
+            next_message: journal.live().keys().next_back().map_or(0, |last| last.wrapping_add(1)),
+            journal,
+            calls: Calls::new(limits, figures.clone(), inbound.clone()),
+            figures,
+            peers,
+            notices,
+            wanted: Rc::default(),
+            shared: config.start.as_ref().is_some_and(|section| section.source == Source::Service),
+            intake: Rc::new(Intake::new(clock, names.clone(), inbound.clone(), stand)),
+            names,
+            inbound,
+            standing,
+            stop_at: None,
+            drain: None,
+            parts,
+            covered: Covered::default(),
+            endpoints: HashMap::new(),
+            ids: HashMap::new(),
+            given: 0,
+            index: config.known.index,
+            timers: BTreeSet::new(),
+            held: HashMap::new(),
+            attempts: HashMap::new(),
+            fresh: BTreeMap::new(),
+            unwritten: Vec::new(),
+            unsaid: Vec::new(),
+            predecessor: None,
+            successor: None,
+            policy: Policy::new(config.settings.clone(), config.seed, clock.now()),
+            settings: config.settings,
+        };
+        driver.resume_covered();
+        driver.resume_indexed();
+        let kept = driver.parts.starting.as_mut().and_then(|part| part.from.take());
+        Ok((driver, kept.unwrap_or(config.known)))
+    }
+
+    /// Takes clients, sends notices and follows the list from now on.
+    fn spawn_tasks(
+        &self,
+        listener: &Rc<TcpListener>,
+        discovery: watch::Receiver<SocketAddr>,
+        owed: UnboundedReceiver<Notice>,
+        seed: u64,
+    ) -> Vec<JoinHandle<()>> {
+        let following = platform::Following::new(&self.settings, self.shared, self.index, seed);
+        let paced = self.parts.starting.as_ref().filter(|_| !self.settings.must_ask);
+        let pace = paced.map(|part| part.pace(self.clock));
+        let (wanted, inbound) = (self.wanted.clone(), self.inbound.clone());
+        vec![
+            tokio::task::spawn_local(self.intake.clone().listen(listener.clone(), self.connections)),
+            tokio::task::spawn_local(platform::notices(discovery.clone(), owed, inbound.clone())),
+            tokio::task::spawn_local(platform::follow(discovery, following, pace, wanted, inbound)),
+        ]
+    }
+
+    /// When there is something to do without an event.
+    fn due(&self) -> Micros {
+        let now = self.clock.now();
+        let timer = self.timers.first().map_or(Micros::MAX / 2, |timer| timer.0);
+        let watchful = self.stop_at.is_some() || !self.unwritten.is_empty();
+        let due = if watchful { timer.min(now + WATCHFUL_EVERY) } else { timer };
+        let due = due.min(self.parts.due().unwrap_or(due)).min(self.covered.due().unwrap_or(due));
+        due.min(now + IDLE_TURN)
+    }
+
+    /// What is due by the clock: the optional parts', what waits on other senders, and the module's reminders.
+    fn fold_due(&mut self, said: &mut Vec<Event>) {
+        let now = self.clock.now();
+        self.with_parts(|parts, out| parts.tick(now, out));
+        self.covered(said);
+        self.starting(said);
+        while let Some(timer) = self.timers.pop_first() {
+            if timer.0 > now {
+                self.timers.insert(timer);
+                break;
+            }
+            said.push(Event::Reminder(timer.1));
+        }
+    }
+
+    /// A process that waits to take over hears of all old messages, and of them only once they are written down.
+    fn resume_for_successor(&mut self) {
+        if !self.unwritten.is_empty() || self.successor.is_none() {
+            return;
+        }
+        let old = self.resume_all();
+        if !old.is_empty() {
+            self.turn(old);
+        }
+    }
+}
+
+/// A sender that takes clients.
+struct Service {
+    driver: Driver,
+    events: UnboundedReceiver<Inbound>,
+    tasks: Vec<JoinHandle<()>>,
+    /// The folder that lasts, and the claim on it where new versions start beside old ones.
+    folder: PathBuf,
+    claim: Option<Claim>,
+    /// The clients' listener, unless other processes inherit it, too.
+    door: Option<Rc<TcpListener>>,
+    /// Clients' connections at most.
+    places: usize,
+    /// When the last turn began.
+    turned: Instant,
+}
+
+impl Service {
+    /// Turns until the process may end or a new one has taken over.
+    async fn serve(mut self) {
+        loop {
+            let first = self.next().await;
+            self.turn(first);
+            if self.driver.may_end(self.driver.intake.open()) {
+                if self.end().await {
+                    return;
+                }
+                continue;
+            }
+            self.driver.resume_for_successor();
+            // That turn may have had something to write, too: the next process waits until it is written.
+            if self.driver.unwritten.is_empty()
+                && let Some(stream) = self.driver.successor.take()
+                && self.claim.is_some()
+                && let Some(offered) = self.offer(stream).await
+                && let Some(claim) = self.claim.take()
+            {
+                return self.leave(offered, claim).await;
+            }
+        }
+    }
+
+    /// What the next turn begins with, if it is not the clock; turns are a period apart at least, as the module is told.
+    async fn next(&mut self) -> Option<Inbound> {
+        let due = self.driver.clock.instant(self.driver.due());
+        let first = tokio::select! {
+            first = self.events.recv() => first,
+            () = tokio::time::sleep_until(due) => None,
+        };
+        let period = Duration::from_micros(self.driver.settings.period);
+        tokio::time::sleep_until(self.turned + period).await;
+        self.turned = Instant::now();
+        first
+    }
+
+    /// Folds in all that has come, and decides if there is anything to decide.
+    fn turn(&mut self, first: Option<Inbound>) {
+        let driver = &mut self.driver;
+        let mut said: Vec<Event> = Vec::new();
+        if let Some(inbound) = first {
+            driver.fold(inbound, &mut said);
+        }
+        while let Ok(inbound) = self.events.try_recv() {
+            driver.fold(inbound, &mut said);
+        }
+        driver.fold_due(&mut said);
+        if !said.is_empty() || !driver.unwritten.is_empty() || !driver.unsaid.is_empty() {
+            driver.turn(said);
+        }
+    }
+
+    /// Whether the process ends now: clients that still wait to be let in come first.
+    async fn end(&mut self) -> bool {
+        if let Some(door) = &self.door {
+            self.driver.intake.admit_waiting(door, self.places).await;
+        }
+        let ends = self.driver.may_end(self.driver.intake.open());
+        if ends {
+            self.driver.leave_waiting();
+        }
+        ends
+    }
+
+    /// Tells a process that asks to take over all that is known; if it does not take over, the next one may ask.
+    async fn offer(&mut self, stream: UnixStream) -> Option<Offered> {
+        // After the last turn: what it kept back ends as not made, which the next process hears.
+        self.driver.give_waiting_up();
+        match self.driver.offer(stream).await {
+            Ok(offered) => Some(offered),
+            Err(e) => {
+                tracing::warn!("the new process did not take over, and this one goes on: {e}");
+                // Who asks and dies again and again leaves nothing behind.
+                self.tasks.retain(|task| !task.is_finished());
+                let rest = tokio::task::spawn_local(tokio::time::sleep(OFFER_AGAIN));
+                let inbound = self.driver.inbound.clone();
+                let next = succeed(self.folder.clone(), inbound, Some(rest));
+                self.tasks.push(tokio::task::spawn_local(next));
+                None
+            }
+        }
+    }
+
+    /// Leaves the folder to the new process, and stays for what is still under way.
+    async fn leave(self, offered: Offered, claim: Claim) {
+        for task in self.tasks {
+            task.abort();
+            let _ = task.await;
+        }
+        let intake = self.driver.intake.clone();
+        self.driver.hand_over(offered, claim, intake, self.events).await;
+    }
+}
--- /dev/null
+++ b/src/net/driver/turn.rs
@@ -0,0 +1,321 @@
+//! One turn of the driver: the module decides, the journal is written, and only then do clients hear and calls begin.
+
+use std::collections::{BTreeMap, HashMap};
+
+use myrtleyard::interface::*;
+
+use super::super::calls::{Line, Part};
+use super::super::figures::{End, Now};
+use super::super::handover::Order;
+use super::super::intake::Answer;
+use super::super::journal::{Attempt, GivenUp, Live, Record, Taken, taken_on};
+use super::super::parts::indexing::end_of;
+use super::super::{AttemptOver, Inbound};
+use super::{Driver, Fresh, NO_ROOM_AGAIN};
+
+/// A call that the module asks for, of one message.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct PlannedCall {
+    pub(super) message: MessageId,
+    /// The attempt's number.
+    pub(super) attempt: u16,
+    pub(super) endpoint: EndpointId,
+    /// How long to wait for the answer, from the module's turn on.
+    pub(super) timeout: Micros,
+}
+
+/// What the module's actions come to that has to be written down before it is carried out.
+#[derive(Default)]
+struct Decided {
+    calls: Vec<PlannedCall>,
+    given_up: Vec<(u32, GivenUp)>,
+}
+
+impl Driver {
+    /// One turn: the module decides, the journal is written, then clients hear and calls begin.
+    pub(super) fn turn(&mut self, said: Vec<Event>) {
+        let now = self.clock.now();
+        let mut actions = Vec::new();
+        self.policy.handle(now, &said, &mut actions);
+        self.withdraw_calls(&said);
+        let mut records = std::mem::take(&mut self.unwritten);
+        let mut fresh = std::mem::take(&mut self.fresh);
+        let mut decided = Decided::default();
+        for action in actions {
+            self.carry_out(action, &fresh, &mut decided);
+        }
+        for (number, how) in decided.given_up {
+            match fresh.remove(&number) {
+                // Answered in the turn that took it: the journal never hears of it.
+                Some(fresh) => self.turn_away(number, fresh, how),
+                None => records.extend(self.give_up(number, how)),
+            }
+        }
+        let kept = records.len();
+        self.record_taken(&fresh, now, &mut records);
+        records.extend(decided.calls.iter().map(|call| self.record_begun(call, now)));
+        match self.journal.append(&records) {
+            Ok(()) => self.written(fresh, decided.calls, now),
+            Err(e) => {
+                tracing::error!("the journal can't be written: {e}");
+                records.truncate(kept);
+                self.withhold(records, fresh, &decided.calls);
+            }
+        }
+        self.figures.stand(Now {
+            current: self.policy.held(),
+            cluster_size: self.endpoints.values().filter(|known| known.listed).count(),
+            cluster_unhealthy: self.policy.avoided(),
+        });
+    }
+
+    /// Carries out what needs no record; the rest is noted.
+    fn carry_out(&mut self, action: Action, fresh: &BTreeMap<u32, Fresh>, decided: &mut Decided) {
+        match action {
+            Action::Attempt { message, endpoint, timeout } => {
+                let attempt = self.attempts_of(message, fresh);
+                let call = attempt.map(|attempt| PlannedCall { message, attempt, endpoint, timeout });
+                decided.calls.extend(call);
+            }
+            Action::Refuse { message, retry_after } => {
+                decided.given_up.push((message.0, GivenUp::Deferred(retry_after)));
+            }
+            Action::Fail(message) => decided.given_up.push((message.0, GivenUp::Undeliverable)),
+            Action::Cancel { message, attempt } => {
+                self.calls.cancel(message, attempt);
+                if let Some(predecessor) = &self.predecessor {
+                    let _ = predecessor.send(Order::Cancel(message, attempt));
+                }
+            }
+            Action::Probe(endpoint) => self.probe(endpoint),
+            Action::CloseIdle(endpoint) => self.calls.close_idle(endpoint),
+            Action::Watch => self.wanted.watch.notify_one(),
+            Action::FetchList => self.wanted.whole.notify_one(),
+            Action::Tell { to, content } => {
+                if let Some(peers) = &self.peers {
+                    peers.tell(to, &content);
+                }
+            }
+            Action::Remind { at, token } => {
+                self.timers.insert((at, token));
+            }
+            Action::Log(line) => tracing::info!("{line}"),
+        }
+    }
+
+    fn probe(&self, endpoint: EndpointId) {
+        match self.line(endpoint) {
+            Some(line) => self.calls.probe(line),
+            None => {
+                let outcome = Outcome::ConnectFailed;
+                let event = Event::Probed { endpoint, outcome, report: vec![] };
+                let _ = self.inbound.send(Inbound::Event(event));
+            }
+        }
+    }
+
+    /// A message that came within this turn is not taken on.
+    fn turn_away(&mut self, number: u32, fresh: Fresh, how: GivenUp) {
+        self.forget(number, &fresh.taken.id);
+        self.figures.ended(&fresh.taken.class, how.into());
+        let (id, destination) = (&fresh.taken.id, fresh.taken.destination);
+        tracing::debug!(id, destination, ?how, "turned away");
+        fresh.answer(match how {
+            GivenUp::Deferred(again) => Answer::Refused(again),
+            GivenUp::Undeliverable => Answer::Failed,
+        });
+    }
+
+    /// A message that was taken on ends undelivered; what the journal is to hold of that, if it is still owed.
+    fn give_up(&mut self, number: u32, how: GivenUp) -> Option<Record> {
+        let live = self.journal.live().get(&number)?;
+        let unwritten = self.calls.give_up(MessageId(number));
+        let never_ran = |attempt: &Attempt| attempt.never_ran || unwritten.contains(&attempt.number);
+        // The module can't know how far a call has come. What others called for is not known here.
+        let none_ran = live.covered.is_none() && live.attempts.iter().all(never_ran);
+        let how = match how {
+            GivenUp::Undeliverable if none_ran => GivenUp::Deferred(0),
+            how => how,
+        };
+        let id = live.taken.id.clone();
+        let (destination, attempts) = (live.taken.destination, live.attempts.len());
+        tracing::debug!(id, destination, attempts, ?how, "given up");
+        self.figures.ended(&live.taken.class, how.into());
+        self.index_ended(number, end_of(how));
+        self.unsaid.push((number, how, id));
+        Some(Record::GivenUp(number, how))
+    }
+
+    fn record_taken(&mut self, fresh: &BTreeMap<u32, Fresh>, now: Micros, records: &mut Vec<Record>) {
+        for (number, fresh) in fresh {
+            records.extend(taken_on(*number, &fresh.taken));
+            let tag = self.place(&fresh.taken, now);
+            records.extend(tag.map(|tag| Record::Covered(*number, tag, now)));
+        }
+    }
+
+    fn record_begun(&self, call: &PlannedCall, now: Micros) -> Record {
+        let known = self.endpoints.get(&call.endpoint);
+        Record::Begun {
+            message: call.message.0,
+            attempt: call.attempt,
+            endpoint: known.map(|known| known.name.clone()).unwrap_or_default(),
+            at: now,
+        }
+    }
+
+    /// The turn's records are in the journal: clients and the platform hear, and calls begin.
+    fn written(&mut self, fresh: BTreeMap<u32, Fresh>, calls: Vec<PlannedCall>, now: Micros) {
+        self.index_taken(&fresh, now);
+        for (number, fresh) in fresh {
+            self.cover(number, now);
+            let Taken { id, class, destination, .. } = &fresh.taken;
+            tracing::debug!(id, class, destination, "taken on");
+            let answer = self.taken_answer(&fresh.taken);
+            fresh.answer(answer);
+        }
+        for (number, how, id) in std::mem::take(&mut self.unsaid) {
+            self.end_told(number, how, id);
+        }
+        let calls = self.keep_back(calls, now);
+        self.begin(calls, now);
+        self.with_parts(|parts, out| {
+            if let Some(covering) = &mut parts.covering {
+                covering.flush(now, out);
+            }
+            if let Some(indexing) = &mut parts.indexing {
+                indexing.flush(now, out);
+            }
+        });
+    }
+
+    /// Guards the promise that what is taken on outlasts the process: with no journal nothing is taken on
+    /// and no call begins.
+    fn withhold(&mut self, records: Vec<Record>, fresh: BTreeMap<u32, Fresh>, calls: &[PlannedCall]) {
+        self.unwritten = records;
+        calls.iter().for_each(|call| self.not_made(*call));
+        for (number, fresh) in fresh {
+            self.forget(number, &fresh.taken.id);
+            self.figures.ended(&fresh.taken.class, End::Deferred);
+            let _ = self.inbound.send(Inbound::Event(Event::Left(MessageId(number))));
+            fresh.answer(Answer::Refused(NO_ROOM_AGAIN));
+        }
+    }
+
+    /// What waits for a connection to an endpoint that is leaving, or gone, goes elsewhere at once.
+    fn withdraw_calls(&self, said: &[Event]) {
+        let listed = |entries: &[Entry], endpoint, ready| {
+            entries.iter().any(|e| e.endpoint == endpoint && (e.listing == Listing::Ready) == ready)
+        };
+        for event in said {
+            match event {
+                Event::List(entries) => self.calls.withdraw(|endpoint| !listed(entries, endpoint, true)),
+                Event::Changes(entries) => self.calls.withdraw(|endpoint| listed(entries, endpoint, false)),
+                _ => {}
+            }
+        }
+    }
+
+    /// Tells the module that a call of its was not made.
+    pub(super) fn not_made(&self, call: PlannedCall) {
+        let outcome = Outcome::Moot { no_slot: false };
+        let end = AttemptOver::unanswered(call.message, call.attempt, call.endpoint, outcome);
+        let _ = self.inbound.send(Inbound::CallOver(vec![end]));
+    }
+
+    /// The number of a message's next attempt, if it is held.
+    fn attempts_of(&mut self, message: MessageId, fresh: &BTreeMap<u32, Fresh>) -> Option<u16> {
+        let known = fresh.contains_key(&message.0) || self.journal.live().contains_key(&message.0);
+        let count = self.attempts.entry(message.0).or_default();
+        *count += 1;
+        known.then_some(*count - 1)
+    }
+
+    pub(super) fn line(&self, endpoint: EndpointId) -> Option<Line> {
+        let address = self.endpoints.get(&endpoint)?.address?;
+        Some(Line { endpoint, address, route: self.policy.route_of(endpoint)? })
+    }
+
+    /// Until when a keyed message's call may be written: a repeat must be read while the key is remembered, however
+    /// late its connection comes up. What is covered is bound from when it was taken on, unless it is past that:
+    /// then it goes with a grant alone.
+    pub(super) fn write_by(
+        &self,
+        number: u32,
+        live: &Live,
+        attempt: Option<u16>,
+        now: Micros,
+    ) -> Option<Micros> {
+        let class = self.policy.class_of(MessageId(number));
+        let class = class.or_else(|| self.names.borrow().class(&live.taken.class))?;
+        let effect = self
+            .settings
+            .classes
+            .get(class)?
+            .effect
+            .stricter(live.taken.effect.unwrap_or(Effect::Repeatable));
+        let Effect::Keyed { window, .. } = effect else { return None };
+        let ran =
+            live.attempts.iter().filter(|earlier| Some(earlier.number) != attempt && !earlier.never_ran);
+        let covered = live.covered.as_ref().map(|(_, since)| *since).filter(|since| now < since + window);
+        let first = ran.map(|earlier| earlier.at).chain(covered).min()?;
+        Some(first.saturating_add(window).saturating_sub(self.settings.repeat_margin(window)))
+    }
+
+    /// Starts the calls of a turn: what goes to one endpoint travels together as far as its kind allows.
+    /// Their time runs from the module's.
+    pub(super) fn begin(&mut self, calls: Vec<PlannedCall>, now: Micros) {
+        for (endpoint, mut parts) in self.bundled(calls, now) {
+            // The first is waited for as long as the call lasts, so that it is not given up while the others still wait.
+            parts.sort_by_key(|part| std::cmp::Reverse(part.until));
+            match self.line(endpoint) {
+                Some(line) => self.calls.start(line, parts),
+                None => self.no_line(endpoint, parts),
+            }
+        }
+    }
+
+    /// The messages of each call, in the order in which the module asked for them.
+    fn bundled(&mut self, planned: Vec<PlannedCall>, now: Micros) -> Vec<(EndpointId, Vec<Part>)> {
+        let mut calls: Vec<(EndpointId, Vec<Part>)> = Vec::new();
+        let mut last: HashMap<EndpointId, usize> = HashMap::new();
+        for call in planned {
+            let endpoint = call.endpoint;
+            let Some(part) = self.part(&call, now) else { continue };
+            let known = self.endpoints.get(&endpoint);
+            let bundle = known.map_or(1, |known| known.bundle);
+            let open = last.get(&endpoint).copied().and_then(|at| calls.get_mut(at));
+            match open.filter(|call| call.1.len() < bundle) {
+                Some(call) => call.1.push(part),
+                None => {
+                    last.insert(endpoint, calls.len());
+                    calls.push((endpoint, vec![part]));
+                }
+            }
+        }
+        calls
+    }
+
+    /// A message as it travels in a call, if it is still owed.
+    fn part(&mut self, call: &PlannedCall, now: Micros) -> Option<Part> {
+        let PlannedCall { message, attempt, endpoint, timeout } = *call;
+        let live = self.journal.live().get(&message.0)?;
+        let until = now + timeout;
+        let write_by = self.write_by(message.0, live, Some(attempt), now).map_or(until, |by| by.min(until));
+        let (until, write_by) = (self.clock.instant(until), self.clock.instant(write_by));
+        if let Some(indexing) = &mut self.parts.indexing {
+            indexing.calling(&live.taken, attempt, self.clock.now());
+        }
+        let Taken { id, key, body, .. } = live.taken.clone();
+        let name = self.endpoints.get(&endpoint).map_or("", |known| known.name.as_str());
+        tracing::debug!(id, attempt, endpoint = name, "a call begins");
+        Some(Part { message, attempt, id, key, body, until, write_by })
+    }
+
+    /// An address that can't be read is one where no connection can be made.
+    fn no_line(&self, endpoint: EndpointId, parts: Vec<Part>) {
+        let failed = Outcome::ConnectFailed;
+        let end = |part: Part| AttemptOver::unanswered(part.message, part.attempt, endpoint, failed);
+        let _ = self.inbound.send(Inbound::CallOver(parts.into_iter().map(end).collect()));
+    }
+}
