Keep the list's endpoints in a compact table

Need: 558,000 endpoints of 310,000 destinations are to be held, twice while a list is taken; as entries they take several times what a sender may. Change: rows of 24 bytes sorted by destination and name, texts packed beside them, what endpoints have in common interned, a hash table of row numbers by name, and changes on top. Texts come back as they were, weights bit by bit. Signatures are as they were.

--- /dev/null
+++ b/src/endpoints/table/shapes.rs
@@ -0,0 +1,88 @@
+//! What many endpoints have in common, kept once: zone, kind, status and weight.
+
+use indexmap::IndexSet;
+
+use super::super::listing::Listing;
+use super::LEFT;
+
+/// Bytes that an [`IndexSet`] takes for an item beyond the item: its hash, and its place in the table of positions.
+const SET_OVERHEAD: usize = 16;
+
+/// What an endpoint has in common with others.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub struct Shape {
+    zone: u32,
+    kind: u32,
+    status: u32,
+    /// Bit by bit, since a number is equal to another one of other bits, and some to none.
+    weight: u64,
+    /// Its status is `left`.
+    pub left: bool,
+    /// Its address is a text, since it does not fit in six bytes.
+    pub address_is_text: bool,
+    /// Its time is a text of eight bytes, since it does not fit in six.
+    pub since_is_text: bool,
+}
+
+/// All shapes, by number.
+#[derive(Debug, Default)]
+pub struct Shapes {
+    words: IndexSet<Box<str>>,
+    word_bytes: usize,
+    shapes: IndexSet<Shape>,
+}
+
+impl Shapes {
+    /// The number of an entry's shape.
+    pub fn number(&mut self, entry: &Listing, address_is_text: bool, since_is_text: bool) -> u32 {
+        let shape = Shape {
+            zone: self.word(&entry.zone),
+            kind: self.word(&entry.kind),
+            status: self.word(&entry.status),
+            weight: entry.weight.to_bits(),
+            left: entry.status == LEFT,
+            address_is_text,
+            since_is_text,
+        };
+        position(self.shapes.insert_full(shape).0)
+    }
+
+    /// The shape of that number.
+    pub fn get(&self, number: u32) -> Shape {
+        self.shapes[number as usize]
+    }
+
+    /// An entry of that shape.
+    pub fn entry(&self, shape: Shape) -> Listing {
+        Listing {
+            name: String::new(),
+            address: String::new(),
+            zone: self.words[shape.zone as usize].to_string(),
+            kind: self.words[shape.kind as usize].to_string(),
+            group: 0,
+            status: self.words[shape.status as usize].to_string(),
+            weight: f64::from_bits(shape.weight),
+            since_ms: 0,
+        }
+    }
+
+    /// Bytes held on the heap, about.
+    pub fn heap_bytes(&self) -> usize {
+        let words = self.words.capacity() * (size_of::<Box<str>>() + SET_OVERHEAD);
+        let shapes = self.shapes.capacity() * (size_of::<Shape>() + SET_OVERHEAD);
+        words + self.word_bytes + shapes
+    }
+
+    fn word(&mut self, word: &str) -> u32 {
+        if let Some(known) = self.words.get_index_of(word) {
+            return position(known);
+        }
+        self.word_bytes += word.len();
+        position(self.words.insert_full(word.into()).0)
+    }
+}
+
+/// An entry adds a shape and three words at most, and a store has fewer entries than `u32::MAX / 4`.
+fn position(position: usize) -> u32 {
+    u32::try_from(position).unwrap_or(u32::MAX)
+}
--- /dev/null
+++ b/src/endpoints/table/store.rs
@@ -0,0 +1,173 @@
+//! Entries as rows of 24 bytes, with their texts beside them.
+
+use std::cmp::Ordering;
+use std::net::SocketAddrV4;
+
+use super::super::listing::Listing;
+use super::room;
+use super::shapes::Shapes;
+use super::texts::Texts;
+
+/// Rows at most: row numbers and the numbers of what rows have in common fit in four bytes.
+const ROWS: usize = (u32::MAX / 4) as usize;
+
+/// The number of no shape.
+const STRUCK: u32 = u32::MAX;
+
+/// Bytes of a row's time, and of its address: an IPv4 address and a port.
+const FIELD: usize = 6;
+
+/// An entry.
+#[derive(Debug, Clone, Copy)]
+pub struct Row {
+    /// Its destination.
+    pub group: u32,
+    /// Where its name is.
+    name: u32,
+    /// What it has in common with others.
+    shape: u32,
+    /// Its address, or where the address's text is, as the shape tells.
+    address: [u8; FIELD],
+    /// Its time in milliseconds, or where eight bytes of it are, as the shape tells.
+    since: [u8; FIELD],
+}
+
+impl Row {
+    /// Marks it as one to be taken out.
+    pub fn strike(&mut self) {
+        self.shape = STRUCK;
+    }
+
+    /// Whether it is one to be taken out.
+    pub fn struck(&self) -> bool {
+        self.shape == STRUCK
+    }
+}
+
+/// Rows, and what they refer to.
+#[derive(Debug, Default)]
+pub struct Store {
+    /// The rows.
+    pub rows: Vec<Row>,
+    /// Their names, and what does not fit in a row.
+    pub texts: Texts,
+    shapes: Shapes,
+}
+
+impl Store {
+    /// Adds an entry. `None`, and no row is added, when the store is full: with texts of over 4 GiB.
+    pub fn push(&mut self, entry: &Listing) -> Option<u32> {
+        if self.rows.len() >= ROWS {
+            return None;
+        }
+        let name = self.texts.put(entry.name.as_bytes())?;
+        let row = self.row(name, entry)?;
+        let number = u32::try_from(self.rows.len()).ok()?;
+        room::reserve(&mut self.rows, 1);
+        self.rows.push(row);
+        Some(number)
+    }
+
+    /// Writes an entry over the row of the same name. `None`, and the row is as it was, when the store is full.
+    pub fn replace(&mut self, number: u32, entry: &Listing) -> Option<()> {
+        let name = self.rows[number as usize].name;
+        self.rows[number as usize] = self.row(name, entry)?;
+        Some(())
+    }
+
+    /// The name in a row.
+    pub fn name(&self, row: &Row) -> &[u8] {
+        self.texts.get(row.name)
+    }
+
+    /// Whether a row has the status `left`.
+    pub fn left(&self, row: &Row) -> bool {
+        self.shapes.get(row.shape).left
+    }
+
+    /// The entry in a row.
+    pub fn entry(&self, row: &Row) -> Listing {
+        let shape = self.shapes.get(row.shape);
+        let mut entry = self.shapes.entry(shape);
+        entry.name = self.texts.string(row.name);
+        entry.group = row.group;
+        entry.address =
+            if shape.address_is_text { self.texts.string(place(row.address)) } else { unpacked(row.address) };
+        entry.since_ms = if shape.since_is_text { self.long_since(row) } else { number(row.since) };
+        entry
+    }
+
+    /// How rows are sorted: by destination, and by name within it.
+    pub fn order(&self, one: &Row, other: &Row) -> Ordering {
+        let by_name = || self.name(one).cmp(self.name(other));
+        one.group.cmp(&other.group).then_with(by_name)
+    }
+
+    /// Sorts the rows.
+    pub fn sort(&mut self) {
+        let mut rows = std::mem::take(&mut self.rows);
+        rows.sort_unstable_by(|one, other| self.order(one, other));
+        self.rows = rows;
+    }
+
+    /// Bytes held on the heap, about: those written, since others are not resident.
+    pub fn heap_bytes(&self) -> usize {
+        self.rows.len() * size_of::<Row>() + self.texts.len() + self.shapes.heap_bytes()
+    }
+
+    fn row(&mut self, name: u32, entry: &Listing) -> Option<Row> {
+        let address = packed(&entry.address);
+        let since = short(entry.since_ms);
+        let shape = self.shapes.number(entry, address.is_none(), since.is_none());
+        let address = match address {
+            Some(address) => address,
+            None => field(self.texts.put(entry.address.as_bytes())?),
+        };
+        let since = match since {
+            Some(since) => since,
+            None => field(self.texts.put(&entry.since_ms.to_be_bytes())?),
+        };
+        Some(Row { group: entry.group, name, shape, address, since })
+    }
+
+    fn long_since(&self, row: &Row) -> u64 {
+        let bytes = self.texts.get(place(row.since));
+        bytes.iter().fold(0, |number, byte| number << 8 | u64::from(*byte))
+    }
+}
+
+/// An IPv4 address and port, if the text is just as they are written.
+fn packed(text: &str) -> Option<[u8; FIELD]> {
+    let address: SocketAddrV4 = text.parse().ok()?;
+    let (_, port) = text.rsplit_once(':')?;
+    // The only text of an address that is read and not written so.
+    if port.len() > 1 && port.starts_with('0') {
+        return None;
+    }
+    let ([a, b, c, d], [high, low]) = (address.ip().octets(), address.port().to_be_bytes());
+    Some([a, b, c, d, high, low])
+}
+
+fn unpacked([a, b, c, d, high, low]: [u8; FIELD]) -> String {
+    SocketAddrV4::new([a, b, c, d].into(), u16::from_be_bytes([high, low])).to_string()
+}
+
+fn short(since_ms: u64) -> Option<[u8; FIELD]> {
+    match since_ms.to_be_bytes() {
+        [0, 0, since @ ..] => Some(since),
+        _ => None,
+    }
+}
+
+fn number([a, b, c, d, e, f]: [u8; FIELD]) -> u64 {
+    u64::from_be_bytes([0, 0, a, b, c, d, e, f])
+}
+
+fn field(place: u32) -> [u8; FIELD] {
+    let [a, b, c, d] = place.to_be_bytes();
+    [0, 0, a, b, c, d]
+}
+
+fn place([_, _, a, b, c, d]: [u8; FIELD]) -> u32 {
+    u32::from_be_bytes([a, b, c, d])
+}
