Read a list as a stream, without holding its text

Need: the text of the design size is some 80 MB; a sender has no room for it. Change: entries are read one at a time and go into a table once they are over 2,048; members may come in any order.

--- a/src/endpoints/mod.rs
+++ b/src/endpoints/mod.rs
@@ -31,6 +31,9 @@
     /// It has more bytes than [`Bounds::bytes`].
     #[error("the list has more than {0} bytes")]
     Bytes(u64),
+    /// It is a list of changes with more entries than [`reader::CHANGES`].
+    #[error("the list has more than {0} changes")]
+    Changes(usize),
     /// It is not a list, or breaks off.
     #[error("the list can't be read: {0}")]
     Malformed(String),
@@ -42,6 +45,7 @@
 told! { ListError {
     Endpoints => "list.endpoints", "split the deployment, or have discovery list fewer endpoints to this sender";
     Bytes => "list.bytes", "have discovery write the list without indentation, or list fewer endpoints";
+    Changes => "list.changes", "nothing: the sender asks for the whole list";
     Malformed => "list.malformed", "look at what discovery answers to GET /v1/endpoints";
     Cut => "list.cut", "look at discovery's load, and at the way to it";
 } }
--- /dev/null
+++ b/src/endpoints/reader/gathered.rs
@@ -0,0 +1,165 @@
+//! What was read of a list so far, and how its JSON is visited.
+
+use std::fmt;
+
+use serde::Deserialize;
+use serde::de::{DeserializeSeed, Deserializer, Error, IgnoredAny, MapAccess, SeqAccess, Visitor};
+
+use super::super::ListError;
+use super::super::listing::{ListBody, Listing};
+use super::super::table::Builder;
+use super::{CHANGES, ENTRIES, List, NAME_BYTES};
+
+/// What was read of a list so far.
+#[derive(Debug, Default)]
+pub struct Gathered {
+    /// Endpoints at most.
+    most: usize,
+    index: Option<u64>,
+    snapshot: Option<bool>,
+    endpoints_seen: bool,
+    /// Entries in it.
+    count: usize,
+    /// Its entries, all of them while there is no builder.
+    entries: Vec<Listing>,
+    /// All its entries, once they are many and it may be a snapshot.
+    builder: Option<Builder>,
+    refused: Option<ListError>,
+}
+
+impl Gathered {
+    /// Nothing yet, of a list of at most so many endpoints.
+    pub fn new(most: usize) -> Self {
+        Self { most, ..Self::default() }
+    }
+
+    /// Why it is refused, if it is.
+    pub fn refused(&mut self) -> Option<ListError> {
+        self.refused.take()
+    }
+
+    /// The list, when all of it was read.
+    pub fn finish(self) -> Result<List, ListError> {
+        let (index, snapshot) = (self.index.unwrap_or_default(), self.snapshot.unwrap_or_default());
+        let endpoints = match self.builder {
+            Some(builder) if snapshot => return Ok(List::Table { index, table: Box::new(builder.finish()) }),
+            Some(builder) if builder.len() > CHANGES => return Err(ListError::Changes(CHANGES)),
+            Some(builder) => builder.entries().collect(),
+            None => self.entries,
+        };
+        Ok(List::Entries(ListBody { index, snapshot, endpoints }))
+    }
+
+    fn add(&mut self, entry: Listing) -> Result<(), ListError> {
+        self.count += 1;
+        if self.count > self.most {
+            return Err(ListError::Endpoints(self.most));
+        }
+        let may_be_snapshot = self.snapshot != Some(false);
+        if !may_be_snapshot && self.count > CHANGES {
+            return Err(ListError::Changes(CHANGES));
+        }
+        if entry.name.len() > NAME_BYTES {
+            let which = self.count;
+            return Err(ListError::Malformed(format!(
+                "the name of entry {which} is over {NAME_BYTES} bytes"
+            )));
+        }
+        if may_be_snapshot && self.count == ENTRIES + 1 {
+            self.builder = Some(built(std::mem::take(&mut self.entries))?);
+        }
+        match &mut self.builder {
+            Some(builder) => builder.push(&entry)?,
+            None => self.entries.push(entry),
+        }
+        Ok(())
+    }
+}
+
+fn built(entries: Vec<Listing>) -> Result<Builder, ListError> {
+    let mut builder = Builder::default();
+    for entry in entries {
+        builder.push(&entry)?;
+    }
+    Ok(builder)
+}
+
+/// The members of a list. Others are passed over.
+#[derive(Deserialize)]
+#[serde(field_identifier, rename_all = "lowercase")]
+enum Member {
+    Index,
+    Snapshot,
+    Endpoints,
+    #[serde(other)]
+    Other,
+}
+
+impl<'json> DeserializeSeed<'json> for &mut Gathered {
+    type Value = ();
+
+    fn deserialize<D: Deserializer<'json>>(self, deserializer: D) -> Result<(), D::Error> {
+        deserializer.deserialize_map(self)
+    }
+}
+
+impl<'json> Visitor<'json> for &mut Gathered {
+    type Value = ();
+
+    fn expecting(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter.write_str("a list of endpoints")
+    }
+
+    fn visit_map<A: MapAccess<'json>>(self, mut members: A) -> Result<(), A::Error> {
+        while let Some(member) = members.next_key()? {
+            match member {
+                Member::Index => once(&mut self.index, members.next_value()?, "index")?,
+                Member::Snapshot => once(&mut self.snapshot, members.next_value()?, "snapshot")?,
+                Member::Endpoints => members.next_value_seed(Entries(self))?,
+                Member::Other => drop(members.next_value::<IgnoredAny>()?),
+            }
+        }
+        Ok(())
+    }
+}
+
+/// Keeps the value of a member that may be there once.
+fn once<T, E: Error>(kept: &mut Option<T>, value: T, member: &'static str) -> Result<(), E> {
+    match kept.replace(value) {
+        Some(_) => Err(E::duplicate_field(member)),
+        None => Ok(()),
+    }
+}
+
+/// The member `endpoints`, entry by entry.
+struct Entries<'gathered>(&'gathered mut Gathered);
+
+impl<'json> DeserializeSeed<'json> for Entries<'_> {
+    type Value = ();
+
+    fn deserialize<D: Deserializer<'json>>(self, deserializer: D) -> Result<(), D::Error> {
+        if std::mem::replace(&mut self.0.endpoints_seen, true) {
+            return Err(D::Error::duplicate_field("endpoints"));
+        }
+        deserializer.deserialize_seq(self)
+    }
+}
+
+impl<'json> Visitor<'json> for Entries<'_> {
+    type Value = ();
+
+    fn expecting(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter.write_str("entries")
+    }
+
+    fn visit_seq<A: SeqAccess<'json>>(self, mut entries: A) -> Result<(), A::Error> {
+        while let Some(entry) = entries.next_element()? {
+            if let Err(refused) = self.0.add(entry) {
+                let shown = A::Error::custom(&refused);
+                self.0.refused = Some(refused);
+                return Err(shown);
+            }
+        }
+        Ok(())
+    }
+}
