Split the follower of the list into functions of one job each

Change: a struct holds what lasts between calls; turn, request, call, reading, rest and telling are functions of their own. What it does is unchanged.

--- a/src/net/platform.rs
+++ b/src/net/platform.rs
@@ -145,90 +145,155 @@
 /// Follows the list for as long as the process runs. Moves when discovery does. Where there is a pace, each call but
 /// one for the whole list waits for its turn.
 pub async fn follow(
-    mut discovery: watch::Receiver<SocketAddr>,
-    mut following: Following,
+    discovery: watch::Receiver<SocketAddr>,
+    following: Following,
     pace: Option<Rc<Pace>>,
     wanted: Rc<Wanted>,
     inbound: UnboundedSender<Inbound>,
 ) {
-    let mut whole = false;
-    let mut conn = None;
-    // Where the connection leads: that discovery moves may come to be known in any wait.
-    let mut asked_at = *discovery.borrow();
-    if matches!(following, Following::Ask(..)) {
-        wanted.watch.notified().await;
+    let address = *discovery.borrow();
+    let follower =
+        Follower { discovery, following, pace, wanted, inbound, conn: None, address, whole: false };
+    follower.run().await;
+}
+
+/// How a call that was not interrupted ended.
+type Answer = Result<(StatusCode, Bytes), ()>;
+
+/// Whoever follows the list, between two calls.
+struct Follower {
+    discovery: watch::Receiver<SocketAddr>,
+    following: Following,
+    pace: Option<Rc<Pace>>,
+    wanted: Rc<Wanted>,
+    inbound: UnboundedSender<Inbound>,
+    conn: Option<Conn>,
+    /// Where the connection leads: that discovery moves may come to be known in any wait.
+    address: SocketAddr,
+    /// The whole list is owed until it has come.
+    whole: bool,
+}
+
+impl Follower {
+    /// Ends with the process, or when nobody hears of the list any more.
+    async fn run(mut self) {
+        if matches!(self.following, Following::Ask(..)) {
+            self.wanted.watch.notified().await;
+        }
+        loop {
+            self.prepare().await;
+            let Some(request) = self.request() else { return };
+            let asked = Instant::now();
+            let Some(answer) = self.call(request).await else { continue };
+            let list = self.read(answer);
+            let rest = self.rest_after(list.as_ref(), asked.elapsed());
+            if !self.tell(list) {
+                return;
+            }
+            self.rest(rest).await;
+        }
     }
-    loop {
-        following = wanted.otherwise.take().unwrap_or(following);
-        if let Some(pace) = &pace {
-            whole |= pace.turn().await;
+
+    /// Waits for the next call's turn, and sees how and where it is to be made.
+    async fn prepare(&mut self) {
+        if let Some(otherwise) = self.wanted.otherwise.take() {
+            self.following = otherwise;
         }
-        let address = *discovery.borrow_and_update();
-        if address != asked_at {
-            (conn, asked_at) = (None, address);
+        if let Some(pace) = &self.pace {
+            self.whole |= pace.turn().await;
+        }
+        let address = *self.discovery.borrow_and_update();
+        if address != self.address {
+            (self.conn, self.address) = (None, address);
         }
-        let path = match following {
-            Following::Watch(from, hold) if !whole => {
+    }
+
+    /// The next call.
+    fn request(&self) -> Option<Request<Full<Bytes>>> {
+        let path = match self.following {
+            Following::Watch(from, hold) if !self.whole => {
                 format!("/v1/endpoints?from={from}&hold_ms={}", hold.as_millis())
             }
             _ => "/v1/endpoints".to_owned(),
         };
-        let Ok(request) = Request::get(path).header("host", address.to_string()).body(Full::default()) else {
-            return;
-        };
-        let asked = Instant::now();
+        Request::get(path).header("host", self.address.to_string()).body(Full::default()).ok()
+    }
+
+    /// After how long the next call's answer is taken not to come.
+    fn patience(&self) -> Duration {
+        let patience = self.following.patience();
         // The whole list is told at once, whoever tells it.
-        let patience = if whole { following.patience().min(POLL_WITHIN) } else { following.patience() };
-        let answer = tokio::select! {
-            answer = timeout(patience, ask(&mut conn, address, request)) => answer,
-            () = wanted.whole.notified() => {
-                whole = true;
-                continue;
+        if self.whole { patience.min(POLL_WITHIN) } else { patience }
+    }
+
+    /// Makes a call; nothing when it was interrupted, since another one is wanted at once.
+    async fn call(&mut self, request: Request<Full<Bytes>>) -> Option<Answer> {
+        let patience = self.patience();
+        tokio::select! {
+            answer = timeout(patience, ask(&mut self.conn, self.address, request)) => {
+                Some(answer.unwrap_or(Err(())))
             }
-            Ok(()) = discovery.changed() => {
-                conn = None;
-                pace.iter().for_each(|pace| pace.moved());
-                continue;
+            () = self.wanted.whole.notified() => {
+                self.whole = true;
+                None
             }
-        };
-        let broken = !matches!(answer, Ok(Ok(_)));
+            Ok(()) = self.discovery.changed() => {
+                self.conn = None;
+                self.pace.iter().for_each(|pace| pace.moved());
+                None
+            }
+        }
+    }
+
+    /// The list in an answer, if there is one. The pace hears how the call ended.
+    fn read(&self, answer: Answer) -> Option<ListBody> {
+        let failed = if answer.is_err() { Failed::Silence } else { Failed::Answer };
         let list = match answer {
-            Ok(Ok((StatusCode::OK, body))) => serde_json::from_slice::<ListBody>(&body).ok(),
+            Ok((StatusCode::OK, body)) => serde_json::from_slice::<ListBody>(&body).ok(),
             _ => None,
         };
-        if let (Some(pace), Following::Watch(from, _)) = (&pace, &following) {
-            let failed = if broken { Failed::Silence } else { Failed::Answer };
+        if let (Some(pace), Following::Watch(from, _)) = (&self.pace, &self.following) {
             pace.ended(list.as_ref().map(|list| list.index != *from).ok_or(failed));
         }
-        // All of the list is owed until it has come.
-        whole &= list.is_none();
-        let rest = match (&list, &mut following) {
+        list
+    }
+
+    /// Takes note of what a call brought that took so long. How long to rest before the next one.
+    fn rest_after(&mut self, list: Option<&ListBody>, took: Duration) -> Duration {
+        self.whole &= list.is_none();
+        if list.is_none() {
+            self.conn = None;
+        }
+        match (list, &mut self.following) {
             (Some(list), Following::Watch(from, _)) => {
                 // Versions begin anew, and what lies between is not in these changes.
-                whole = !list.snapshot && list.index < *from;
+                self.whole = !list.snapshot && list.index < *from;
                 *from = list.index;
                 Duration::ZERO
             }
             (Some(_), Following::Ask(rest, rng)) => rest.mul_f64(0.86 + 0.28 * rng.f64()),
             (None, Following::Watch(..)) => AGAIN,
-            (None, Following::Ask(_, rng)) => rest_after_failure(asked.elapsed(), rng.f64()),
-        };
-        if list.is_none() {
-            conn = None;
+            (None, Following::Ask(_, rng)) => rest_after_failure(took, rng.f64()),
         }
+    }
+
+    /// Tells the driver what a call brought; whether it still hears that.
+    fn tell(&self, list: Option<ListBody>) -> bool {
         let said = match list {
-            Some(list) => Some(Inbound::Listed(list)),
+            Some(list) => Inbound::Listed(list),
             // The module's rule is the wire's, where the next poll may come later.
-            None if matches!(following, Following::Ask(..)) => None,
-            None => Some(Inbound::Event(Event::ListFailed)),
+            None if matches!(self.following, Following::Ask(..)) => return true,
+            None => Inbound::Event(Event::ListFailed),
         };
-        if said.is_some_and(|said| inbound.send(said).is_err()) {
-            return;
-        }
+        self.inbound.send(said).is_ok()
+    }
+
+    /// Rests, unless a call is wanted before.
+    async fn rest(&mut self, rest: Duration) {
         tokio::select! {
             () = tokio::time::sleep(rest) => {}
-            () = wanted.whole.notified() => whole = true,
-            Ok(()) = discovery.changed() => conn = None,
+            () = self.wanted.whole.notified() => self.whole = true,
+            Ok(()) = self.discovery.changed() => self.conn = None,
         }
     }
 }
