Take discovery's list as it arrives, and tell why one is not taken

Need: a list over 1 MiB (some 7,000 destinations) was never taken; the sender said nothing and asked 18 times a second. Change: a body of up to 256 KiB is collected and read in place as before. A longer one goes piece by piece, over a channel of eight, to a blocking thread that reads it; the thread ends when the call does. It may take the call's patience and the time that its bytes take at 4 MB/s. A list that came and was not taken is logged with code and remedy, counted in the member list of GET /control/counters, and the next call rests 50 ms, doubled for each further one, so that news is still told within 6 s (the sum stands at rest_after_refusal). Failed calls rest as before. Inbound::Listed carries endpoints::reader::List; the driver makes entries of a table for now. The runtime's threads don't hold the process's end.

--- a/src/main.rs
+++ b/src/main.rs
@@ -71,7 +71,7 @@
     log::start(&config.name)?;
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
     let runtime = runtime.map_err(NoStart::Runtime)?;
-    tokio::task::LocalSet::new().block_on(&runtime, async {
+    let ended = tokio::task::LocalSet::new().block_on(&runtime, async {
         let (inbound, events) = mpsc::unbounded_channel();
         for kind in [SignalKind::terminate(), SignalKind::interrupt()] {
             let mut asked = signal(kind).map_err(NoStart::Signals)?;
@@ -100,5 +100,8 @@
             }
         });
         driver::run(config, inherited, discovery, in_force, inbound, events).await
-    })
+    });
+    // A list or a file that a thread is reading must not hold the process's end.
+    runtime.shutdown_background();
+    ended
 }
--- a/src/net/calls.rs
+++ b/src/net/calls.rs
@@ -217,6 +217,23 @@
         Self::drive(&mut self.driver, sent).await.map_err(|_| ())
     }
 
+    /// Reads the next bytes of an answer; there are none at its end.
+    ///
+    /// # Errors
+    /// Fails when it breaks off.
+    pub async fn piece(&mut self, body: &mut Incoming) -> Result<Option<Bytes>, ()> {
+        loop {
+            let frame = match Self::drive(&mut self.driver, body.frame()).await {
+                Some(frame) => frame.map_err(|_| ())?,
+                None => return Ok(None),
+            };
+            // Trailers mean nothing.
+            if let Ok(bytes) = frame.into_data() {
+                return Ok(Some(bytes));
+            }
+        }
+    }
+
     /// Reads the rest of an answer.
     ///
     /// # Errors
--- a/src/net/driver.rs
+++ b/src/net/driver.rs
@@ -14,6 +14,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use myrtleyard::endpoints::reader::List;
 use myrtleyard::interface::*;
 use myrtleyard::policy::Policy;
 use myrtleyard::start::Source;
@@ -237,7 +238,14 @@
     let mut tasks = vec![
         tokio::task::spawn_local(intake.clone().listen(listener, sides.max(1))),
         tokio::task::spawn_local(platform::notices(discovery.clone(), owed, inbound.clone())),
-        tokio::task::spawn_local(platform::follow(discovery, following, pace, wanted, inbound.clone())),
+        tokio::task::spawn_local(platform::follow(
+            discovery,
+            following,
+            pace,
+            wanted,
+            driver.figures.clone(),
+            inbound.clone(),
+        )),
     ];
     if claim.is_some() {
         // One handover at a time: what the process before still does is passed on to this one alone.
@@ -565,6 +573,13 @@
                 }
             }
             Inbound::Listed(list) => {
+                let list = match list {
+                    List::Entries(list) => list,
+                    // the working set's part replaces this
+                    List::Table { index, table } => {
+                        ListBody { index, snapshot: true, endpoints: table.iter().collect() }
+                    }
+                };
                 said.push(self.listed(list));
                 self.start_listed();
                 self.forget_marks();
--- a/src/net/figures.rs
+++ b/src/net/figures.rs
@@ -39,6 +39,21 @@
     pub cluster_unhealthy: usize,
 }
 
+/// What became of lists of endpoints that discovery told.
+#[derive(Debug, Default, Clone, Copy, Serialize)]
+struct Lists {
+    /// Those that came and were not taken.
+    refused: u64,
+    /// Those of them since the last one that was taken.
+    refused_in_a_row: u32,
+    /// The code of the last one's error.
+    last_error: Option<&'static str>,
+    /// Entries of the last whole list that was taken.
+    endpoints: usize,
+    /// The version of the last list that was taken.
+    index: u64,
+}
+
 #[derive(Debug, Default, Serialize)]
 struct Counts {
     answered: BTreeMap<String, u64>,
@@ -47,6 +62,7 @@
     sends: u64,
     conf_loaded: u64,
     conf_invalid: u64,
+    list: Lists,
     #[serde(flatten)]
     now: Now,
 }
@@ -92,6 +108,23 @@
         *if taken { &mut counts.conf_loaded } else { &mut counts.conf_invalid } += 1;
     }
 
+    /// A list of this version was taken; of so many entries, if it was a whole one.
+    pub fn list_taken(&self, index: u64, endpoints: Option<usize>) {
+        let list = &mut self.0.borrow_mut().list;
+        list.index = index;
+        list.refused_in_a_row = 0;
+        list.endpoints = endpoints.unwrap_or(list.endpoints);
+    }
+
+    /// A list came that was not taken, for the reason of this code. How many these are in a row.
+    pub fn list_refused(&self, code: &'static str) -> u32 {
+        let list = &mut self.0.borrow_mut().list;
+        list.refused += 1;
+        list.refused_in_a_row += 1;
+        list.last_error = Some(code);
+        list.refused_in_a_row
+    }
+
     /// How things stand from now on.
     pub fn stand(&self, now: Now) {
         self.0.borrow_mut().now = now;
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -21,6 +21,7 @@
 
 use std::time::{Instant, SystemTime, UNIX_EPOCH};
 
+use myrtleyard::endpoints::reader::List;
 use myrtleyard::interface::{EndpointId, Event, MessageId, Micros, Outcome};
 use serde::{Deserialize, Serialize};
 use tokio::net::UnixStream;
@@ -73,7 +74,7 @@
     /// Another sender's datagram, with its number.
     Datagram(u16, Vec<u8>),
     /// Discovery told of endpoints.
-    Listed(listing::ListBody),
+    Listed(List),
     /// The platform has these notices.
     NoticesKept(Vec<MessageId>),
     /// The process was asked to end.
--- a/src/net/platform.rs
+++ b/src/net/platform.rs
@@ -1,5 +1,7 @@
 //! The platform: the watch on the list of endpoints, and notices of messages that ended undelivered.
 
+mod arrival;
+
 use std::cell::RefCell;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -8,19 +10,24 @@
 
 use bytes::Bytes;
 use http_body_util::Full;
-use hyper::{Request, StatusCode};
+use hyper::body::Incoming;
+use hyper::{Request, Response, StatusCode};
+use myrtleyard::endpoints::reader::List;
+use myrtleyard::endpoints::{Bounds, ListError};
 use myrtleyard::interface::{Event, MessageId, Settings};
 use myrtleyard::start::Failed;
+use myrtleyard::told::Told;
 use serde::Serialize;
 use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender};
 use tokio::sync::{Notify, watch};
-use tokio::time::{Instant, timeout};
+use tokio::time::{Instant, timeout, timeout_at};
 
 use super::calls::Conn;
+use super::figures::Figures;
 use super::journal::GivenUp;
-use super::listing::ListBody;
 use super::parts::starting::Pace;
 use super::{BODY_LIMIT, Inbound};
+use arrival::{Arrival, Begun};
 
 /// How long an answer may take where all senders ask the one discovery: that turns away what has waited for 2 s.
 /// A poll that is silent for longer is broken, and what it missed counts as told 6 s after it fell silent.
@@ -42,19 +49,26 @@
 const WATCH_SLACK: Duration = Duration::from_millis(1500);
 /// Rest before a failed watch or notice is asked for or sent again: a watch goes on if it comes back within 200 ms.
 const AGAIN: Duration = Duration::from_millis(50);
+/// Doublings of [`AGAIN`] after refused lists at most; the rest is bounded by [`rest_after_refusal`] before that.
+const MOST_DOUBLINGS: u32 = 10;
+/// The code of a list of changes that is too long: the whole list, which may be longer, is asked for instead.
+const TOO_MANY_CHANGES: &str = "list.changes";
+/// Characters of an error that go into a line of the log.
+const SHOWN: usize = 200;
 /// How long a notice may take; it is sent again after that.
 const NOTICE_TIMEOUT: Duration = Duration::from_millis(500);
 
-/// One request to the platform, on a connection that is kept if all went well. The platform may close a kept one just
-/// as the request goes out: that is no failure, and the request, which does no harm twice, goes out on a new one.
+/// One request to the platform, and the head of its answer, on a kept connection or a new one. The platform may close a
+/// kept one just as the request goes out: that is no failure, and the request, which does no harm twice, goes out on a
+/// new one.
 ///
 /// # Errors
-/// Fails when no connection is made, or the answer breaks off or is longer than an answer may be.
-async fn ask(
+/// Fails when no connection is made, or it breaks before the answer's head.
+async fn answered(
     kept: &mut Option<Conn>,
     address: SocketAddr,
     request: Request<Full<Bytes>>,
-) -> Result<(StatusCode, Bytes), ()> {
+) -> Result<(Conn, Response<Incoming>), ()> {
     // Bytes that nothing asked for must not be taken for the answer.
     let usable = match kept.take() {
         Some(mut conn) => conn.still_usable().await.then_some(conn),
@@ -70,14 +84,26 @@
         },
         None => None,
     };
-    let (mut conn, answer) = match crossed {
-        Some(answered) => answered,
+    match crossed {
+        Some(answered) => Ok(answered),
         None => {
             let mut conn = Conn::open(address).await.map_err(|_| ())?;
             let answer = conn.send(request).await?;
-            (conn, answer)
+            Ok((conn, answer))
         }
-    };
+    }
+}
+
+/// One request to the platform, on a connection that is kept if all went well.
+///
+/// # Errors
+/// Fails when no connection is made, or the answer breaks off or is longer than an answer may be.
+async fn ask(
+    kept: &mut Option<Conn>,
+    address: SocketAddr,
+    request: Request<Full<Bytes>>,
+) -> Result<(StatusCode, Bytes), ()> {
+    let (mut conn, answer) = answered(kept, address, request).await?;
     let (head, body) = answer.into_parts();
     let body = conn.body(body).await?;
     if conn.usable().await {
@@ -96,6 +122,20 @@
     most.mul_f64(0.5 + luck / 2.0)
 }
 
+/// Rest after a list that came and was not taken, in a row of so many, from a call that took so long; `patience` is that
+/// of the next call. It doubles from [`AGAIN`] on: a single one costs no more than a failed call. What changed just after
+/// the refused call went out is told by the answer to the next one: both waits, the rest between them and the slack come
+/// to [`TOLD_WITHIN`]. A call that took longer than its patience brought a long list, and what changed at its beginning is
+/// overdue; the time from its end on counts there. The longest patience of a watch at an agent stands for that of a watch
+/// that a service for all senders holds, since either tells what it has at once.
+fn rest_after_refusal(refused: u32, took: Duration, patience: Duration) -> Duration {
+    let patience = patience.min(LONGEST_HOLD + WATCH_SLACK);
+    let spent = if took <= patience + POLL_SLACK { took } else { Duration::ZERO };
+    let most = (TOLD_WITHIN - POLL_SLACK).saturating_sub(spent + patience);
+    let doubled = AGAIN * (1 << refused.saturating_sub(1).min(MOST_DOUBLINGS));
+    doubled.min(most).max(AGAIN)
+}
+
 /// What the module wants of the list.
 #[derive(Debug, Default)]
 pub struct Wanted {
@@ -149,16 +189,66 @@
     following: Following,
     pace: Option<Rc<Pace>>,
     wanted: Rc<Wanted>,
+    figures: Rc<Figures>,
     inbound: UnboundedSender<Inbound>,
 ) {
     let address = *discovery.borrow();
+    let (conn, whole, bounds) = (None, false, Bounds::default());
     let follower =
-        Follower { discovery, following, pace, wanted, inbound, conn: None, address, whole: false };
+        Follower { discovery, following, pace, wanted, figures, inbound, bounds, conn, address, whole };
     follower.run().await;
 }
 
-/// How a call that was not interrupted ended.
-type Answer = Result<(StatusCode, Bytes), ()>;
+/// What a call that was not interrupted brought.
+#[derive(Debug)]
+enum Brought {
+    /// A list.
+    List(List),
+    /// The beginning of an answer that should be a list, and is none.
+    Refused(ListError),
+    /// No answer, or another one.
+    Failed(Failed),
+}
+
+impl Brought {
+    /// As the pace counts it.
+    fn failed(&self) -> Option<Failed> {
+        match self {
+            Self::List(_) => None,
+            Self::Refused(ListError::Cut(_)) => Some(Failed::Silence),
+            Self::Refused(_) => Some(Failed::Answer),
+            Self::Failed(how) => Some(*how),
+        }
+    }
+}
+
+/// The version of a list, and of how many entries it is if it is whole.
+fn version(list: &List) -> (u64, Option<usize>) {
+    match list {
+        List::Entries(list) => (list.index, list.snapshot.then_some(list.endpoints.len())),
+        List::Table { index, table } => (*index, Some(table.len())),
+    }
+}
+
+/// Makes a call, and waits for the first bytes of its list.
+async fn begin(
+    conn: &mut Option<Conn>,
+    address: SocketAddr,
+    request: Request<Full<Bytes>>,
+    until: Instant,
+    bounds: Bounds,
+) -> Result<Begun, Brought> {
+    let silent = Brought::Failed(Failed::Silence);
+    let Ok(Ok((mut conn, answer))) = timeout_at(until, answered(conn, address, request)).await else {
+        return Err(silent);
+    };
+    let (head, body) = answer.into_parts();
+    if head.status != StatusCode::OK {
+        let whole = timeout_at(until, conn.body(body)).await;
+        return Err(if matches!(whole, Ok(Ok(_))) { Brought::Failed(Failed::Answer) } else { silent });
+    }
+    Arrival::new(conn, body, until, bounds).begin().await.map_err(Brought::Refused)
+}
 
 /// Whoever follows the list, between two calls.
 struct Follower {
@@ -166,7 +256,9 @@
     following: Following,
     pace: Option<Rc<Pace>>,
     wanted: Rc<Wanted>,
+    figures: Rc<Figures>,
     inbound: UnboundedSender<Inbound>,
+    bounds: Bounds,
     conn: Option<Conn>,
     /// Where the connection leads: that discovery moves may come to be known in any wait.
     address: SocketAddr,
@@ -184,10 +276,14 @@
             self.prepare().await;
             let Some(request) = self.request() else { return };
             let asked = Instant::now();
-            let Some(answer) = self.call(request).await else { continue };
-            let list = self.read(answer);
-            let rest = self.rest_after(list.as_ref(), asked.elapsed());
-            if !self.tell(list) {
+            let Some(brought) = self.call(request).await else { continue };
+            self.count(&brought);
+            let rest = match &brought {
+                Brought::List(list) => self.rest_after_list(list),
+                Brought::Refused(why) => self.rest_after_refused(why, asked.elapsed()),
+                Brought::Failed(_) => self.rest_after_failed(asked.elapsed()),
+            };
+            if !self.tell(brought) {
                 return;
             }
             self.rest(rest).await;
@@ -227,63 +323,116 @@
     }
 
     /// Makes a call; nothing when it was interrupted, since another one is wanted at once.
-    async fn call(&mut self, request: Request<Full<Bytes>>) -> Option<Answer> {
-        let patience = self.patience();
-        tokio::select! {
-            answer = timeout(patience, ask(&mut self.conn, self.address, request)) => {
-                Some(answer.unwrap_or(Err(())))
-            }
+    async fn call(&mut self, request: Request<Full<Bytes>>) -> Option<Brought> {
+        let until = Instant::now() + self.patience();
+        let begun = tokio::select! {
+            begun = begin(&mut self.conn, self.address, request, until, self.bounds) => begun,
             () = self.wanted.whole.notified() => {
                 self.whole = true;
-                None
+                return None;
             }
             Ok(()) = self.discovery.changed() => {
-                self.conn = None;
-                self.pace.iter().for_each(|pace| pace.moved());
-                None
+                self.moved();
+                return None;
             }
+        };
+        match begun {
+            Ok(Begun::Short(list, conn)) => Some(self.came(list, conn).await),
+            Ok(Begun::Long(long)) => self.long(long).await,
+            Err(brought) => Some(brought),
         }
     }
 
-    /// The list in an answer, if there is one. The pace hears how the call ended.
-    fn read(&self, answer: Answer) -> Option<ListBody> {
-        let failed = if answer.is_err() { Failed::Silence } else { Failed::Answer };
-        let list = match answer {
-            Ok((StatusCode::OK, body)) => serde_json::from_slice::<ListBody>(&body).ok(),
-            _ => None,
+    /// Reads a long list; nothing when discovery moves meanwhile. That the whole list is wanted waits for its end: a
+    /// list that takes longer to come than it takes until the next wish for it would never come.
+    async fn long(&mut self, long: arrival::Long) -> Option<Brought> {
+        let read = tokio::select! {
+            read = long.read() => read,
+            Ok(()) = self.discovery.changed() => {
+                self.moved();
+                return None;
+            }
         };
-        if let (Some(pace), Following::Watch(from, _)) = (&self.pace, &self.following) {
-            pace.ended(list.as_ref().map(|list| list.index != *from).ok_or(failed));
+        match read {
+            Ok((list, conn)) => Some(self.came(list, conn).await),
+            Err(why) => Some(Brought::Refused(why)),
         }
-        list
     }
 
-    /// Takes note of what a call brought that took so long. How long to rest before the next one.
-    fn rest_after(&mut self, list: Option<&ListBody>, took: Duration) -> Duration {
-        self.whole &= list.is_none();
-        if list.is_none() {
-            self.conn = None;
+    /// A list came whole on this connection, which is kept if it may be.
+    async fn came(&mut self, list: List, mut conn: Conn) -> Brought {
+        if conn.usable().await {
+            self.conn = Some(conn);
         }
-        match (list, &mut self.following) {
-            (Some(list), Following::Watch(from, _)) => {
+        Brought::List(list)
+    }
+
+    /// Discovery has moved.
+    fn moved(&mut self) {
+        self.conn = None;
+        self.pace.iter().for_each(|pace| pace.moved());
+    }
+
+    /// Tells the pace how a call ended.
+    fn count(&self, brought: &Brought) {
+        let (Some(pace), Following::Watch(from, _)) = (&self.pace, &self.following) else { return };
+        pace.ended(match (brought, brought.failed()) {
+            (Brought::List(list), _) => Ok(version(list).0 != *from),
+            (_, failed) => Err(failed.unwrap_or(Failed::Answer)),
+        });
+    }
+
+    /// Takes note of a list that is taken. How long to rest before the next call.
+    fn rest_after_list(&mut self, list: &List) -> Duration {
+        let (index, endpoints) = version(list);
+        self.figures.list_taken(index, endpoints);
+        self.whole = false;
+        match &mut self.following {
+            Following::Watch(from, _) => {
                 // Versions begin anew, and what lies between is not in these changes.
-                self.whole = !list.snapshot && list.index < *from;
-                *from = list.index;
+                self.whole = endpoints.is_none() && index < *from;
+                *from = index;
                 Duration::ZERO
             }
-            (Some(_), Following::Ask(rest, rng)) => rest.mul_f64(0.86 + 0.28 * rng.f64()),
-            (None, Following::Watch(..)) => AGAIN,
-            (None, Following::Ask(_, rng)) => rest_after_failure(took, rng.f64()),
+            Following::Ask(rest, rng) => rest.mul_f64(0.86 + 0.28 * rng.f64()),
+        }
+    }
+
+    /// Takes note of a list that is not taken, from a call that took so long. How long to rest before the next call.
+    fn rest_after_refused(&mut self, why: &ListError, took: Duration) -> Duration {
+        let (code, remedy) = (why.code(), why.remedy());
+        let refused = self.figures.list_refused(code);
+        let shown: String = why.to_string().replace(['\n', '\r'], " ").chars().take(SHOWN).collect();
+        tracing::warn!(
+            code,
+            remedy,
+            refused,
+            "a list of endpoints is not taken; the one before stays: {shown}"
+        );
+        self.whole |= code == TOO_MANY_CHANGES;
+        if matches!(self.following, Following::Ask(..)) {
+            return self.rest_after_failed(took);
+        }
+        self.conn = None;
+        rest_after_refusal(refused, took, self.patience())
+    }
+
+    /// Takes note of a call that failed after so long. How long to rest before the next one.
+    fn rest_after_failed(&mut self, took: Duration) -> Duration {
+        self.conn = None;
+        match &mut self.following {
+            Following::Watch(..) => AGAIN,
+            Following::Ask(_, rng) => rest_after_failure(took, rng.f64()),
         }
     }
 
     /// Tells the driver what a call brought; whether it still hears that.
-    fn tell(&self, list: Option<ListBody>) -> bool {
-        let said = match list {
-            Some(list) => Inbound::Listed(list),
+    fn tell(&self, brought: Brought) -> bool {
+        let said = match brought {
+            Brought::List(list) => Inbound::Listed(list),
             // The module's rule is the wire's, where the next poll may come later.
-            None if matches!(self.following, Following::Ask(..)) => return true,
-            None => Inbound::Event(Event::ListFailed),
+            _ if matches!(self.following, Following::Ask(..)) => return true,
+            _ => Inbound::Event(Event::ListFailed),
         };
         self.inbound.send(said).is_ok()
     }
--- /dev/null
+++ b/src/net/platform/arrival/tests.rs
@@ -0,0 +1,30 @@
+use std::io::ErrorKind;
+
+use super::*;
+
+/// The thread ends with its channel: what still waits there is not read to its end.
+#[test]
+fn a_text_whose_sender_is_gone_is_cut_at_once() {
+    let (pieces, waiting) = channel(WAITING);
+    let mut text = Text::new(waiting);
+    for _ in 0..3 {
+        assert!(pieces.try_send(Piece::Text(Bytes::from_static(b"abc"))).is_ok());
+    }
+    let mut two = [0; 2];
+    assert_eq!(text.read(&mut two).ok(), Some(2));
+    drop(pieces);
+    assert_eq!(text.read(&mut two).ok(), Some(1), "what is left of the piece");
+    assert_eq!(text.read(&mut two).map_err(|e| e.kind()), Err(ErrorKind::UnexpectedEof));
+}
+
+#[test]
+fn a_text_has_an_end_only_where_it_is_told() {
+    let (pieces, waiting) = channel(WAITING);
+    let mut text = Text::new(waiting);
+    for piece in [Piece::Text(Bytes::new()), Piece::Text(Bytes::from_static(b"abc")), Piece::End] {
+        assert!(pieces.try_send(piece).is_ok());
+    }
+    let mut whole = String::new();
+    assert_eq!(text.read_to_string(&mut whole).ok(), Some(3));
+    assert_eq!(whole, "abc");
+}
--- a/src/net/platform/tests.rs
+++ b/src/net/platform/tests.rs
@@ -5,6 +5,8 @@
 use tokio::sync::mpsc::unbounded_channel;
 use tokio::task::LocalSet;
 
+use super::super::listing::ListBody;
+use super::arrival::{INLINE, LEAST_RATE};
 use super::*;
 
 const PATIENCE: Duration = Duration::from_secs(15);
@@ -17,7 +19,7 @@
         let listener = TcpListener::bind("127.0.0.1:0").await?;
         let (inbound, heard) = unbounded_channel();
         let (_, discovery) = watch::channel(listener.local_addr()?);
-        tokio::task::spawn_local(follow(discovery, following, None, wanted, inbound));
+        tokio::task::spawn_local(follow(discovery, following, None, wanted, Rc::default(), inbound));
         Ok(Self(listener, heard))
     }
 
@@ -66,7 +68,10 @@
         let answer = format!("HTTP/1.1 200 OK\r\ncontent-length: {}\r\n\r\n{list}", list.len());
         stream.write_all(answer.as_bytes()).await?;
         let heard = timeout(PATIENCE, agent.1.recv()).await?;
-        assert!(matches!(heard, Some(Inbound::Listed(ListBody { index: 7, .. }))), "{heard:?}");
+        assert!(
+            matches!(heard, Some(Inbound::Listed(List::Entries(ListBody { index: 7, .. })))),
+            "{heard:?}"
+        );
         assert_eq!(asked(&mut stream).await?, "/v1/endpoints?from=7&hold_ms=1000");
         Ok(())
     };
@@ -133,7 +138,7 @@
         let wanted = Rc::new(Wanted::default());
         wanted.watch.notify_one();
         let following = Following::Ask(Duration::from_secs(3600), fastrand::Rng::with_seed(2));
-        tokio::task::spawn_local(follow(discovery, following, None, wanted, inbound));
+        tokio::task::spawn_local(follow(discovery, following, None, wanted, Rc::default(), inbound));
         tokio::time::sleep(Duration::from_secs(20)).await;
         let listener = TcpListener::bind(address).await?;
         timeout(Duration::from_secs(4), listener.accept()).await??;
@@ -216,3 +221,317 @@
     assert!((longest.patience() + AGAIN) * 2 < Duration::from_secs(6));
     assert!(longest.patience() + AGAIN < Duration::from_secs(4));
 }
+
+/// A whole list of so many entries.
+fn list(index: u64, endpoints: usize) -> String {
+    let entry = |n: usize| {
+        format!(
+            "{{\"name\":\"s-{n:08x}\",\"address\":\"127.0.0.1:9000\",\"zone\":\"a\",\"type\":\"m2\",\"group\":{n},\
+             \"status\":\"active\",\"weight\":1.0,\"since_ms\":0}}"
+        )
+    };
+    let entries: Vec<_> = (0..endpoints).map(entry).collect();
+    format!("{{\"index\":{index},\"snapshot\":true,\"endpoints\":[{}]}}", entries.join(","))
+}
+
+/// The answer that has it as its body.
+fn answer(list: &str) -> String {
+    format!("{}{list}", head(list.len()))
+}
+
+fn head(length: usize) -> String {
+    format!("HTTP/1.1 200 OK\r\ncontent-length: {length}\r\n\r\n")
+}
+
+/// A follower with these figures and bounds, and what of it the driver hears; discovery moves by the sender.
+fn followed(
+    address: SocketAddr,
+    following: Following,
+    bounds: Bounds,
+) -> (Rc<Figures>, UnboundedReceiver<Inbound>, watch::Sender<SocketAddr>) {
+    let (inbound, heard) = unbounded_channel();
+    let (moves, discovery) = watch::channel(address);
+    let figures = Rc::<Figures>::default();
+    let follower = Follower {
+        discovery,
+        following,
+        pace: None,
+        wanted: Rc::default(),
+        figures: figures.clone(),
+        inbound,
+        bounds,
+        conn: None,
+        address,
+        whole: false,
+    };
+    tokio::task::spawn_local(follower.run());
+    (figures, heard, moves)
+}
+
+/// What the figures tell of lists.
+fn counted(figures: &Figures) -> serde_json::Value {
+    let all: serde_json::Value = serde_json::from_slice(&figures.json()).unwrap_or_default();
+    all["list"].clone()
+}
+
+/// A watch with its hold of half a second; its patience is 700 ms.
+fn short_watch() -> Following {
+    Following::Watch(1, SHORTEST_HOLD)
+}
+
+/// Found with a list over 1 MiB: it was never taken, and its watch ended with it.
+#[tokio::test]
+async fn a_list_of_any_length_is_taken_and_its_connection_goes_on() -> io::Result<()> {
+    let run = async {
+        let listener = TcpListener::bind("127.0.0.1:0").await?;
+        let (figures, mut heard, _moves) = followed(listener.local_addr()?, short_watch(), Bounds::default());
+        let agent = Agent(listener, unbounded_channel().1);
+        let (mut stream, _) = agent.asked().await?;
+        for (index, endpoints) in [(2, 10), (3, 10_000), (4, 1500), (5, 20_000)] {
+            stream.write_all(answer(&list(index, endpoints)).as_bytes()).await?;
+            let listed = timeout(PATIENCE, heard.recv()).await?;
+            let Some(Inbound::Listed(listed)) = listed else { panic!("{endpoints}: {listed:?}") };
+            assert_eq!(version(&listed), (index, Some(endpoints)));
+            assert_eq!(counted(&figures)["endpoints"], endpoints);
+            assert_eq!(counted(&figures)["index"], index);
+            let path = asked(&mut stream).await?;
+            assert_eq!(path, format!("/v1/endpoints?from={index}&hold_ms=500"), "on the same connection");
+        }
+        assert_eq!(counted(&figures)["refused"], 0);
+        Ok(())
+    };
+    LocalSet::new().run_until(run).await
+}
+
+/// A list that takes longer than a call's patience is taken if it comes at the least rate.
+#[tokio::test]
+async fn a_long_list_may_take_longer_than_a_short_one() -> io::Result<()> {
+    let run = async {
+        let listener = TcpListener::bind("127.0.0.1:0").await?;
+        let (_, mut heard, _moves) = followed(listener.local_addr()?, short_watch(), Bounds::default());
+        let agent = Agent(listener, unbounded_channel().1);
+        let (mut stream, _) = agent.asked().await?;
+        let text = answer(&list(2, 60_000));
+        let piece = LEAST_RATE as usize / 2;
+        assert!(text.len() > 3 * piece, "{} bytes", text.len());
+        let began = Instant::now();
+        for piece in text.as_bytes().chunks(piece) {
+            stream.write_all(piece).await?;
+            tokio::time::sleep(Duration::from_millis(300)).await;
+        }
+        assert!(began.elapsed() > short_watch().patience());
+        let listed = timeout(PATIENCE, heard.recv()).await?;
+        assert!(matches!(&listed, Some(Inbound::Listed(list)) if version(list) == (2, Some(60_000))));
+        Ok(())
+    };
+    LocalSet::new().run_until(run).await
+}
+
+/// Asks of an agent that always answers so, within 5 s.
+async fn asks_in_five_seconds(listener: &TcpListener, text: &[u8]) -> io::Result<usize> {
+    let until = Instant::now() + Duration::from_secs(5);
+    let mut asks = 0;
+    while let Ok(accepted) = tokio::time::timeout_at(until, listener.accept()).await {
+        let (mut stream, _) = accepted?;
+        asked(&mut stream).await?;
+        asks += 1;
+        // Who gives it up reads no more of it.
+        let _ = stream.write_all(text).await;
+    }
+    Ok(asks)
+}
+
+/// Found with a list over 1 MiB: it was asked for 18 times a second for ever, and nobody was told why.
+#[tokio::test]
+async fn a_list_that_is_cut_or_spoilt_is_counted_and_asked_for_ever_more_rarely() -> io::Result<()> {
+    let run = async {
+        let (short, long) = (answer(&list(2, 100)), answer(&list(2, 5000)));
+        let spoilt = |list: &str| answer(&list[..list.len() - 1]);
+        let cases = [
+            (short[..short.len() - 1].to_owned(), "list.cut"),
+            (short[..60].to_owned(), "list.cut"),
+            (long[..INLINE / 2].to_owned(), "list.cut"),
+            (long[..INLINE * 2].to_owned(), "list.cut"),
+            (spoilt(&list(2, 100)), "list.malformed"),
+            (spoilt(&list(2, 5000)), "list.malformed"),
+        ];
+        let played = cases.map(|(text, code)| {
+            tokio::task::spawn_local(async move {
+                let listener = TcpListener::bind("127.0.0.1:0").await?;
+                let (figures, mut heard, _moves) =
+                    followed(listener.local_addr()?, short_watch(), Bounds::default());
+                let asks = asks_in_five_seconds(&listener, text.as_bytes()).await?;
+                assert!((4..=12).contains(&asks), "{code}: {asks}");
+                let refused = counted(&figures)["refused"].as_u64().unwrap_or_default() as usize;
+                assert!(refused == asks || refused + 1 == asks, "{code}: {refused} of {asks}");
+                assert_eq!(counted(&figures)["refused_in_a_row"], refused);
+                assert_eq!(counted(&figures)["last_error"], code);
+                while let Ok(said) = heard.try_recv() {
+                    assert!(matches!(said, Inbound::Event(Event::ListFailed)), "{code}: {said:?}");
+                }
+                io::Result::Ok(())
+            })
+        });
+        for case in played {
+            case.await??;
+        }
+        Ok(())
+    };
+    LocalSet::new().run_until(run).await
+}
+
+/// Guards drains: one spoilt answer among good ones costs no more than a failed call, also after a row of them.
+#[tokio::test]
+async fn the_first_list_that_is_taken_ends_a_row_of_refused_ones() -> io::Result<()> {
+    let run = async {
+        let listener = TcpListener::bind("127.0.0.1:0").await?;
+        let (figures, _heard, _moves) = followed(listener.local_addr()?, short_watch(), Bounds::default());
+        let agent = Agent(listener, unbounded_channel().1);
+        let (mut stream, _) = agent.asked().await?;
+        for index in 2..5 {
+            for refused in 0..4 {
+                let began = Instant::now();
+                stream.write_all(answer("{\"inde").as_bytes()).await?;
+                stream = agent.asked().await?.0;
+                let (after, least) = (began.elapsed(), AGAIN * (1 << refused));
+                assert!(after >= least && after < least + Duration::from_millis(150), "{refused}: {after:?}");
+            }
+            stream.write_all(answer(&list(index, 3)).as_bytes()).await?;
+            asked(&mut stream).await?;
+            assert_eq!(counted(&figures)["refused_in_a_row"], 0);
+        }
+        assert_eq!(counted(&figures)["refused"], 12);
+        Ok(())
+    };
+    LocalSet::new().run_until(run).await
+}
+
+/// A body that comes byte by byte holds the watch no longer than its patience, however much came before.
+#[tokio::test]
+async fn a_list_that_trickles_is_cut_with_the_calls_patience() -> io::Result<()> {
+    let run = async {
+        for first in [0, INLINE + 1000] {
+            let listener = TcpListener::bind("127.0.0.1:0").await?;
+            let (figures, _heard, _moves) =
+                followed(listener.local_addr()?, short_watch(), Bounds::default());
+            let agent = Agent(listener, unbounded_channel().1);
+            let (mut stream, _) = agent.asked().await?;
+            let began = Instant::now();
+            stream.write_all(head(1 << 30).as_bytes()).await?;
+            stream.write_all(&vec![b' '; first]).await?;
+            tokio::task::spawn_local(async move {
+                while stream.write_all(b" ").await.is_ok() {
+                    tokio::time::sleep(Duration::from_millis(20)).await;
+                }
+            });
+            agent.asked().await?;
+            let after = began.elapsed();
+            let most = short_watch().patience() + AGAIN + Duration::from_millis(250);
+            assert!(after < most, "after {first} bytes again in {after:?}");
+            assert_eq!(counted(&figures)["last_error"], "list.cut");
+        }
+        Ok(())
+    };
+    LocalSet::new().run_until(run).await
+}
+
+/// A body without end is given up at the bound on bytes, whatever is in it.
+#[tokio::test]
+async fn a_list_without_end_is_refused_at_its_bound() -> io::Result<()> {
+    let run = async {
+        let bounds = Bounds { bytes: 4 << 20, ..Bounds::default() };
+        for text in [&[b' '; 1 << 16][..], b"{\"index\":1,\"index\":1,"] {
+            let listener = TcpListener::bind("127.0.0.1:0").await?;
+            let (figures, _heard, _moves) = followed(listener.local_addr()?, short_watch(), bounds);
+            let agent = Agent(listener, unbounded_channel().1);
+            let (mut stream, _) = agent.asked().await?;
+            stream.write_all(head(usize::MAX >> 1).as_bytes()).await?;
+            let piece = text.repeat((1 << 16) / text.len());
+            let mut written = 0;
+            while stream.write_all(&piece).await.is_ok() {
+                written += piece.len();
+                assert!(written < 64 << 20, "it is read beyond its bound");
+            }
+            agent.asked().await?;
+            let code = counted(&figures)["last_error"].clone();
+            assert!(code == "list.bytes" || code == "list.malformed", "{code}");
+        }
+        Ok(())
+    };
+    LocalSet::new().run_until(run).await
+}
+
+/// Discovery moves while a long list comes: the new one is asked at once, and nothing of the old one's list is used.
+#[tokio::test]
+async fn a_long_list_is_left_when_discovery_moves() -> io::Result<()> {
+    let run = async {
+        let (old, new) = (TcpListener::bind("127.0.0.1:0").await?, TcpListener::bind("127.0.0.1:0").await?);
+        let following = Following::Watch(1, LONGEST_HOLD);
+        let (figures, mut heard, moves) = followed(old.local_addr()?, following, Bounds::default());
+        let (old, new_address) = (Agent(old, unbounded_channel().1), new.local_addr()?);
+        let new = Agent(new, unbounded_channel().1);
+        let (mut stream, _) = old.asked().await?;
+        let text = answer(&list(2, 5000));
+        stream.write_all(&text.as_bytes()[..text.len() - 1]).await?;
+        tokio::time::sleep(Duration::from_millis(100)).await;
+        let moved = Instant::now();
+        moves.send_replace(new_address);
+        let (mut stream, path) = new.asked().await?;
+        assert!(moved.elapsed() < Duration::from_millis(250), "asked after {:?}", moved.elapsed());
+        assert_eq!(path, "/v1/endpoints?from=1&hold_ms=2000");
+        assert!(heard.try_recv().is_err() && counted(&figures)["refused"] == 0);
+        stream.write_all(answer(&list(9, 1)).as_bytes()).await?;
+        let listed = timeout(PATIENCE, heard.recv()).await?;
+        assert!(matches!(&listed, Some(Inbound::Listed(list)) if version(list) == (9, Some(1))));
+        Ok(())
+    };
+    LocalSet::new().run_until(run).await
+}
+
+/// A wish for the whole list does not end a long one that is coming: it follows it.
+#[tokio::test]
+async fn a_wish_for_the_whole_list_waits_for_a_long_one() -> io::Result<()> {
+    let run = async {
+        let wanted = Rc::new(Wanted::default());
+        let mut agent = Agent::new(Following::Watch(1, LONGEST_HOLD), wanted.clone()).await?;
+        let (mut stream, _) = agent.asked().await?;
+        let text = answer(&list(2, 5000));
+        let (first, last) = text.as_bytes().split_at(text.len() - 1);
+        stream.write_all(first).await?;
+        tokio::time::sleep(Duration::from_millis(100)).await;
+        wanted.whole.notify_one();
+        tokio::time::sleep(Duration::from_millis(100)).await;
+        stream.write_all(last).await?;
+        let listed = timeout(PATIENCE, agent.1.recv()).await?;
+        assert!(matches!(&listed, Some(Inbound::Listed(list)) if version(list) == (2, Some(5000))));
+        assert_eq!(asked(&mut stream).await?, "/v1/endpoints");
+        Ok(())
+    };
+    LocalSet::new().run_until(run).await
+}
+
+/// The clocks: after any row of refused lists, what changed just after a refused call went out is told within 6 s.
+#[test]
+fn the_rest_after_refused_lists_is_bounded_by_when_news_counts_as_told() {
+    for hold in [SHORTEST_HOLD, Duration::from_secs(1), LONGEST_HOLD] {
+        let patience = Following::Watch(1, hold).patience();
+        for took in [Duration::ZERO, hold, patience] {
+            assert_eq!(rest_after_refusal(1, took, patience), AGAIN, "a single one costs no more than today");
+            for refused in [2, 5, 8, 100, u32::MAX] {
+                let rest = rest_after_refusal(refused, took, patience);
+                assert!(
+                    rest >= AGAIN && took + rest + patience + POLL_SLACK <= TOLD_WITHIN,
+                    "{refused}: {rest:?}"
+                );
+            }
+        }
+        // Such a call's list took longer than its patience: from its end on.
+        let rest = rest_after_refusal(100, Duration::from_secs(30), patience);
+        assert!(rest + patience + POLL_SLACK <= TOLD_WITHIN && rest > Duration::from_secs(2), "{rest:?}");
+    }
+    let shared = Following::Watch(1, SHARED_HOLD).patience();
+    assert!(
+        rest_after_refusal(100, Duration::ZERO, shared) > Duration::from_secs(2),
+        "no storm at a service"
+    );
+}
