Test long, cut, spoilt and endless lists with the real process; tell operators

Need: what a sender does with a list that it can't take was neither tested with the program nor on the operators' page. Change: tests/node/lists.rs plays discoveries of its own; the bench keeps a process's log so that tests can read it.

--- /dev/null
+++ b/tests/node/lists.rs
@@ -0,0 +1,231 @@
+//! Lists of endpoints that are long, cut, spoilt or without end: the real process takes what can be taken, goes on with the
+//! list that it has otherwise, and tells why.
+
+use std::io::{BufReader, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::mpsc::{Receiver, channel};
+use std::sync::{Arc, Mutex};
+use std::thread;
+use std::time::{Duration, Instant};
+
+use serde_json::{Value, json};
+
+use super::world::*;
+
+/// Discovery as a test has it: each answer is written by the test's own code.
+struct Discovery {
+    address: SocketAddr,
+    /// How often the list was asked for.
+    asks: Arc<AtomicUsize>,
+}
+
+impl Discovery {
+    /// Every request for a list has `answer` write to its connection, which ends behind it.
+    fn new(answer: impl Fn(&mut TcpStream) -> std::io::Result<()> + Send + Sync + 'static) -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let address = listener.local_addr().unwrap();
+        let asks = Arc::new(AtomicUsize::new(0));
+        let (counted, answer) = (asks.clone(), Arc::new(answer));
+        thread::spawn(move || {
+            for stream in listener.incoming() {
+                let (counted, answer) = (counted.clone(), answer.clone());
+                let mut input = BufReader::new(stream.unwrap());
+                thread::spawn(move || {
+                    let Some(http) = Http::read(&mut input) else { return };
+                    if !http.first.starts_with("GET /v1/endpoints") {
+                        return;
+                    }
+                    counted.fetch_add(1, Ordering::SeqCst);
+                    // The sender may give it up.
+                    let _ = answer(input.get_mut());
+                });
+            }
+        });
+        Self { address, asks }
+    }
+
+    fn asks(&self) -> usize {
+        self.asks.load(Ordering::SeqCst)
+    }
+}
+
+fn head(length: usize) -> String {
+    format!("HTTP/1.1 200 OK\r\ncontent-length: {length}\r\n\r\n")
+}
+
+/// A whole list with an endpoint for each of so many destinations from 0 on; all are at this address.
+fn whole_list(index: u64, destinations: usize, address: SocketAddr) -> String {
+    let entry = |group: usize| {
+        format!(
+            "{{\"name\":\"s-{group:08x}\",\"address\":\"{address}\",\"zone\":\"a\",\"type\":\"plain\",\
+             \"group\":{group},\"status\":\"active\",\"weight\":50.0,\"since_ms\":0}}"
+        )
+    };
+    let entries: Vec<_> = (0..destinations).map(entry).collect();
+    format!("{{\"index\":{index},\"snapshot\":true,\"endpoints\":[{}]}}", entries.join(","))
+}
+
+/// A sender that knows one endpoint, of destination 7, and follows this discovery.
+fn start(discovery: &Discovery, endpoint: &Served) -> Node {
+    let known = [listing("e1", 7, "plain", endpoint.address)];
+    Node::start(&Platform::new(), &known, |config| {
+        config["mgmt"] = json!("127.0.0.1:0");
+        config["discovery"] = json!(discovery.address.to_string());
+    })
+}
+
+fn counters(node: &Node) -> Value {
+    node.call("GET", "/control/counters").json()
+}
+
+fn delivered(node: &Node, endpoint: &Served, id: &str, destination: u16) {
+    assert_eq!(node.hand_in(id, "order", destination, 20_000).status(), 202);
+    let call = endpoint.next();
+    assert_eq!(call.http.headers["req-id"], id);
+    call.reply(status(200));
+}
+
+/// Found with 7,000 destinations: the sender took no list of over 1 MiB, served nobody and said nothing.
+#[test]
+fn a_message_goes_to_the_last_of_ten_thousand_destinations() {
+    let (first, last) = (Served::new(), Served::new());
+    let text = whole_list(5, 10_000, last.address);
+    let discovery = Discovery::new(move |stream| {
+        stream.write_all(head(text.len()).as_bytes())?;
+        stream.write_all(text.as_bytes())?;
+        // The watch is held from now on.
+        thread::sleep(PATIENCE);
+        Ok(())
+    });
+    let node = start(&discovery, &first);
+    delivered(&node, &last, "a", 9999);
+    let list = &counters(&node)["list"];
+    assert_eq!(
+        (&list["refused"], &list["endpoints"], &list["index"]),
+        (&json!(0), &json!(10_000), &json!(5))
+    );
+}
+
+/// Whatever comes that is no list, the one before stays in force, operators are told why, and discovery is spared.
+#[test]
+fn a_list_that_is_refused_leaves_the_one_before_and_is_told() {
+    let endpoint = Served::new();
+    let (short, long) = (whole_list(5, 50, endpoint.address), whole_list(5, 10_000, endpoint.address));
+    let cut = |text: &str, at: usize| (format!("{}{}", head(text.len()), &text[..at]), "list.cut");
+    let spoilt = |text: &str| (format!("{}{}!", head(text.len()), &text[..text.len() - 1]), "list.malformed");
+    let cases = [
+        cut(&short, 1),
+        cut(&short, short.len() - 1),
+        cut(&long, 200_000),
+        cut(&long, long.len() / 2),
+        cut(&long, long.len() - 1),
+        spoilt(&short),
+        spoilt(&long),
+    ];
+    let played = cases.map(|(text, code)| {
+        thread::spawn(move || {
+            let endpoint = Served::new();
+            let discovery = Discovery::new(move |stream| stream.write_all(text.as_bytes()));
+            let node = start(&discovery, &endpoint);
+            let before = discovery.asks();
+            thread::sleep(Duration::from_secs(5));
+            let asks = discovery.asks() - before;
+            assert!((1..=12).contains(&asks), "{code}: asked {asks} times in 5 s");
+            delivered(&node, &endpoint, "a", 7);
+            let counters = counters(&node);
+            assert_eq!(counters["list"]["last_error"], code);
+            assert!(counters["list"]["refused"].as_u64().unwrap() >= 4, "{counters}");
+            assert_eq!((&counters["cluster_size"], &counters["list"]["index"]), (&json!(1), &json!(0)));
+            let log = node.log();
+            let told = log.lines().filter(|line| line.contains(code) && line.contains("remedy")).count();
+            assert!((4..=20).contains(&told), "{code}: {told} lines of {log}");
+        })
+    });
+    played.into_iter().for_each(|case| case.join().unwrap());
+}
+
+/// A list that is written up to its last byte, a tenth at a time, each of which the test hears of; `last` follows once the
+/// test says.
+fn in_two_parts(destinations: usize, last: &'static str) -> (Discovery, Receiver<()>, Arc<Mutex<bool>>) {
+    let (begun, came) = channel();
+    let goes_on = Arc::new(Mutex::new(false));
+    let text = whole_list(5, destinations, "127.0.0.1:9".parse().unwrap());
+    let (go, begun) = (goes_on.clone(), Mutex::new(begun));
+    let discovery = Discovery::new(move |stream| {
+        stream.write_all(head(text.len()).as_bytes())?;
+        let most = &text.as_bytes()[..text.len() - 1];
+        for piece in most.chunks(most.len() / 10 + 1) {
+            stream.write_all(piece)?;
+            let _ = begun.lock().unwrap().send(());
+            thread::sleep(Duration::from_millis(100));
+        }
+        while !*go.lock().unwrap() {
+            thread::sleep(Duration::from_millis(20));
+        }
+        stream.write_all(last.as_bytes())
+    });
+    (discovery, came, goes_on)
+}
+
+/// Reading a list takes the loop's time from nobody: neither while it comes nor at its end, where this one is spoilt.
+#[test]
+fn clients_are_answered_in_time_while_a_long_list_is_read() {
+    let endpoint = Served::new();
+    let (discovery, came, goes_on) = in_two_parts(200_000, "!");
+    let node = start(&discovery, &endpoint);
+    let mut client = Client::new(&node);
+    let (mut longest, mut answered) = (Duration::ZERO, 0);
+    let mut hand_in = || {
+        let begun = Instant::now();
+        assert_eq!(client.ask(&handing_in(&format!("m{answered}"), "order", 7, 20_000)).status(), 202);
+        longest = longest.max(begun.elapsed());
+        answered += 1;
+        endpoint.next().reply(status(200));
+    };
+    for _ in 0..10 {
+        came.recv_timeout(PATIENCE).unwrap();
+        (0..3).for_each(|_| hand_in());
+    }
+    assert_eq!(discovery.asks(), 1, "it is still the first list");
+    *goes_on.lock().unwrap() = true;
+    wait_until(|| {
+        hand_in();
+        counters(&node)["list"]["last_error"] == "list.malformed"
+    });
+    assert!(longest < Duration::from_millis(150), "a 202 took {longest:?}");
+    println!("the longest of {answered} answers took {longest:?}");
+}
+
+/// The process ends in its time though a list is coming, and nothing of the list is used.
+#[test]
+fn a_process_that_is_asked_to_end_does_not_wait_for_a_list() {
+    let endpoint = Served::new();
+    let (discovery, came, _) = in_two_parts(100_000, "}");
+    let mut node = start(&discovery, &endpoint);
+    for _ in 0..3 {
+        came.recv_timeout(PATIENCE).unwrap();
+    }
+    let begun = Instant::now();
+    node.terminate();
+    assert_eq!(node.exit_code(), Some(0));
+    assert!(begun.elapsed() < Duration::from_millis(3700), "it ended after {:?}", begun.elapsed());
+}
+
+/// Where discovery moves while a list is coming, the new one's list is taken and the old one's is left.
+#[test]
+fn a_list_that_is_coming_is_left_when_discovery_moves() {
+    let (endpoint, moved_to) = (Served::new(), Served::new());
+    let (discovery, came, goes_on) = in_two_parts(100_000, "}");
+    let node = start(&discovery, &endpoint);
+    for _ in 0..3 {
+        came.recv_timeout(PATIENCE).unwrap();
+    }
+    let other = Platform::new();
+    other.tell(&[listing("e2", 8, "plain", moved_to.address)]);
+    node.reload(|config| config["discovery"] = json!(other.address.to_string()));
+    delivered(&node, &moved_to, "a", 8);
+    *goes_on.lock().unwrap() = true;
+    let counters = counters(&node);
+    assert_eq!((&counters["cluster_size"], &counters["list"]["refused"]), (&json!(1), &json!(0)));
+}
--- a/tests/node/main.rs
+++ b/tests/node/main.rs
@@ -7,6 +7,7 @@
 mod estimating;
 mod handover;
 mod late;
+mod lists;
 mod plans;
 mod status;
 mod world;
--- a/tests/node/world.rs
+++ b/tests/node/world.rs
@@ -267,6 +267,8 @@
     /// The socket that every process of the sender inherits, if there is one.
     listener: Option<TcpListener>,
     folder: Arc<tempfile::TempDir>,
+    /// What it has written to its log since it was ready.
+    log: Arc<Mutex<String>>,
 }
 
 pub fn command(folder: &std::path::Path) -> Command {
@@ -381,9 +383,15 @@
         }
         let address = line.split("ready on ").nth(1).and_then(|rest| rest.split(' ').next());
         let address = address.unwrap_or_else(|| panic!("not ready: {line}")).parse().unwrap();
-        thread::spawn(move || std::io::copy(&mut log, &mut std::io::sink()));
+        let kept = Arc::<Mutex<String>>::default();
+        let keep = kept.clone();
+        thread::spawn(move || {
+            for line in log.split(b'\n').map_while(Result::ok) {
+                *keep.lock().unwrap() += &(String::from_utf8_lossy(&line) + "\n");
+            }
+        });
         let mgmt = line.split("operators call at ").nth(1).map(|at| at.trim().parse().unwrap());
-        Self { child, address, mgmt, listener: None, folder }
+        Self { child, address, mgmt, listener: None, folder, log: kept }
     }
 
     /// SIGKILL, then a new process on the same folder.
@@ -404,6 +412,11 @@
         self.folder.path().join("state")
     }
 
+    /// What it has written to its log since it was ready.
+    pub fn log(&self) -> String {
+        self.log.lock().unwrap().clone()
+    }
+
     /// How many file descriptors the process holds.
     pub fn descriptors(&self) -> usize {
         std::fs::read_dir(format!("/proc/{}/fd", self.child.id())).unwrap().count()
