--- a/src/net/driver.rs
+++ b/src/net/driver.rs
@@ -13,6 +13,7 @@
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::rc::Rc;
 
+use myrtleyard::endpoints::reader::List;
 use myrtleyard::interface::*;
 use myrtleyard::policy::Policy;
 use myrtleyard::start::pace::Backlog;
@@ -343,6 +344,13 @@
                 }
             }
             Inbound::Listed(list) => {
+                let list = match list {
+                    List::Entries(list) => list,
+                    // the working set's part replaces this
+                    List::Table { index, table } => {
+                        ListBody { index, snapshot: true, endpoints: table.iter().collect() }
+                    }
+                };
                 said.push(self.listed(list));
                 self.start_listed();
                 self.forget_marks();
--- a/src/net/driver/service.rs
+++ b/src/net/driver/service.rs
@@ -225,11 +225,12 @@
         let following = platform::Following::new(&self.settings, self.shared, self.index, seed);
         let paced = self.parts.starting.as_ref().filter(|_| !self.settings.must_ask);
         let pace = paced.map(|part| part.pace(self.clock));
-        let (wanted, inbound) = (self.wanted.clone(), self.inbound.clone());
+        let (wanted, figures) = (self.wanted.clone(), self.figures.clone());
+        let inbound = self.inbound.clone();
         vec![
             tokio::task::spawn_local(self.intake.clone().listen(listener.clone(), self.connections)),
             tokio::task::spawn_local(platform::notices(discovery.clone(), owed, inbound.clone())),
-            tokio::task::spawn_local(platform::follow(discovery, following, pace, wanted, inbound)),
+            tokio::task::spawn_local(platform::follow(discovery, following, pace, wanted, figures, inbound)),
         ]
     }
 
