--- a/src/net/driver.rs
+++ b/src/net/driver.rs
@@ -5,6 +5,7 @@
 mod draining;
 pub mod estimating;
 mod indexed;
+mod residing;
 mod starting;
 
 use std::cell::RefCell;
@@ -14,6 +15,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use myrtleyard::endpoints::reader::List;
 use myrtleyard::interface::*;
 use myrtleyard::policy::Policy;
 use myrtleyard::start::Source;
@@ -40,6 +42,7 @@
 use super::peers::Peers;
 use super::platform::{self, Notice};
 use super::refusals::NoStart;
+use super::working::Working;
 use covered::Covered;
 
 use super::{AttemptOver, Clock, Inbound, STOP_WITHIN, Standing};
@@ -102,7 +105,10 @@
     /// What waits on other senders.
     covered: Covered,
     intake: Rc<Intake>,
+    /// Those of resident destinations.
     endpoints: HashMap<EndpointId, Known>,
+    /// Which destinations the module knows, and the whole list where that is long.
+    working: Working,
     /// The id of each name, and how many ids were given out.
     ids: HashMap<String, EndpointId>,
     given: u64,
@@ -193,6 +199,7 @@
         covered: Covered::default(),
         intake: intake.clone(),
         endpoints: HashMap::new(),
+        working: Working::default(),
         ids: HashMap::new(),
         given: 0,
         index: config.known.index,
@@ -279,6 +286,7 @@
         if !said.is_empty() || !driver.unwritten.is_empty() || !driver.unsaid.is_empty() {
             driver.turn(said);
         }
+        driver.leave();
         if driver.may_end(intake.open()) {
             if let Some(door) = &door {
                 intake.admit_waiting(door, sides.max(1)).await;
@@ -364,7 +372,11 @@
     fn start(&mut self, known: ListBody) -> Vec<Event> {
         let now = self.clock.now();
         // It may be old: what is not in it may be in discovery's, so that it ends no mark.
-        let mut said = vec![self.listed(ListBody { snapshot: true, ..known })];
+        let mut said = Vec::new();
+        self.take_list(List::Entries(ListBody { snapshot: true, ..known }), &mut said);
+        if self.working.beyond {
+            self.start_from_known();
+        }
         let live: Vec<(u32, Live)> = self.journal.live().iter().map(|(n, l)| (*n, l.clone())).collect();
         let mut old = Vec::new();
         for (number, live) in live {
@@ -379,7 +391,7 @@
                     let (id, destination) = (&live.taken.id, live.taken.destination);
                     tracing::debug!(id, destination, attempts = live.attempts.len(), "taken up again");
                     let class = self.as_taken(class, &live.taken, &mut said);
-                    said.push(self.resumed(number, class, &live, now));
+                    self.resumed(number, class, &live, now, &mut said);
                     continue;
                 }
                 (Some(how), _) => how,
@@ -438,11 +450,19 @@
         let held = |class| self.policy.holds_class(class);
         let (settings, names) = following(own, &knowledge.settings, &knowledge.names, held);
         self.endpoints = knowledge.endpoints;
+        self.working = knowledge.working;
+        self.limits_told_by(&knowledge.settings, &settings);
         self.go_by(settings.clone(), names, &knowledge.names);
         self.ids = knowledge.ids;
         self.given = knowledge.given;
         self.index = knowledge.index;
         self.timers = knowledge.timers;
+        if self.working.beyond {
+            // Its table does not cross.
+            self.wanted.whole.notify_one();
+        } else {
+            self.outgrow();
+        }
         self.start_from_known();
         self.next_message = knowledge.next_message;
         self.held = knowledge.held;
@@ -480,6 +500,13 @@
         self.settings = settings;
     }
 
+    /// How limits are told may have changed between these settings.
+    fn limits_told_by(&mut self, before: &Settings, now: &Settings) {
+        if (before.weights, before.report) != (now.weights, now.report) {
+            self.working.limits_told_otherwise();
+        }
+    }
+
     /// Tells the next process all that is known here, but for the last byte.
     async fn offer(&self, stream: UnixStream) -> std::io::Result<handover::Offered> {
         let drained = self.parts.draining.as_ref().map(|draining| draining.names()).unwrap_or_default();
@@ -493,11 +520,13 @@
             endpoints: &self.endpoints,
             ids: &self.ids,
             given: self.given,
-            index: self.index,
+            // Whoever goes on without the whole of a long list is to be told it.
+            index: if self.working.beyond { 0 } else { self.index },
             timers: &self.timers,
             next_message: self.next_message,
             held: &self.held,
             attempts: &self.attempts,
+            working: &self.working,
             drained,
         };
         handover::offer(stream, &knowing).await
@@ -565,7 +594,7 @@
                 }
             }
             Inbound::Listed(list) => {
-                said.push(self.listed(list));
+                self.take_list(list, said);
                 self.start_listed();
                 self.forget_marks();
             }
@@ -606,6 +635,7 @@
                     self.wanted.otherwise.replace(Some(otherwise));
                     self.wanted.whole.notify_one();
                 }
+                self.limits_told_by(&self.settings.clone(), &settings);
                 self.go_by(settings.clone(), names, &before);
                 said.push(Event::Settings(Box::new(settings)));
                 said.push(self.relisted(|_| true));
@@ -673,6 +703,7 @@
         }
         let number = self.next_message;
         self.next_message = number.wrapping_add(1);
+        self.enter(taken.destination, said);
         said.push(Event::Accepted(self.message(number, class, &taken, self.clock.now())));
         self.held.insert(taken.id.clone(), number);
         self.fresh.insert(number, Fresh { taken, answers: vec![answer] });
@@ -930,8 +961,10 @@
         }
         self.figures.stand(Now {
             current: self.policy.held(),
-            cluster_size: self.endpoints.values().filter(|known| known.listed).count(),
+            cluster_size: self.endpoints_listed(),
             cluster_unhealthy: self.policy.avoided(),
+            resident: self.working.resident(),
+            forgotten: self.working.forgotten,
         });
     }
 
--- a/src/net/driver/covered.rs
+++ b/src/net/driver/covered.rs
@@ -434,12 +434,20 @@
             return Ok(());
         }
         let Some(live) = self.journal.live().get(&number).cloned() else { return Ok(()) };
-        said.push(self.resumed(number, class.unwrap_or_default(), &live, now));
+        self.resumed(number, class.unwrap_or_default(), &live, now, said);
         Ok(())
     }
 
-    /// What the module is told of a message that it did not take on itself.
-    pub(super) fn resumed(&mut self, number: u32, class: usize, live: &Live, now: Micros) -> Event {
+    /// Tells the module of a message that it did not take on itself.
+    pub(super) fn resumed(
+        &mut self,
+        number: u32,
+        class: usize,
+        live: &Live,
+        now: Micros,
+        said: &mut Vec<Event>,
+    ) {
+        self.enter(live.taken.destination, said);
         let mut may_have_run: Vec<_> = live
             .attempts
             .iter()
@@ -450,7 +458,7 @@
         let attempts = live.attempts.last().map_or(0, |last| last.number + 1);
         self.attempts.insert(number, attempts);
         let message = self.message(number, class, &live.taken, now);
-        Event::Resumed { message, attempts: attempts.into(), may_have_run }
+        said.push(Event::Resumed { message, attempts: attempts.into(), may_have_run });
     }
 
     /// How covers stand, for operators.
--- a/src/net/driver/draining.rs
+++ b/src/net/driver/draining.rs
@@ -21,6 +21,13 @@
     Reply::no(&NoCall::DrainingOff)
 }
 
+/// Entries of a list, as marks are held against them.
+fn borrowed(list: &[(String, u32, bool)]) -> Vec<Listed<'_>> {
+    list.iter()
+        .map(|(name, destination, active)| Listed { name, destination: *destination, active: *active })
+        .collect()
+}
+
 impl Driver {
     /// Operators want clients here or elsewhere; whether this process can still be asked that. A drain that is
     /// under way gets the new time; without one it goes on for as long as its messages have.
@@ -72,7 +79,8 @@
             },
             Ask::DrainEndpoints(Endpoints { names, force }) => {
                 let Some(marks) = self.marks() else { return not_on() };
-                let with = marks.with(&names, force, self.clock.now(), &self.list());
+                let list = self.list_about(names.iter().map(String::as_str));
+                let with = marks.with(&names, force, self.clock.now(), &borrowed(&list));
                 let with = match with {
                     Ok(with) => with,
                     Err(why) => {
@@ -101,7 +109,9 @@
     fn mark(&mut self, marks: Marks, said: &mut Vec<Event>) -> Reply {
         let Some(before) = self.marks() else { return not_on() };
         let differs = |name: &str| before.on(name).is_some() != marks.on(name).is_some();
-        let changed: BTreeSet<String> = self.names_listed().filter(|name| differs(name)).collect();
+        let marked = before.iter().chain(marks.iter()).map(|(name, _)| name);
+        let changed = marked.filter(|name| differs(name) && self.listing_of(name).is_some());
+        let changed: BTreeSet<String> = changed.map(str::to_owned).collect();
         if *before != marks {
             if let Some(Err(e)) = self.parts.draining.as_mut().map(|draining| draining.keep(marks)) {
                 return Reply::no(&NoCall::Marks(e));
@@ -125,16 +135,16 @@
         Reply::yes(&report)
     }
 
-    fn names_listed(&self) -> impl Iterator<Item = String> + '_ {
-        self.endpoints.values().filter(|known| known.listed).map(|known| known.name.clone())
-    }
-
-    /// The list as discovery has it.
-    fn list<'a>(&'a self) -> Vec<Listed<'a>> {
+    /// The list as discovery has it; of a long one the destinations that these endpoints are listed for.
+    fn list_about<'a>(&self, names: impl Iterator<Item = &'a str>) -> Vec<(String, u32, bool)> {
+        if let Some(table) = &self.working.table {
+            let destinations = names.filter_map(|name| Some(self.listing_of(name)?.0));
+            let destinations: BTreeSet<u32> = destinations.collect();
+            let listed = destinations.into_iter().flat_map(|destination| table.of(destination));
+            return listed.map(|l| (l.name, l.group, l.status == "active")).collect();
+        }
         let listed = self.endpoints.values().filter(|known| known.listed);
-        let entry =
-            |known: &'a Known| Listed { name: &known.name, destination: known.group, active: known.active() };
-        listed.map(entry).collect()
+        listed.map(|known| (known.name.clone(), known.group, known.active())).collect()
     }
 
     /// Entries of the list, told to the module once more as they are with the marks.
@@ -167,10 +177,8 @@
         let now = self.clock.now();
         let marks = self.marks().into_iter().flat_map(Marks::iter);
         let report = marks.map(|(name, mark)| {
-            let id = self.ids.get(name);
-            let out = id.and_then(|id| out.get(id)).copied().unwrap_or(0);
-            let known = id.and_then(|id| self.endpoints.get(id));
-            json!({"name": name, "destination": known.map(|known| known.group),
+            let out = self.ids.get(name).and_then(|id| out.get(id)).copied().unwrap_or(0);
+            json!({"name": name, "destination": self.listing_of(name).map(|listing| listing.0),
                    "state": if out > 0 { State::Draining } else { State::Drained }, "messages_out": out,
                    "age_ms": now.saturating_sub(mark.since) / 1000, "forced": mark.forced})
         });
@@ -189,7 +197,10 @@
         };
         let now = self.clock.now();
         let by = self.drain.and_then(|drain| drain.by);
-        let bare = self.marks().map(|marks| marks.bare(&self.list()));
+        let bare = self.marks().map(|marks| {
+            let list = self.list_about(marks.iter().map(|(name, _)| name));
+            marks.bare(&borrowed(&list))
+        });
         json!({"state": left.state(serving), "standing": self.standing.borrow().said().trim(),
                "age_ms": self.drain.map(|drain| now.saturating_sub(drain.since) / 1000),
                "left_ms": by.map(|by| by.saturating_sub(now) / 1000),
@@ -208,18 +219,22 @@
                    "destination": known.group, "active": known.active(), "drained_by_operator": marked,
                    "messages_out": out.get(id).copied().unwrap_or(0)})
         });
-        json!({"index": self.index, "draining": self.marks().is_some(), "endpoints": report.collect::<Vec<_>>()})
+        // A long list would not fit into an answer.
+        let whole = !self.working.beyond;
+        json!({"index": self.index, "draining": self.marks().is_some(), "whole": whole, "endpoints": report.collect::<Vec<_>>()})
     }
 
     /// Marks on endpoints that have gone from discovery's list end.
     pub(super) fn forget_marks(&mut self) {
-        let (ids, endpoints) = (&self.ids, &self.endpoints);
-        let listed = |name: &str| {
-            let known = ids.get(name).and_then(|id| endpoints.get(id));
-            known.is_some_and(|known| known.listed)
-        };
+        // A long list that was not told to this process yet may have them.
+        if self.working.beyond && self.working.table.is_none() {
+            return;
+        }
+        let Some(marks) = self.marks() else { return };
+        let listed = marks.iter().map(|(name, _)| name).filter(|name| self.listing_of(name).is_some());
+        let listed: BTreeSet<String> = listed.map(str::to_owned).collect();
         if let Some(draining) = &mut self.parts.draining {
-            draining.forget(listed);
+            draining.forget(|name| listed.contains(name));
         }
     }
 }
--- a/src/net/driver/estimating.rs
+++ b/src/net/driver/estimating.rs
@@ -9,6 +9,7 @@
 use serde::Deserialize;
 
 use super::super::control::Reply;
+use super::super::listing::Listing;
 use super::super::parts::Part;
 use super::Driver;
 
@@ -95,10 +96,21 @@
         }
     }
 
+    /// Messages that a call carries at most, for each active endpoint of a destination.
+    fn active_bundles(&self, to: u32) -> Vec<usize> {
+        if let Some(table) = &self.working.table {
+            let active = table.of(to).into_iter().filter(|listing| listing.status == "active");
+            let kind = |listing: Listing| self.names.borrow().kind(&listing.kind);
+            let bundle = |kind: usize| self.settings.kinds.get(kind).map_or(1, |kind| kind.bundle);
+            return active.map(|listing| bundle(kind(listing))).collect();
+        }
+        let listed = self.endpoints.values().filter(|known| known.listed && known.group == to);
+        listed.filter(|known| known.active()).map(|known| known.bundle).collect()
+    }
+
     /// What the module knows of a destination, with what the list has of it.
     fn outlook(&self, to: DestinationId, tenant: Option<usize>) -> Outlook {
-        let listed = self.endpoints.values().filter(|known| known.listed && known.group == to.0);
-        let active: Vec<usize> = listed.filter(|known| known.active()).map(|known| known.bundle).collect();
+        let active = self.active_bundles(to.0);
         let bundle = active.iter().copied().max().unwrap_or(1);
         let outlook = self.policy.outlook(to, tenant.unwrap_or(usize::MAX));
         Outlook { endpoints: active.len(), bundle, ..outlook }
--- /dev/null
+++ b/src/net/driver/residing.rs
@@ -0,0 +1,258 @@
+//! Which part of a long list the module is told of. A destination enters with its first message, before the module
+//! hears of that, and leaves when nothing rests on it; lists and changes reach the module as far as residents are
+//! concerned. Up to [`ALL_RESIDENT`] destinations all are told, as they come.
+
+use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
+
+use myrtleyard::endpoints::Bounds;
+use myrtleyard::endpoints::reader::List;
+use myrtleyard::endpoints::table::Table;
+use myrtleyard::interface::*;
+use myrtleyard::policy::Route;
+use myrtleyard::start::Phase;
+use myrtleyard::told::Told;
+
+use super::super::listing::{Known, ListBody, Listing};
+use super::super::working::{ALL_RESIDENT, Named};
+use super::Driver;
+
+/// A table that is worn, or full, has the whole list asked for no more often than this.
+const WHOLE_AGAIN: Micros = 60_000_000;
+
+/// Status of an entry that is taken away.
+const LEFT: &str = "left";
+
+/// Whether these come to more destinations than may all be resident.
+fn too_many(destinations: impl IntoIterator<Item = u32>) -> bool {
+    let mut seen = HashSet::new();
+    destinations.into_iter().any(|destination| seen.insert(destination) && seen.len() > ALL_RESIDENT)
+}
+
+impl Driver {
+    /// Discovery told a list or changes of it.
+    pub(super) fn take_list(&mut self, list: List, said: &mut Vec<Event>) {
+        let event = match list {
+            List::Entries(body) if body.snapshot => self.whole_list(body),
+            List::Entries(body) if self.working.beyond => self.change_table(body),
+            List::Entries(body) => {
+                let event = self.listed(body);
+                self.restore(&event);
+                self.outgrow();
+                event
+            }
+            List::Table { index, table } if table.destinations() <= ALL_RESIDENT => {
+                self.list_all(ListBody { index, snapshot: true, endpoints: table.iter().collect() })
+            }
+            List::Table { index, table } => self.swap_table(index, table),
+        };
+        said.push(event);
+    }
+
+    fn whole_list(&mut self, body: ListBody) -> Event {
+        let there = body.endpoints.iter().filter(|listing| listing.status != LEFT);
+        if too_many(there.map(|listing| listing.group)) {
+            let table = Table::new(body.endpoints);
+            return self.swap_table(body.index, Box::new(table));
+        }
+        self.list_all(body)
+    }
+
+    /// All destinations of this list are resident from now on.
+    fn list_all(&mut self, body: ListBody) -> Event {
+        let event = self.listed(body);
+        self.restore(&event);
+        self.working.all_resident();
+        self.count_destinations();
+        event
+    }
+
+    /// A list of more destinations than may be resident: the module hears of those that are.
+    fn swap_table(&mut self, index: u64, table: Box<Table>) -> Event {
+        self.go_beyond();
+        let residents = self.working.all();
+        let endpoints = residents.into_iter().flat_map(|destination| table.of(destination)).collect();
+        self.working.table = Some(table);
+        self.listed(ListBody { index, snapshot: true, endpoints })
+    }
+
+    /// Those who were resident as all were may leave from now on.
+    fn go_beyond(&mut self) {
+        if !std::mem::replace(&mut self.working.beyond, true) {
+            let now = self.clock.now();
+            for known in self.endpoints.values() {
+                self.working.touch(known.group, now);
+            }
+        }
+    }
+
+    /// Changes may have come to more destinations than may all be resident.
+    pub(super) fn outgrow(&mut self) {
+        self.count_destinations();
+        if !self.working.beyond && self.working.listed > ALL_RESIDENT {
+            let table = Table::new(self.told_list());
+            self.go_beyond();
+            self.working.table = Some(Box::new(table));
+        }
+    }
+
+    fn count_destinations(&mut self) {
+        let listed = self.endpoints.values().filter(|known| known.listed);
+        self.working.listed = listed.map(|known| known.group).collect::<HashSet<u32>>().len();
+    }
+
+    /// Changes of a long list: the table has all of them, the module those of residents.
+    fn change_table(&mut self, body: ListBody) -> Event {
+        let mut told = Vec::new();
+        let mut failed = None;
+        for listing in body.endpoints {
+            if let Some(table) = &mut self.working.table
+                && let Err(why) = table.change(listing.clone(), Bounds::default().endpoints)
+            {
+                failed = Some(why);
+                continue;
+            }
+            let known = self.ids.get(&listing.name).and_then(|id| self.endpoints.get(id));
+            let before = known.map(|known| known.group);
+            if self.working.has(listing.group) {
+                told.push(listing);
+            } else if let Some(group) = before {
+                // It has gone to a destination that is not resident: here it is no more.
+                told.push(Listing { group, status: LEFT.to_owned(), ..listing });
+            }
+        }
+        if let Some(why) = &failed {
+            let (code, remedy) = (why.code(), why.remedy());
+            tracing::error!(code, remedy, "a change of the list is not taken: {why}");
+        }
+        let worn = self.working.table.as_ref().is_some_and(|table| table.worn());
+        if worn || failed.is_some() {
+            self.ask_for_all();
+        }
+        self.listed(ListBody { index: body.index, snapshot: false, endpoints: told })
+    }
+
+    fn ask_for_all(&mut self) {
+        let now = self.clock.now();
+        if now >= self.working.asked_at + WHOLE_AGAIN {
+            self.working.asked_at = now;
+            self.wanted.whole.notify_one();
+        }
+    }
+
+    /// A message for the destination is about to be told to the module, which has to know it first.
+    pub(super) fn enter(&mut self, destination: u32, said: &mut Vec<Event>) {
+        let now = self.clock.now();
+        if !self.working.beyond || !self.working.touch(destination, now) {
+            return;
+        }
+        let endpoints = self.working.table.as_ref().map(|table| table.of(destination)).unwrap_or_default();
+        let event = self.listed(ListBody { index: self.index, snapshot: false, endpoints });
+        self.enter_routes(destination, &event);
+        said.push(event);
+        // In a start it may be cold; others' words hide nothing of a long list.
+        if let Some(starting) = &self.parts.starting
+            && starting.core.borrow().phase().0 != Phase::Steady
+        {
+            let since = self.cold(now).remove(&destination);
+            let mut core = starting.core.borrow_mut();
+            for (to, part) in core.parts(since.map(|_| destination)) {
+                let ago = now - since.unwrap_or(now);
+                said.push(Event::Cold { destination: DestinationId(to), ago, part });
+            }
+        }
+    }
+
+    /// Destinations of these entries that were away are as they were when they left.
+    fn restore(&mut self, event: &Event) {
+        let (Event::List(entries) | Event::Changes(entries)) = event else { return };
+        let away = entries.iter().map(|entry| entry.destination.0).filter(|to| self.working.away(*to));
+        for destination in away.collect::<BTreeSet<u32>>() {
+            self.enter_routes(destination, event);
+        }
+    }
+
+    /// The module's routes to a destination, before it hears of its endpoints: as they were when it left.
+    fn enter_routes(&mut self, destination: u32, event: &Event) {
+        let (Event::List(entries) | Event::Changes(entries)) = event else { return };
+        let to = DestinationId(destination);
+        let apart = |kind: usize| self.settings.kinds.get(kind).is_some_and(|kind| kind.routes_apart);
+        let entries = entries.iter().filter(|entry| entry.destination == to);
+        let mut routes: BTreeSet<RouteId> =
+            entries.map(|entry| (to, apart(entry.kind).then_some(entry.endpoint))).collect();
+        let mut kept: BTreeMap<RouteId, Route> = BTreeMap::new();
+        for (name, route) in self.working.take(destination) {
+            let Some(id) = self.route_named(to, name) else { continue };
+            routes.insert(id);
+            kept.insert(id, route);
+        }
+        self.policy.enter(routes, kept);
+    }
+
+    /// The route of that endpoint's name; none if the name is another destination's by now. What the list does not
+    /// have at the moment may come back.
+    fn route_named(&mut self, to: DestinationId, name: Option<String>) -> Option<RouteId> {
+        let Some(name) = name else { return Some((to, None)) };
+        let endpoint = self.id_of(&name);
+        let (group, bundle) = (to.0, 1);
+        let known = self.endpoints.entry(endpoint).or_insert_with(|| Known {
+            name,
+            group,
+            address: None,
+            listed: false,
+            shape: None,
+            named: None,
+            bundle,
+            since_ms: 0,
+        });
+        (known.group == group).then_some((to, Some(endpoint)))
+    }
+
+    /// Those who were idle for long, and on whom nothing rests, leave.
+    pub(super) fn leave(&mut self) {
+        if self.working.table.is_none() {
+            return;
+        }
+        let now = self.clock.now();
+        let mut left: HashMap<u32, Vec<(RouteId, Route)>> = HashMap::new();
+        for destination in self.working.idle(now) {
+            match self.policy.evict(DestinationId(destination)) {
+                Some(routes) => drop(left.insert(destination, routes)),
+                None => self.working.stays(destination, now),
+            }
+        }
+        if left.is_empty() {
+            return;
+        }
+        let gone = self.endpoints.extract_if(|_, known| left.contains_key(&known.group));
+        let gone: HashMap<EndpointId, Known> = gone.collect();
+        for (id, known) in &gone {
+            self.ids.remove(&known.name);
+            self.calls.close_idle(*id);
+        }
+        for (destination, routes) in left {
+            let name = |((_, endpoint), route): (RouteId, Route)| match endpoint {
+                Some(id) => Some((Some(gone.get(&id)?.name.clone()), route)),
+                None => Some((None, route)),
+            };
+            let routes: Vec<Named> = routes.into_iter().filter_map(name).collect();
+            self.working.left(destination, &routes);
+        }
+    }
+
+    /// Endpoints in discovery's list.
+    pub(super) fn endpoints_listed(&self) -> usize {
+        match &self.working.table {
+            Some(table) => table.len(),
+            None => self.endpoints.values().filter(|known| known.listed).count(),
+        }
+    }
+
+    /// What discovery's list has under that name.
+    pub(super) fn listing_of(&self, name: &str) -> Option<(u32, bool)> {
+        if let Some(table) = &self.working.table {
+            return table.get(name).map(|listing| (listing.group, listing.status == "active"));
+        }
+        let known = self.ids.get(name).and_then(|id| self.endpoints.get(id));
+        known.filter(|known| known.listed).map(|known| (known.group, known.active()))
+    }
+}
--- a/src/net/driver/starting.rs
+++ b/src/net/driver/starting.rs
@@ -15,7 +15,7 @@
 
 impl Driver {
     /// The list as the list service told it, in its form.
-    fn told_list(&self) -> Vec<Listing> {
+    pub(super) fn told_list(&self) -> Vec<Listing> {
         let names = self.names.borrow();
         let name = |names: &[String], at: usize| names.get(at).cloned().unwrap_or_default();
         let listed = self.endpoints.values().filter(|known| known.listed).filter_map(|known| {
@@ -40,15 +40,18 @@
         if self.parts.starting.is_none() {
             return;
         }
-        let list = self.told_list();
-        if let Some(starting) = &mut self.parts.starting {
-            starting.listed(now, self.index, &list);
+        let beyond = self.working.beyond;
+        let list = if beyond { Vec::new() } else { self.told_list() };
+        match &mut self.parts.starting {
+            Some(starting) if beyond => starting.listed_long(now, self.index),
+            Some(starting) => starting.listed(now, self.index, &list),
+            None => {}
         }
     }
 
     /// The list is the one that the process before had.
     pub(super) fn start_from_known(&mut self) {
-        let list = self.told_list();
+        let list = if self.working.beyond { Vec::new() } else { self.told_list() };
         if let Some(starting) = &mut self.parts.starting {
             starting.core.borrow_mut().begins_from(self.index, named(&list));
         }
@@ -62,7 +65,9 @@
             let mut core = starting.core.borrow_mut();
             (core.changed(), core.backlog.take(now))
         };
-        if starting.to_keep(now) {
+        if starting.to_keep(now) && self.working.beyond {
+            starting.keep_none(now);
+        } else if starting.to_keep(now) {
             let list = self.told_list();
             if let Some(starting) = &mut self.parts.starting {
                 starting.keep(now, &list);
@@ -77,7 +82,7 @@
 
     /// Destinations all of whose endpoints started of late, and when the first of them did. The clock of the list is
     /// all machines'.
-    fn cold(&self, now: Micros) -> BTreeMap<u32, Micros> {
+    pub(super) fn cold(&self, now: Micros) -> BTreeMap<u32, Micros> {
         let mut cold: BTreeMap<u32, Micros> = BTreeMap::new();
         for known in self.endpoints.values().filter(|known| known.listed && known.active()) {
             let since = known.since_ms.saturating_mul(1000).min(now);
@@ -132,7 +137,7 @@
             let class = self.as_taken(class, &live.taken, said);
             let (id, destination) = (&live.taken.id, live.taken.destination);
             tracing::debug!(id, destination, attempts = live.attempts.len(), "taken up again");
-            said.push(self.resumed(number, class, &live, now));
+            self.resumed(number, class, &live, now, said);
         }
     }
 
--- a/src/net/figures.rs
+++ b/src/net/figures.rs
@@ -35,8 +35,12 @@
     pub current: usize,
     /// Endpoints in the list.
     pub cluster_size: usize,
-    /// Those of them that are avoided.
+    /// Those of them that are avoided, of resident destinations.
     pub cluster_unhealthy: usize,
+    /// Destinations that the decision module knows.
+    pub resident: usize,
+    /// States of destinations that had left and were dropped, since there were too many.
+    pub forgotten: u64,
 }
 
 #[derive(Debug, Default, Serialize)]
--- a/src/net/handover.rs
+++ b/src/net/handover.rs
@@ -30,6 +30,7 @@
 use super::listing::Known;
 use super::names::Names;
 use super::refusals::NoCall;
+use super::working::Working;
 use super::{AttemptOver, Clock, Inbound, STOP_WITHIN, Standing};
 
 /// Held by the process that the folder belongs to.
@@ -75,6 +76,9 @@
     pub held: HashMap<String, u32>,
     /// Attempts begun for each.
     pub attempts: HashMap<u32, u16>,
+    /// Which destinations of a long list are resident; an older process has all.
+    #[serde(default)]
+    pub working: Working,
 }
 
 /// The same, as the old process has it.
@@ -104,6 +108,8 @@
     pub held: &'a HashMap<String, u32>,
     /// Attempts begun for each.
     pub attempts: &'a HashMap<u32, u16>,
+    /// Which destinations of a long list are resident.
+    pub working: &'a Working,
     /// Names of the endpoints that the module takes for drained by operators; an older version asks for them.
     pub drained: BTreeSet<String>,
 }
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -18,6 +18,7 @@
 pub mod peers;
 pub mod platform;
 pub mod refusals;
+pub mod working;
 
 use std::time::{Instant, SystemTime, UNIX_EPOCH};
 
@@ -73,7 +74,7 @@
     /// Another sender's datagram, with its number.
     Datagram(u16, Vec<u8>),
     /// Discovery told of endpoints.
-    Listed(listing::ListBody),
+    Listed(myrtleyard::endpoints::reader::List),
     /// The platform has these notices.
     NoticesKept(Vec<MessageId>),
     /// The process was asked to end.
--- a/src/net/parts/starting.rs
+++ b/src/net/parts/starting.rs
@@ -38,6 +38,8 @@
     written: (Micros, bool),
     /// Names that are written down as active, with their destinations.
     active: BTreeSet<(String, u32)>,
+    /// The list is too long to be kept, which was said.
+    unkept: bool,
     /// This process has come through its start.
     through: bool,
 }
@@ -110,7 +112,18 @@
         core.begins_from(begun.index, named(&begun.endpoints));
         let core = Rc::new(RefCell::new(core));
         let written = (now.saturating_sub(EVERY), false);
-        Some(Self { core, list_at, lives_at, from, source, kept_at, written, active, through: false })
+        Some(Self {
+            core,
+            list_at,
+            lives_at,
+            from,
+            source,
+            kept_at,
+            written,
+            active,
+            unkept: false,
+            through: false,
+        })
     }
 
     /// How many the view holds for there.
@@ -133,6 +146,29 @@
         }
     }
 
+    /// The list service told a list that is too long to be kept, or told to others.
+    pub fn listed_long(&mut self, now: Micros, version: u64) {
+        self.core.borrow_mut().listed_long(now, version);
+        self.source = "list service";
+        self.keep_none(now);
+    }
+
+    /// The list is too long to be kept: the next process begins from none, rather than from an older one.
+    pub fn keep_none(&mut self, now: Micros) {
+        self.written = (now, false);
+        if std::mem::replace(&mut self.unkept, true) {
+            return;
+        }
+        tracing::warn!("the list of endpoints is too long to be kept");
+        match std::fs::remove_file(&self.list_at) {
+            Err(e) if e.kind() != std::io::ErrorKind::NotFound => {
+                tracing::warn!("the list of endpoints that was kept can't be removed: {e}");
+                self.unkept = false;
+            }
+            _ => self.active.clear(),
+        }
+    }
+
     /// The list is to be written down, if it has changed and was not for a while.
     pub fn to_keep(&self, now: Micros) -> bool {
         self.written.1 && now >= self.written.0 + EVERY
@@ -140,6 +176,7 @@
 
     /// Writes the list down.
     pub fn keep(&mut self, now: Micros, list: &[Listing]) {
+        self.unkept = false;
         let core = self.core.borrow();
         let (version, at) = core.list();
         let bears = if core.phase().0 == Phase::Steady { core.learned() } else { core.bears() };
--- a/src/net/platform.rs
+++ b/src/net/platform.rs
@@ -9,6 +9,7 @@
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::{Request, StatusCode};
+use myrtleyard::endpoints::reader::List;
 use myrtleyard::interface::{Event, MessageId, Settings};
 use myrtleyard::start::Failed;
 use serde::Serialize;
@@ -217,7 +218,7 @@
             conn = None;
         }
         let said = match list {
-            Some(list) => Some(Inbound::Listed(list)),
+            Some(list) => Some(Inbound::Listed(List::Entries(list))),
             // The module's rule is the wire's, where the next poll may come later.
             None if matches!(following, Following::Ask(..)) => None,
             None => Some(Inbound::Event(Event::ListFailed)),
--- a/src/net/platform/tests.rs
+++ b/src/net/platform/tests.rs
@@ -66,7 +66,10 @@
         let answer = format!("HTTP/1.1 200 OK\r\ncontent-length: {}\r\n\r\n{list}", list.len());
         stream.write_all(answer.as_bytes()).await?;
         let heard = timeout(PATIENCE, agent.1.recv()).await?;
-        assert!(matches!(heard, Some(Inbound::Listed(ListBody { index: 7, .. }))), "{heard:?}");
+        assert!(
+            matches!(heard, Some(Inbound::Listed(List::Entries(ListBody { index: 7, .. })))),
+            "{heard:?}"
+        );
         assert_eq!(asked(&mut stream).await?, "/v1/endpoints?from=7&hold_ms=1000");
         Ok(())
     };
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -3,6 +3,7 @@
 //! [`Policy::dispatch`] and [`Policy::admit`]; all final answers pass [`Policy::answer`].
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::ops::RangeInclusive;
 
 use serde::{Deserialize, Serialize};
 
@@ -111,7 +112,7 @@
 /// Health and pace of what a breaker guards, as this sender saw it.
 #[derive(Debug, Default, Serialize, Deserialize)]
 #[serde(default)]
-struct Route {
+pub struct Route {
     breaker: Breaker,
     /// A wait that was told, or our own pause after a refusal that told none: nothing goes before it ends.
     wait_until: Micros,
@@ -170,6 +171,11 @@
     if joins { BUNDLE_WEIGHT } else { 1.0 }
 }
 
+/// The ids that routes of a destination may have.
+fn routes_to(destination: DestinationId) -> RangeInclusive<RouteId> {
+    (destination, None)..=(destination, Some(EndpointId([u8::MAX; 6])))
+}
+
 /// How many turns a note stands for: a price is paid for each receiver.
 fn turns_a_note(senders: usize) -> usize {
     (senders / NOTE_SENDERS).max(1)
@@ -190,6 +196,21 @@
         }
     }
 
+    /// What was told of a limit in another form is no figure of this one.
+    pub fn forget_limit(&mut self) {
+        (self.told, self.reported) = (0.0, 0.0);
+    }
+
+    /// Whether nothing of it binds or was learned, but for estimates that fade: `docs/findings/working-set.md` has
+    /// each field.
+    fn as_new(&self, rules: &Rules, now: Micros) -> bool {
+        let quiet = !self.failing() && self.fulls + self.breaker.failures + self.breaker.timeouts == 0;
+        let free = self.wait_until.max(self.booked) <= now && self.slot.is_none_or(|at| at <= now);
+        let unlearned = self.pace.is_infinite() && self.reported == 0.0;
+        let over = self.sent.back().is_none_or(|s| s.0 + rules.overload_for <= now);
+        quiet && free && unlearned && over && self.cold_share(rules, now).is_none()
+    }
+
     fn failing(&self) -> bool {
         self.bad_run > 0 || self.late || self.breaker.state != State::Closed
     }
@@ -322,11 +343,6 @@
         at
     }
 
-    /// The limit is used up, with nothing ahead.
-    fn book_full(&mut self, now: Micros) {
-        self.booked = self.booked.max(now + LIMIT_AHEAD);
-    }
-
     fn refill(&mut self, now: Micros) {
         let gained = self.pace * (now - self.credit_at) as f64 / 1e6;
         let most = 1.0 + self.pace / 4.0;
@@ -576,7 +592,7 @@
     /// What is known of a destination and a tenant, for estimates; nothing is decided by it.
     pub fn outlook(&self, to: DestinationId, tenant: usize) -> Outlook {
         let (rules, aim, now) = (&self.settings.rules, self.settings.shortest_aim(), self.now);
-        let routes = self.routes.range((to, None)..=(to, Some(EndpointId([u8::MAX; 6])))).map(|(_, r)| {
+        let routes = self.routes.range(routes_to(to)).map(|(_, r)| {
             let rates = [r.limit(), r.pace, r.usual_rate(rules)];
             RouteOutlook::new(rates, r.wait_until.max(r.breaker.due()), r.cold_share(rules, now), r.usual)
         });
@@ -602,6 +618,31 @@
         Some(self.held.get(&message)?.message.class)
     }
 
+    /// Forgets a destination and what it learned of it, but for the routes that are not as good as new, which
+    /// [`Self::enter`] takes back. Refuses while a message for it is held or a call to it has no end.
+    pub fn evict(&mut self, destination: DestinationId) -> Option<Vec<(RouteId, Route)>> {
+        let held = self.held.values().any(|held| held.message.destination == destination);
+        if held || self.calls.values().any(|call| call.route.0 == destination) {
+            return None;
+        }
+        let endpoints = self.cells.remove(&destination).into_iter().flatten();
+        endpoints.for_each(|id| drop(self.endpoints.remove(&id)));
+        let routes = self.routes.extract_if(routes_to(destination), |_, _| true);
+        Some(routes.filter(|(_, route)| !route.as_new(&self.settings.rules, self.now)).collect())
+    }
+
+    /// A destination is about to be listed with these routes. What is not among the kept ones is taken for known, and
+    /// idle, since ever. Where routes have come together or apart, a wait that was told binds all that it may be about.
+    pub fn enter(&mut self, routes: impl IntoIterator<Item = RouteId>, mut kept: BTreeMap<RouteId, Route>) {
+        for id in routes {
+            let binding = kept.iter().filter(|(at, _)| at.1.is_none() || id.1.is_none());
+            let wait_until = binding.map(|(_, route)| route.wait_until).max().unwrap_or(0);
+            let mut route = kept.remove(&id).unwrap_or_else(|| Route::new(0));
+            route.wait_until = route.wait_until.max(wait_until);
+            self.routes.entry(id).or_insert(route);
+        }
+    }
+
     /// What is held keeps its aim, deadline, class and tenant; all that comes next goes by the new settings,
     /// attempts allowed among them: a message that has had more is answered.
     fn adopt(&mut self, settings: &Settings) {
@@ -619,9 +660,8 @@
         if settings.idle_close != self.settings.idle_close {
             self.keep = settings.idle_close;
         }
-        // What was told of a limit in another form is no figure of this one; the list tells it anew.
         if (settings.weights, settings.report) != (self.settings.weights, self.settings.report) {
-            self.routes.values_mut().for_each(|route| (route.told, route.reported) = (0.0, 0.0));
+            self.routes.values_mut().for_each(Route::forget_limit);
         }
         self.settings = settings.clone();
     }
@@ -634,7 +674,7 @@
         held.message.time_left += 1; // It was taken on before this turn.
         // No attempt of this process has such a number, so that the end of none takes one of these away.
         let earlier = may_have_run.iter().map(|a| (u16::MAX, self.now.saturating_sub(a.0), a.1));
-        held.may_have_run = earlier.collect();
+        held.may_have_run.extend(earlier);
     }
 
     fn hold(&mut self, message: &Message) {
@@ -696,9 +736,7 @@
         route.told = f64::from(limit);
         let (known, limit) = (std::mem::replace(&mut route.reported, route.told), route.told);
         let changed = limit > known * LIMIT_CHANGE || limit * LIMIT_CHANGE < known;
-        if changed && known > 0.0 {
-            self.news.insert((Topic::Limit, id.0));
-        }
+        self.news.extend((changed && known > 0.0).then_some((Topic::Limit, id.0)));
         // What was learnt of a limit does not hold once that has risen, by more than reports are off.
         if route.told > route.told_at_cut * TOLD_RISE {
             route.refill(self.now);
@@ -714,22 +752,17 @@
         let route = self.routes.get_mut(&(destination, None));
         let Some(route) = route.filter(|r| r.limit() > 0.0) else { return };
         match topic {
-            Topic::Turn => {
-                for _ in 0..turns_a_note(senders) {
-                    route.book(now, senders);
-                }
-            }
-            Topic::Full => route.book_full(now),
-            Topic::Limit if limit > 0.0 => route.reported = limit,
-            Topic::Limit => {}
+            Topic::Turn => (0..turns_a_note(senders)).for_each(|_| _ = route.book(now, senders)),
+            // The limit is used up, with nothing ahead.
+            Topic::Full => route.booked = route.booked.max(now + LIMIT_AHEAD),
+            Topic::Limit => route.reported = if limit > 0.0 { limit } else { route.reported },
         }
     }
 
     /// It is cold as of then, unless it is known to have come back later.
     fn cold(&mut self, destination: DestinationId, ago: Micros, part: f64) {
         let since = Some(self.now.saturating_sub(ago));
-        let routes = self.routes.range_mut((destination, None)..).take_while(|(id, _)| id.0 == destination);
-        for (_, route) in routes {
+        for (_, route) in self.routes.range_mut(routes_to(destination)) {
             (route.cold_since, route.part) = (route.cold_since.max(since), Some(part));
         }
     }
@@ -751,10 +784,9 @@
                     route.wait_until = route.wait_until.max(now + wait);
                 }
                 if let (true, Outcome::Full(_), true) = (first, outcome, self.settings.peers) {
-                    if route.booked < now + LIMIT_AHEAD / 2 && call.route.1.is_none() {
-                        self.news.insert((Topic::Full, call.route.0));
-                    }
-                    route.book_full(now);
+                    let news = route.booked < now + LIMIT_AHEAD / 2 && call.route.1.is_none();
+                    self.news.extend(news.then_some((Topic::Full, call.route.0)));
+                    route.booked = route.booked.max(now + LIMIT_AHEAD);
                 }
                 if first {
                     if matches!(outcome, Outcome::Delivered | Outcome::Error) {
@@ -881,9 +913,7 @@
                 }
             }
         }
-        for (id, retry_after) in over {
-            self.answer(id, retry_after, actions);
-        }
+        over.into_iter().for_each(|(id, retry_after)| self.answer(id, retry_after, actions));
     }
 
     /// Part of the worth that is left to a tenant's message when it may be beyond the tenant's share, as
@@ -938,9 +968,7 @@
             least.push(((worth * 1e6) as u64, held.aim, *id, wait));
         }
         least.sort_unstable();
-        for (_, _, id, wait) in least.into_iter().take(excess) {
-            self.answer(id, wait, actions);
-        }
+        least.into_iter().take(excess).for_each(|(_, _, id, wait)| self.answer(id, wait, actions));
     }
 
     /// What handing it back now would cost beside its worth. What comes in this very turn is not taken on
@@ -998,9 +1026,7 @@
                     (!joins, e.bad_run, toll, e.out, id)
                 })
                 .collect();
-            for choice in &mut choices {
-                choice.3 = choice.3 * 256 + self.rng.usize(0..256);
-            }
+            choices.iter_mut().for_each(|choice| choice.3 = choice.3 * 256 + self.rng.usize(0..256));
             choices.sort_unstable();
             // The first that agrees takes it.
             choices.into_iter().any(|choice| self.admit(id, choice.4, waiting, &mut begun, actions));
@@ -1023,14 +1049,10 @@
         let class = &self.settings.classes[held.message.class];
         // No message lost, nothing after its end; drains kept; never two attempts at once.
         let last_call = self.last_call(held);
-        if now >= last_call || held.attempts >= self.settings.try_limit || held.out > 0 {
-            return false;
-        }
-        if !endpoint.ready || endpoint.destination != held.message.destination {
-            return false;
-        }
+        let over = now >= last_call || held.attempts >= self.settings.try_limit || held.out > 0;
+        let elsewhere = !endpoint.ready || endpoint.destination != held.message.destination;
         // No effect twice.
-        if !self.repeat_allowed(held, endpoint_id) {
+        if over || elsewhere || !self.repeat_allowed(held, endpoint_id) {
             return false;
         }
         // Order kept.
@@ -1056,25 +1078,20 @@
         }
         let joined = begun.get(&endpoint_id).copied().filter(|b| b.1 < endpoint.kind.bundle);
         route.refill(now);
-        if joined.is_none() && route.credit < 1.0 {
-            return false;
-        }
         // Waits heeded; our own pauses, and one call at a time until a refusing destination accepts.
-        if now < route.wait_until || (route.fulls > 0 && route.out > 0) {
+        let waits = now < route.wait_until || (route.fulls > 0 && route.out > 0);
+        if waits || (joined.is_none() && route.credit < 1.0) {
             return false;
         }
         // The ramp after an outage.
         if !route.ramp_allows(&self.settings, now, joined.is_some(), backlog, self.rng.f64()) {
             return false;
         }
-        if joined.is_none() {
-            // Slots: all of them, and the destination's share.
-            let slots = self.settings.slots;
-            let share = if route.failing() { slots / 2 } else { slots * 3 / 4 }.max(1);
-            if self.calls.len() >= slots || route.out >= share {
-                return false;
-            }
-        } else if route.breaker.state != State::Closed {
+        // Slots: all of them, and the destination's share. Nothing joins a trial.
+        let slots = self.settings.slots;
+        let share = if route.failing() { slots / 2 } else { slots * 3 / 4 }.max(1);
+        let no_slot = self.calls.len() >= slots || route.out >= share;
+        if joined.map_or(no_slot, |_| route.breaker.state != State::Closed) {
             return false;
         }
         // A trial has the time to be answered: one that its message's deadline cuts short proves nothing, and
@@ -1090,9 +1107,8 @@
         if joined.is_none() && shared && route.limit() > 0.0 && route.breaker.state == State::Closed {
             let slot = route.slot.filter(|at| now < at + LIMIT_AHEAD);
             let at = slot.unwrap_or_else(|| {
-                if self.rng.usize(0..turns_a_note(self.settings.senders)) == 0 {
-                    self.news.insert((Topic::Turn, route_id.0));
-                }
+                let told = self.rng.usize(0..turns_a_note(self.settings.senders)) == 0;
+                self.news.extend(told.then_some((Topic::Turn, route_id.0)));
                 route.book(now, self.settings.senders)
             });
             route.slot = Some(at);
@@ -1166,16 +1182,13 @@
         let silent = self.calls.values().filter(|call| !call.judged);
         let silent = silent.filter_map(|c| Some(c.sent + self.routes.get(&c.route)?.patience(aim)));
         let wanted = self.backlog();
-        let routes = wanted
-            .keys()
-            .flat_map(|d| self.routes.range((*d, None)..).take_while(move |(id, _)| id.0 == *d))
-            .flat_map(|(_, r)| {
-                let credit = r.credit_at + ((1.0 - r.credit).max(0.0) / r.pace * 1e6).ceil() as Micros;
-                let ramp = r.sent.front().map_or(0, |s| s.0 + self.settings.rules.overload_for);
-                let wait = (r.turn / r.ramp.max(1e-6) * 1e6) as Micros + self.settings.period;
-                let turn = if r.turn > 0.0 { r.turn_at + wait } else { 0 };
-                [r.wait_until, r.breaker.due(), ramp, credit, turn, r.slot.unwrap_or(0)]
-            });
+        let routes = wanted.keys().flat_map(|d| self.routes.range(routes_to(*d))).flat_map(|(_, r)| {
+            let credit = r.credit_at + ((1.0 - r.credit).max(0.0) / r.pace * 1e6).ceil() as Micros;
+            let ramp = r.sent.front().map_or(0, |s| s.0 + self.settings.rules.overload_for);
+            let wait = (r.turn / r.ramp.max(1e-6) * 1e6) as Micros + self.settings.period;
+            let turn = if r.turn > 0.0 { r.turn_at + wait } else { 0 };
+            [r.wait_until, r.breaker.due(), ramp, credit, turn, r.slot.unwrap_or(0)]
+        });
         let rests = self.lines.values().map(|line| line.rest.0);
         let all = messages.chain(silent).chain(routes).chain(rests).chain(self.ask_at);
         let Some(next) = all.filter(|at| *at > now).min() else { return };
--- a/src/start/mod.rs
+++ b/src/start/mod.rs
@@ -208,6 +208,8 @@
     version: u64,
     list: Option<Vec<Named>>,
     list_at: Option<Micros>,
+    /// It is too long to be told to others, and not here.
+    long: bool,
     /// Names and destinations that this sender goes by.
     names: BTreeMap<String, u32>,
     /// Who said of which endpoint that it is gone, since this sender's own last answer; and who said anything.
@@ -261,6 +263,7 @@
             version,
             list: None,
             list_at: None,
+            long: false,
             names: BTreeMap::new(),
             denied: BTreeMap::new(),
             witnesses: BTreeMap::new(),
@@ -405,7 +408,13 @@
         self.changed.extend(std::mem::take(&mut self.denied).into_keys());
         self.witnesses.clear();
         self.begins_from(version, list.iter().cloned());
-        (self.list, self.list_at) = (Some(list), Some(now));
+        (self.list, self.list_at, self.long) = (Some(list), Some(now), false);
+    }
+
+    /// The same of a list that is too long to be told to others, or to be held against what others tell.
+    pub fn listed_long(&mut self, now: Micros, version: u64) {
+        self.listed(now, version, Vec::new());
+        self.long = true;
     }
 
     /// Whether two others told that an endpoint is gone, since this sender was last told the list itself.
@@ -590,7 +599,10 @@
             Ok(Said::Tell) => {
                 self.spent.3 += 1;
                 // Only what this process was told itself is told to others.
-                let Some(list) = self.list.clone().filter(|list| list.len() <= MOST_ENTRIES) else { return };
+                let Some(list) = self.list.clone().filter(|list| !self.long && list.len() <= MOST_ENTRIES)
+                else {
+                    return;
+                };
                 let word = postcard::to_allocvec(&Said::Word(self.version, list));
                 if let Some(word) =
                     word.ok().filter(|word| word.len() <= MOST_BYTES && self.spent.3 <= WORDS.1)
--- a/tests/node/main.rs
+++ b/tests/node/main.rs
@@ -8,6 +8,7 @@
 mod handover;
 mod late;
 mod plans;
+mod residing;
 mod status;
 mod world;
 
@@ -420,7 +421,8 @@
     assert_eq!(
         figures(),
         json!({"answered": none, "deferred": none, "errored": none, "sends": 0, "current": 0,
-               "cluster_size": 2, "cluster_unhealthy": 0, "conf_loaded": 0, "conf_invalid": 0})
+               "cluster_size": 2, "cluster_unhealthy": 0, "resident": 2, "forgotten": 0,
+               "conf_loaded": 0, "conf_invalid": 0})
     );
     assert_eq!(node.hand_in("delivered", "note", 7, 20_000).status(), 202);
     let call = endpoint.next();
@@ -442,7 +444,8 @@
         figures(),
         json!({"answered": {"note": 1, "order": 0}, "deferred": {"note": 0, "order": 1},
                "errored": {"note": 0, "order": 1}, "sends": 2, "current": 0, "cluster_size": 1,
-               "cluster_unhealthy": 0, "conf_loaded": 1, "conf_invalid": 1})
+               "cluster_unhealthy": 0, "resident": 1, "forgotten": 0,
+               "conf_loaded": 1, "conf_invalid": 1})
     );
 }
 
--- /dev/null
+++ b/tests/node/residing.rs
@@ -0,0 +1,283 @@
+//! Lists of more destinations than the module is told of: which ones it knows, and that nothing that binds is lost
+//! while one is away.
+
+use std::collections::BTreeSet;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::{Duration, Instant};
+
+use serde_json::{Value, json};
+
+use super::world::*;
+
+/// More destinations than may all be resident.
+const MANY: u32 = 3000;
+/// One endpoint for each destination, all at this address; those that `other` names are elsewhere.
+fn many(address: std::net::SocketAddr, other: &[Value]) -> Vec<Value> {
+    let elsewhere: BTreeSet<u64> = other.iter().map(|entry| entry["group"].as_u64().unwrap()).collect();
+    let rest = (1..=MANY).filter(|group| !elsewhere.contains(&u64::from(*group)));
+    let rest = rest.map(|group| listing(&format!("e{group}"), group as u16, "plain", address));
+    rest.chain(other.iter().cloned()).collect()
+}
+
+fn with_operators(config: &mut Value) {
+    config["mgmt"] = json!("127.0.0.1:0");
+}
+
+fn counters(node: &Node) -> Value {
+    node.call("GET", "/control/counters").json()
+}
+
+fn resident(node: &Node) -> u64 {
+    counters(node)["resident"].as_u64().unwrap()
+}
+
+/// A sender that was told this list by discovery: a configuration has no room for it.
+fn told(node: Node, platform: &Platform, list: &[Value]) -> Node {
+    platform.tell(list);
+    wait_until(|| counters(&node)["cluster_size"] == list.len());
+    node
+}
+
+fn start(platform: &Platform, list: &[Value]) -> Node {
+    told(Node::start(platform, &[], with_operators), platform, list)
+}
+
+/// Waits until no destination is resident. Watches that end without news keep the turns going.
+fn all_left(node: &Node) {
+    wait_until(|| {
+        std::thread::sleep(Duration::from_millis(50));
+        resident(node) == 0
+    });
+}
+
+/// Hands a message in for a destination and has its call answered so; whether one came to this endpoint.
+fn served(node: &Node, endpoint: &Served, id: &str, class: &str, group: u16, reply: Reply) {
+    assert_eq!(node.hand_in(id, class, group, 20_000).status(), 202);
+    let call = endpoint.next();
+    assert_eq!(call.http.headers["req-id"], id);
+    call.reply(reply);
+}
+
+/// The last list's destinations come in by their messages, go by themselves, and each message goes to an endpoint of
+/// its own destination.
+#[test]
+fn a_long_list_is_resident_as_far_as_messages_come() {
+    let (platform, rest, seven) = (Platform::new(), Served::new(), Served::new());
+    let known = many(rest.address, &[listing("e7", 7, "plain", seven.address)]);
+    let node = start(&platform, &known);
+    for (n, group) in (100..140).enumerate() {
+        served(&node, &rest, &format!("m{n}"), "order", group, status(200));
+    }
+    served(&node, &seven, "seven", "order", 7, status(200));
+    wait_until(|| counters(&node)["answered"]["order"] == 41);
+    let figures = counters(&node);
+    assert_eq!((&figures["cluster_size"], &figures["resident"]), (&json!(MANY), &json!(41)));
+    all_left(&node);
+    served(&node, &seven, "again", "order", 7, status(200));
+    assert!(!rest.unseen() && !seven.unseen());
+}
+
+/// A wait that was told holds though its destination left meanwhile and comes again within it.
+#[test]
+fn a_told_wait_outlasts_an_absence() {
+    let (platform, rest, seven) = (Platform::new(), Served::new(), Served::new());
+    let known = many(rest.address, &[listing("e7", 7, "plain", seven.address)]);
+    let node = start(&platform, &known);
+    let begun = Instant::now();
+    let told = Reply::Answer(503, vec![("retry-after", "25".into())], String::new());
+    assert_eq!(node.hand_in("refused", "order", 7, 5_000).status(), 202);
+    seven.next().reply(told);
+    assert_eq!(platform.notice(204).len(), 1, "its time is up within the wait");
+    all_left(&node);
+    assert!(begun.elapsed() < Duration::from_secs(24), "the wait is not over");
+    assert_eq!(node.hand_in("after", "order", 7, 20_000).status(), 202);
+    let call = seven.next();
+    assert!(begun.elapsed() >= Duration::from_secs(25), "called after {:?}", begun.elapsed());
+    call.reply(status(200));
+}
+
+/// A breaker that is open when its destination leaves has one trial when it comes again.
+#[test]
+fn an_open_breaker_outlasts_an_absence() {
+    let (platform, rest, seven) = (Platform::new(), Served::new(), Served::new());
+    let known = many(rest.address, &[listing("e7", 7, "plain", seven.address)]);
+    let node = start(&platform, &known);
+    for n in 0..5 {
+        served(&node, &seven, &format!("f{n}"), "order", 7, status(500));
+        assert_eq!(platform.notice(204).len(), 1);
+    }
+    assert_eq!(counters(&node)["cluster_unhealthy"], 1);
+    all_left(&node);
+    for id in ["a", "b", "c"] {
+        assert_eq!(node.hand_in(id, "order", 7, 20_000).status(), 202);
+    }
+    let trial = seven.next();
+    assert!(seven.try_next(Duration::from_millis(500)).is_none(), "one trial");
+    trial.reply(status(200));
+    for _ in 0..2 {
+        seven.next().reply(status(200));
+    }
+}
+
+/// What a snapshot takes away is not called any more, and what it moves is called where it is now.
+#[test]
+fn a_snapshot_reaches_what_is_resident_at_once() {
+    let (platform, rest, old, new) = (Platform::new(), Served::new(), Served::new(), Served::new());
+    let seven = |address| listing("e7", 7, "plain", address);
+    let eight = |group| listing("e8", group, "plain", old.address);
+    let node = start(&platform, &many(rest.address, &[seven(old.address), eight(8)]));
+    served(&node, &old, "a", "order", 7, status(200));
+    served(&node, &old, "b", "order", 8, status(200));
+    // Destination 7 has another address, 8 has lost its endpoint to 9.
+    let mut next = many(rest.address, &[seven(new.address), eight(9)]);
+    next.retain(|entry| entry["group"] != 8);
+    platform.tell(&next);
+    wait_until(|| counters(&node)["cluster_size"] == json!(MANY - 1));
+    assert_eq!(node.hand_in("waits", "order", 8, 20_000).status(), 202);
+    served(&node, &new, "c", "order", 7, status(200));
+    served(&node, &old, "d", "order", 9, status(200));
+    // It is back there, under another name.
+    platform
+        .tell(&many(rest.address, &[seven(new.address), eight(9), listing("f8", 8, "plain", new.address)]));
+    let call = new.next();
+    assert_eq!(call.http.headers["req-id"], "waits");
+    call.reply(status(200));
+    assert!(!old.unseen());
+}
+
+/// Changes reach residents and the table: what was not resident enters as it is then.
+#[test]
+fn changes_of_a_long_list_reach_who_is_resident_and_who_comes() {
+    let (platform, rest, old, new) = (Platform::new(), Served::new(), Served::new(), Served::new());
+    let at = |name: &str, group, address| listing(name, group, "plain", address);
+    let known = many(rest.address, &[at("e7", 7, old.address), at("e8", 8, old.address)]);
+    let node = start(&platform, &known);
+    served(&node, &old, "a", "order", 7, status(200));
+    let mut away = at("e9", 9, rest.address);
+    away["status"] = json!("left");
+    platform.change(&[at("e7", 7, new.address), at("e8", 8, new.address), away, at("g", 4000, new.address)]);
+    wait_until(|| counters(&node)["cluster_size"] == json!(MANY));
+    for (id, group) in [("b", 7), ("c", 8), ("d", 4000)] {
+        served(&node, &new, id, "order", group, status(200));
+    }
+    assert_eq!(node.hand_in("nowhere", "order", 9, 1_000).status(), 202);
+    assert_eq!(platform.notice(204).len(), 1);
+    // From a resident destination to one that is not, and back.
+    platform.change(&[at("e7", 4001, old.address)]);
+    served(&node, &old, "e", "order", 4001, status(200));
+    assert_eq!(node.hand_in("waits", "order", 7, 20_000).status(), 202);
+    platform.change(&[at("e7", 7, new.address)]);
+    let call = new.next();
+    assert_eq!(call.http.headers["req-id"], "waits");
+    call.reply(status(200));
+    assert!(!old.unseen() && !rest.unseen());
+}
+
+/// A list that comes to have too many destinations, and few again.
+#[test]
+fn a_list_grows_beyond_and_shrinks() {
+    let (platform, rest, seven) = (Platform::new(), Served::new(), Served::new());
+    let few = [listing("e7", 7, "plain", seven.address)];
+    let node = Node::start(&platform, &few, with_operators);
+    served(&node, &seven, "a", "order", 7, status(200));
+    platform.change(&many(rest.address, &few));
+    wait_until(|| counters(&node)["cluster_size"] == json!(MANY));
+    served(&node, &seven, "b", "order", 7, status(200));
+    all_left(&node);
+    served(&node, &rest, "c", "order", 2999, status(200));
+    platform.tell(&few);
+    wait_until(|| counters(&node)["cluster_size"] == json!(1));
+    assert_eq!(resident(&node), 1);
+    served(&node, &seven, "d", "order", 7, status(200));
+    assert_eq!(node.hand_in("nowhere", "order", 2999, 1_000).status(), 202);
+    assert_eq!(platform.notice(204).len(), 1);
+    assert!(!rest.unseen());
+}
+
+/// A handover at that size: the new process has no table yet, keeps what is for others than residents, and calls once
+/// the list has come.
+#[test]
+fn a_handover_with_a_long_list_misses_nothing() {
+    let (platform, rest, seven) = (Platform::new(), Served::new(), Served::new());
+    let known = many(rest.address, &[listing("e7", 7, "plain", seven.address)]);
+    let old = told(Node::start_inheriting(&platform, &[]), &platform, &known);
+    served(&old, &seven, "a", "order", 7, status(200));
+    assert_eq!(old.hand_in("out", "order", 7, 20_000).status(), 202);
+    let out = seven.next();
+    let new = old.succeeded();
+    assert_eq!(new.hand_in("b", "order", 8, 20_000).status(), 202);
+    let call = rest.next();
+    assert_eq!(call.http.headers["req-id"], "b");
+    call.reply(status(200));
+    out.reply(status(200));
+    wait_until(|| counters(&new)["answered"]["order"] == 2);
+    assert_eq!(counters(&new)["cluster_size"], json!(MANY));
+    served(&new, &seven, "c", "order", 7, status(200));
+}
+
+/// SIGHUP and SIGTERM at that size: settings hold for who enters later, and what is held ends.
+#[test]
+fn signals_with_a_long_list_do_what_they_do_with_a_short_one() {
+    let (platform, rest, seven) = (Platform::new(), Served::new(), Served::new());
+    let known = many(rest.address, &[listing("e7", 7, "plain", seven.address)]);
+    let mut node = start(&platform, &known);
+    served(&node, &seven, "a", "note", 7, status(200));
+    node.reload_and_wait(|config| {
+        config["settings"]["skus"] = json!(["plain", "bulk"]);
+        config["settings"]["family_info"]["bundle_max"] = json!([1, 5]);
+    });
+    served(&node, &rest, "b", "note", 8, status(200));
+    served(&node, &seven, "c", "note", 7, status(200));
+    assert_eq!(node.hand_in("d", "order", 2000, 20_000).status(), 202);
+    let call = rest.next();
+    node.terminate();
+    call.reply(status(200));
+    assert_eq!(node.exit_code(), Some(0));
+}
+
+/// Guards the bound itself: of a stream that touches every destination once no more are resident than messages came for
+/// of late, and each call goes to the endpoint of its destination.
+#[test]
+fn a_stream_to_ever_new_destinations_stays_bounded() {
+    const SERVERS: u32 = 8;
+    const EACH: Duration = Duration::from_millis(7);
+    /// Ten seconds, and what turns and figures may be late.
+    const LATELY: Duration = Duration::from_secs(13);
+    let platform = Platform::new();
+    let servers: Vec<Served> = (0..SERVERS).map(|_| Served::new()).collect();
+    let place = |group: u32| (group % SERVERS) as usize;
+    let entry =
+        |group: u32| listing(&format!("e{group}"), group as u16, "plain", servers[place(group)].address);
+    let known: Vec<Value> = (1..=MANY).map(entry).collect();
+    let node = start(&platform, &known);
+    let over = Arc::new(AtomicBool::new(false));
+    let answer = |(at, server): (usize, Served)| {
+        let over = over.clone();
+        std::thread::spawn(move || {
+            let mut called = Vec::new();
+            while !over.load(Ordering::Relaxed) {
+                let Some(call) = server.try_next(Duration::from_millis(50)) else { continue };
+                called.push((call.http.headers["req-id"].parse::<u32>().unwrap(), at));
+                call.reply(status(200));
+            }
+            called
+        })
+    };
+    let answering: Vec<_> = servers.into_iter().enumerate().map(answer).collect();
+    let mut times = Vec::new();
+    for group in 1..=MANY {
+        assert_eq!(node.hand_in(&group.to_string(), "order", group as u16, 20_000).status(), 202);
+        times.push(Instant::now());
+        std::thread::sleep(EACH);
+        if group % 50 == 0 {
+            let lately = times.iter().filter(|at| at.elapsed() <= LATELY).count() as u64;
+            assert!(resident(&node) <= lately, "{} of {lately}", resident(&node));
+        }
+    }
+    wait_until(|| counters(&node)["answered"]["order"] == MANY);
+    over.store(true, Ordering::Relaxed);
+    let mut called: Vec<(u32, usize)> = answering.into_iter().flat_map(|task| task.join().unwrap()).collect();
+    called.sort_unstable();
+    assert_eq!(called, (1..=MANY).map(|group| (group, place(group))).collect::<Vec<_>>());
+}
--- a/tests/node/world.rs
+++ b/tests/node/world.rs
@@ -114,6 +114,11 @@
         self.asked.recv_timeout(PATIENCE).expect("a request comes")
     }
 
+    /// The next request, if one comes within that time.
+    pub fn try_next(&self, within: Duration) -> Option<Asked> {
+        self.asked.recv_timeout(within).ok()
+    }
+
     /// Whether a request has come that the test has not seen.
     pub fn unseen(&self) -> bool {
         self.asked.try_recv().is_ok()
@@ -244,6 +249,15 @@
         changed.notify_all();
     }
 
+    /// These entries change, and nothing else; whoever asks for the whole list gets these alone.
+    pub fn change(&self, endpoints: &[Value]) {
+        let (list, changed) = &*self.list;
+        let mut list = list.lock().unwrap();
+        let index = list["index"].as_u64().unwrap() + 1;
+        *list = json!({"index": index, "snapshot": false, "endpoints": endpoints});
+        changed.notify_all();
+    }
+
     /// The next notice, which is answered so.
     pub fn notice(&self, code: u16) -> Vec<Value> {
         let asked = self.notices.recv_timeout(PATIENCE).expect("a notice comes");
