--- a/src/net/driver/service.rs
+++ b/src/net/driver/service.rs
@@ -29,6 +29,7 @@
 use super::super::peers::Peers;
 use super::super::platform::{self, Notice};
 use super::super::refusals::NoStart;
+use super::super::working::Working;
 use super::super::{Clock, Inbound, Standing};
 use super::covered::Covered;
 use super::{Driver, limits};
@@ -194,6 +195,7 @@
             parts,
             covered: Covered::default(),
             endpoints: HashMap::new(),
+            working: Working::default(),
             ids: HashMap::new(),
             given: 0,
             index: config.known.index,
@@ -339,6 +341,7 @@
         if !said.is_empty() || !driver.unwritten.is_empty() || !driver.unsaid.is_empty() {
             driver.turn(said);
         }
+        driver.leave();
     }
 
     /// Whether the process ends now: clients that still wait to be let in come first.
--- a/src/net/driver/turn.rs
+++ b/src/net/driver/turn.rs
@@ -64,8 +64,10 @@
         }
         self.figures.stand(Now {
             current: self.policy.held(),
-            cluster_size: self.endpoints.values().filter(|known| known.listed).count(),
+            cluster_size: self.endpoints_listed(),
             cluster_unhealthy: self.policy.avoided(),
+            resident: self.working.resident(),
+            forgotten: self.working.forgotten,
         });
     }
 
