Bound what is held of a list's text between its entries

Change: the stream fails when over 1 MiB comes without an entry or the name of a member; the list is then malformed.

--- a/src/endpoints/reader.rs
+++ b/src/endpoints/reader.rs
@@ -11,7 +11,7 @@
 use serde::de::DeserializeSeed;
 use serde_json::error::Category;
 
-use self::counted::Counted;
+use self::counted::{Counted, Progress};
 use self::gathered::Gathered;
 use super::listing::ListBody;
 use super::table::Table;
@@ -26,6 +26,10 @@
 /// Bytes of an endpoint's name at most.
 pub const NAME_BYTES: usize = 255;
 
+/// Bytes of an entry at most, and of a member that is passed over: no more than this is held of the text, whatever it
+/// is. Up to [`PIECE`] bytes more or fewer may count.
+pub const STRETCH: u64 = 1 << 20;
+
 /// Bytes asked of the stream at once.
 const PIECE: usize = 64 << 10;
 
@@ -47,28 +51,31 @@
 /// name follows.
 ///
 /// # Errors
-/// Fails where the text is not a list, breaks off, or is beyond the bounds, [`CHANGES`] or [`NAME_BYTES`]; nothing of
-/// it is to be used then.
+/// Fails where the text is not a list, breaks off, or is beyond the bounds, [`CHANGES`], [`NAME_BYTES`] or
+/// [`STRETCH`]; nothing of it is to be used then.
 pub fn read(source: impl Read, bounds: &Bounds) -> Result<List, ListError> {
-    let mut counted = Counted::new(source, bounds.bytes);
-    let mut gathered = Gathered::new(bounds.endpoints);
-    let pieces = BufReader::with_capacity(PIECE, &mut counted);
+    let progress = Progress::default();
+    let counted = Counted { source, progress: &progress, most: bounds.bytes, most_unmarked: STRETCH };
+    let mut gathered = Gathered::new(bounds.endpoints, &progress);
+    let pieces = BufReader::with_capacity(PIECE, counted);
     let mut json = serde_json::Deserializer::from_reader(pieces);
     let outcome = gathered.deserialize(&mut json).and_then(|()| json.end());
-    drop(json);
     match outcome {
         Ok(()) => gathered.finish(),
-        Err(why) => Err(gathered.refused().unwrap_or_else(|| not_read(&why, &counted, bounds))),
+        Err(why) => Err(gathered.refused().unwrap_or_else(|| not_read(&why, &progress, bounds))),
     }
 }
 
 /// Why the JSON could not be read.
-fn not_read<R>(why: &serde_json::Error, counted: &Counted<R>, bounds: &Bounds) -> ListError {
-    if counted.beyond() {
+fn not_read(why: &serde_json::Error, progress: &Progress, bounds: &Bounds) -> ListError {
+    if progress.read() > bounds.bytes {
         return ListError::Bytes(bounds.bytes);
     }
+    if progress.unmarked() > STRETCH {
+        return ListError::Malformed(format!("over {STRETCH} bytes came without an entry or a member"));
+    }
     let broke_off = why.classify() == Category::Eof || why.io_error_kind() == Some(ErrorKind::UnexpectedEof);
-    if broke_off { ListError::Cut(counted.read_so_far()) } else { ListError::Malformed(why.to_string()) }
+    if broke_off { ListError::Cut(progress.read()) } else { ListError::Malformed(why.to_string()) }
 }
 
 #[cfg(test)]
--- a/src/endpoints/reader/gathered.rs
+++ b/src/endpoints/reader/gathered.rs
@@ -8,11 +8,13 @@
 use super::super::ListError;
 use super::super::listing::{ListBody, Listing};
 use super::super::table::Builder;
+use super::counted::Progress;
 use super::{CHANGES, ENTRIES, List, NAME_BYTES};
 
 /// What was read of a list so far.
-#[derive(Debug, Default)]
-pub struct Gathered {
+#[derive(Debug)]
+pub struct Gathered<'progress> {
+    progress: &'progress Progress,
     /// Endpoints at most.
     most: usize,
     index: Option<u64>,
@@ -27,10 +29,20 @@
     refused: Option<ListError>,
 }
 
-impl Gathered {
+impl<'progress> Gathered<'progress> {
     /// Nothing yet, of a list of at most so many endpoints.
-    pub fn new(most: usize) -> Self {
-        Self { most, ..Self::default() }
+    pub fn new(most: usize, progress: &'progress Progress) -> Self {
+        Self {
+            progress,
+            most,
+            index: None,
+            snapshot: None,
+            endpoints_seen: false,
+            count: 0,
+            entries: Vec::new(),
+            builder: None,
+            refused: None,
+        }
     }
 
     /// Why it is refused, if it is.
@@ -95,7 +107,7 @@
     Other,
 }
 
-impl<'json> DeserializeSeed<'json> for &mut Gathered {
+impl<'json> DeserializeSeed<'json> for &mut Gathered<'_> {
     type Value = ();
 
     fn deserialize<D: Deserializer<'json>>(self, deserializer: D) -> Result<(), D::Error> {
@@ -103,7 +115,7 @@
     }
 }
 
-impl<'json> Visitor<'json> for &mut Gathered {
+impl<'json> Visitor<'json> for &mut Gathered<'_> {
     type Value = ();
 
     fn expecting(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
@@ -112,6 +124,7 @@
 
     fn visit_map<A: MapAccess<'json>>(self, mut members: A) -> Result<(), A::Error> {
         while let Some(member) = members.next_key()? {
+            self.progress.mark();
             match member {
                 Member::Index => once(&mut self.index, members.next_value()?, "index")?,
                 Member::Snapshot => once(&mut self.snapshot, members.next_value()?, "snapshot")?,
@@ -132,9 +145,9 @@
 }
 
 /// The member `endpoints`, entry by entry.
-struct Entries<'gathered>(&'gathered mut Gathered);
+struct Entries<'gathered, 'progress>(&'gathered mut Gathered<'progress>);
 
-impl<'json> DeserializeSeed<'json> for Entries<'_> {
+impl<'json> DeserializeSeed<'json> for Entries<'_, '_> {
     type Value = ();
 
     fn deserialize<D: Deserializer<'json>>(self, deserializer: D) -> Result<(), D::Error> {
@@ -145,7 +158,7 @@
     }
 }
 
-impl<'json> Visitor<'json> for Entries<'_> {
+impl<'json> Visitor<'json> for Entries<'_, '_> {
     type Value = ();
 
     fn expecting(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
@@ -154,6 +167,7 @@
 
     fn visit_seq<A: SeqAccess<'json>>(self, mut entries: A) -> Result<(), A::Error> {
         while let Some(entry) = entries.next_element()? {
+            self.0.progress.mark();
             if let Err(refused) = self.0.add(entry) {
                 let shown = A::Error::custom(&refused);
                 self.0.refused = Some(refused);
--- a/src/endpoints/reader/tests.rs
+++ b/src/endpoints/reader/tests.rs
@@ -260,6 +260,15 @@
     assert!(matches!(&outcome, Err(ListError::Malformed(why)) if why.contains("255")), "{outcome:?}");
 }
 
+#[test]
+fn large_members_and_entries_are_taken() {
+    let large = "x".repeat(STRETCH as usize - 2 * PIECE);
+    let entry = json!({"more": large, "name": "a", "group": 1, "status": "active"});
+    let text =
+        ordered(&[("more", json!(large)), ("endpoints", json!([entry, entry])), ("last", json!(large))]);
+    assert_same(&body(&text), &serde_json::from_slice(&text).unwrap());
+}
+
 /// Hands out its second text over and over behind the first.
 struct Endless(Cursor<Vec<u8>>, Vec<u8>, u64);
 
@@ -278,18 +287,26 @@
 fn input_without_end_ends() {
     let entry = r#"{"name":"a","group":1,"status":"active"},"#;
     let bounds = Bounds { endpoints: 100_000, bytes: 20 << 20 };
+    let stretch = ListError::Malformed(format!("over {STRETCH} bytes came without an entry or a member"));
     let all = [
         (r#"{"snapshot":true,"endpoints":["#, entry, ListError::Endpoints(100_000)),
         (r#"{"snapshot":false,"endpoints":["#, entry, ListError::Changes(CHANGES)),
         (r#"{"endpoints":["#, entry, ListError::Endpoints(100_000)),
-        (r#"{"more":["#, "1,", ListError::Bytes(bounds.bytes)),
-        ("", "  ", ListError::Bytes(bounds.bytes)),
-        ("{}", "\n", ListError::Bytes(bounds.bytes)),
+        ("{", r#""more":[1,{}],"#, ListError::Bytes(bounds.bytes)),
+        (r#"{"more":["#, "1,", stretch.clone()),
+        (r#"{"more":"#, "[", stretch.clone()),
+        (r#"{"endpoints":[{"more":"#, "[", stretch.clone()),
+        (r#"{"endpoints":[{"name":""#, r#"\""#, stretch.clone()),
+        (r#"{""#, "m", stretch.clone()),
+        ("", "  ", stretch.clone()),
+        ("{}", "\n", stretch.clone()),
     ];
     for (first, over_and_over, expected) in all {
         let mut endless = Endless(Cursor::new(first.into()), over_and_over.repeat(1000).into(), 0);
-        assert_eq!(read(&mut endless, &bounds).unwrap_err(), expected, "{first}");
-        assert!(endless.2 <= bounds.bytes + PIECE as u64, "{}", endless.2);
+        let outcome = read(&mut endless, &bounds).unwrap_err();
+        assert_eq!(outcome, expected, "{first}");
+        let most = if expected == stretch { STRETCH } else { bounds.bytes };
+        assert!(endless.2 <= most + 2 * PIECE as u64, "{first}: {}", endless.2);
     }
 }
 
--- a/src/endpoints/table/tests.rs
+++ b/src/endpoints/table/tests.rs
@@ -154,6 +154,13 @@
     }
 }
 
+/// Guards the thread that makes it: it is handed on from there.
+#[test]
+fn a_table_moves_between_threads() {
+    let table = std::thread::spawn(|| Table::new([entry("a", 1)])).join().unwrap();
+    assert_eq!(table.of(1), [entry("a", 1)]);
+}
+
 #[test]
 fn an_empty_table_has_nothing() {
     let table = Table::default();
