--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -18,6 +18,7 @@
 pub mod peers;
 pub mod platform;
 pub mod refusals;
+pub mod working;
 
 use std::time::{Instant, SystemTime, UNIX_EPOCH};
 
