Tell what is wrong with a list in few words

Need: the reason quotes the text it stumbles over, of up to 1 MiB, and goes to the log. Change: 200 characters of it are told, and where it is; a test's endless stream fails by itself when it is read on.

--- a/src/endpoints/reader.rs
+++ b/src/endpoints/reader.rs
@@ -30,6 +30,9 @@
 /// is. Up to [`PIECE`] bytes more or fewer may count.
 pub const STRETCH: u64 = 1 << 20;
 
+/// Characters at most that are told of what is wrong with the JSON.
+const TOLD: usize = 200;
+
 /// Bytes asked of the stream at once.
 const PIECE: usize = 64 << 10;
 
@@ -75,7 +78,16 @@
         return ListError::Malformed(format!("over {STRETCH} bytes came without an entry or a member"));
     }
     let broke_off = why.classify() == Category::Eof || why.io_error_kind() == Some(ErrorKind::UnexpectedEof);
-    if broke_off { ListError::Cut(progress.read()) } else { ListError::Malformed(why.to_string()) }
+    if broke_off { ListError::Cut(progress.read()) } else { ListError::Malformed(told(why)) }
+}
+
+/// What is wrong with the JSON, and where. The text may be quoted in it, at any length.
+fn told(why: &serde_json::Error) -> String {
+    let all = why.to_string();
+    match all.char_indices().nth(TOLD) {
+        Some((end, _)) => format!("{}... at line {} column {}", &all[..end], why.line(), why.column()),
+        None => all,
+    }
 }
 
 #[cfg(test)]
--- a/src/endpoints/reader/tests.rs
+++ b/src/endpoints/reader/tests.rs
@@ -260,6 +260,15 @@
     assert!(matches!(&outcome, Err(ListError::Malformed(why)) if why.contains("255")), "{outcome:?}");
 }
 
+/// Guards the log: what is wrong quotes the text.
+#[test]
+fn what_is_told_of_a_list_is_short() {
+    let text = ordered(&[("index", json!("é".repeat(100_000)))]);
+    let outcome = taken(&text);
+    let Err(ListError::Malformed(why)) = outcome else { panic!("{outcome:?}") };
+    assert!(why.contains("é") && why.contains("at line 1 column") && why.len() < 600, "{why}");
+}
+
 #[test]
 fn large_members_and_entries_are_taken() {
     let large = "x".repeat(STRETCH as usize - 2 * PIECE);
@@ -269,6 +278,9 @@
     assert_same(&body(&text), &serde_json::from_slice(&text).unwrap());
 }
 
+/// Bytes after which a reader that was to stop is taken not to.
+const ENDLESS: u64 = 100 << 20;
+
 /// Hands out its second text over and over behind the first.
 struct Endless(Cursor<Vec<u8>>, Vec<u8>, u64);
 
@@ -279,6 +291,7 @@
         }
         let read = self.0.read(buffer)?;
         self.2 += read as u64;
+        assert!(self.2 <= ENDLESS, "it is read on and on");
         Ok(read)
     }
 }
