Take a list of any length in the configuration's known.endpoints

Need: a file with 5,000 endpoints (763 kB) was turned down at its 262,144 bytes, and with it the start. Change: in a text beyond that the list is found and taken out; the rest keeps its bound and its checks, and the list is read as discovery's lists are, with their bounds, errors and remedies. The document that is kept has its length and checksum instead, and reading the file again keeps no list. The file is read up to its bound, held once. Config::known is a reader::List; the call to check a candidate keeps its 256 KiB.

--- a/src/check.rs
+++ b/src/check.rs
@@ -2,6 +2,8 @@
 //! stands there and what is expected, and what a valid one would change. No I/O; what is read here is what the
 //! platform writes, so that keys beyond those known are let be, but for the sections of optional parts.
 
+pub mod apart;
+
 use std::cell::RefCell;
 use std::collections::BTreeSet;
 use std::fmt;
--- a/src/main.rs
+++ b/src/main.rs
@@ -42,7 +42,7 @@
 
 /// Tells all that is wrong with a configuration. It needs no running sender, and changes nothing.
 fn check(file: &Path) -> ExitCode {
-    let text = match std::fs::read(file) {
+    let text = match config::text(file) {
         Ok(text) => text,
         Err(e) => {
             eprintln!("myrtleyard: {}: {e}", file.display());
--- a/src/net/config.rs
+++ b/src/net/config.rs
@@ -2,14 +2,18 @@
 
 use std::cell::RefCell;
 use std::collections::BTreeSet;
+use std::fs::File;
+use std::io::{self, Read};
 use std::net::SocketAddr;
 use std::os::fd::RawFd;
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::rc::Rc;
 use std::sync::Arc;
 
-use myrtleyard::check::{self, Fault};
+use myrtleyard::check::{self, Fault, apart};
 use myrtleyard::drain::Marks;
+use myrtleyard::endpoints::Bounds;
+use myrtleyard::endpoints::reader::List;
 use myrtleyard::interface::Settings;
 use myrtleyard::membership;
 use myrtleyard::plans;
@@ -21,7 +25,7 @@
 use serde::Deserialize;
 use serde_json::Value;
 
-use super::listing::ListBody;
+use super::listing::{ListBody, version};
 use super::names::Names;
 
 /// All that the sender is told.
@@ -49,8 +53,8 @@
     pub peers: Vec<SocketAddr>,
     /// Reaches all senders.
     pub peers_all: Option<SocketAddr>,
-    /// The list of endpoints as last known.
-    pub known: ListBody,
+    /// The list of endpoints as last known; none where the configuration is read again, since it is for a start.
+    pub known: List,
     /// Draining of endpoints, where it is on.
     pub draining: Option<Draining>,
     /// The view of the fleet, where it is on.
@@ -67,7 +71,7 @@
     pub settings: Settings,
     /// Names of classes, kinds and zones, in the settings' order.
     pub names: Names,
-    /// The file as it was read.
+    /// The file as it was read; a long list of endpoints is left out, and told by its length and checksum.
     pub document: Value,
 }
 
@@ -247,12 +251,24 @@
 /// # Errors
 /// Fails, in one line, when the file cannot be read, or lacks a key of the document that is in force.
 pub fn reread(in_force: &Value) -> Result<Config, Wrong> {
-    file(Some(in_force))
+    let config = file(Some(in_force))?;
+    Ok(Config { known: List::Entries(ListBody::default()), ..config })
+}
+
+/// The text of a configuration file, as far as one may be long and a byte more.
+///
+/// # Errors
+/// Fails when it can't be read.
+pub fn text(path: &Path) -> io::Result<Vec<u8>> {
+    let mut text = Vec::new();
+    let most = apart::most_bytes(&Bounds::default());
+    File::open(path)?.take(most + 1).read_to_end(&mut text)?;
+    Ok(text)
 }
 
 fn file(in_force: Option<&Value>) -> Result<Config, Wrong> {
     let path = variable("NODE_CONFIG")?.ok_or(Wrong::Unset("NODE_CONFIG"))?;
-    let text = match std::fs::read(&path) {
+    let text = match text(path.as_ref()) {
         Ok(text) => text,
         Err(why) => return Err(Wrong::File { path, why }),
     };
@@ -265,8 +281,16 @@
 /// # Errors
 /// Tells all that is wrong with it.
 pub fn check(text: &[u8], in_force: Option<&Value>) -> Result<Config, Vec<Fault>> {
-    let document = check::read(text)?;
+    let bounds = Bounds::default();
+    let apart = apart::apart(text, &bounds)?;
+    let document = check::read(&apart.text)?;
     let mut faults = check::faults(&document);
+    let index = document["known"]["index"].as_u64().unwrap_or(0);
+    let known = apart.list.map(|list| apart::read(list, index, &bounds)).transpose();
+    let known = known.unwrap_or_else(|fault| {
+        faults.push(fault);
+        None
+    });
     if let Some(in_force) = in_force {
         let lacking = check::lacking(&document, in_force);
         let known: BTreeSet<String> = faults.iter().map(|fault| fault.key.clone()).collect();
@@ -275,9 +299,16 @@
     if !faults.is_empty() {
         return Err(faults);
     }
-    config(document).map_err(|(key, why)| {
+    let mut config = config(document).map_err(|(key, why)| {
         vec![Fault { key: key.to_owned(), value: why, expected: "what can be read".to_owned() }]
-    })
+    })?;
+    if let (Some(known), Some(list)) = (known, apart.list) {
+        let endpoints = version(&known).1.unwrap_or(0);
+        let said = format!("{endpoints} endpoints, CRC-32 {:08x}", crc32fast::hash(list));
+        config.document["known"]["endpoints"] = said.into();
+        config.known = known;
+    }
+    Ok(config)
 }
 
 /// What the table of keys does not know of is read here, and nowhere else.
@@ -354,7 +385,7 @@
         peer_listen: raw.peer_listen,
         peers: raw.peers,
         peers_all: raw.peers_all,
-        known: raw.known,
+        known: List::Entries(raw.known),
         draining: raw.draining,
         membership: raw.membership,
         takeover: raw.takeover,
--- a/src/net/config/tests.rs
+++ b/src/net/config/tests.rs
@@ -108,3 +108,74 @@
 fn names_of(document: &Value) -> Result<Names, Wrong> {
     Ok(parsed(document.to_string().as_bytes(), None)?.names)
 }
+
+/// A document whose list has an endpoint for each of so many destinations.
+fn long(endpoints: usize) -> Value {
+    let entry = |n: usize| json!({"name": format!("s-{n:08x}"), "address": "10.0.0.1:9000", "group": n, "status": "active"});
+    let mut long = document();
+    long["known"] =
+        json!({"index": 41, "snapshot": true, "endpoints": (0..endpoints).map(entry).collect::<Vec<_>>()});
+    long
+}
+
+/// Found with 5,000 endpoints: the file was turned down for its list, which discovery may tell at any length.
+#[test]
+fn a_long_list_is_taken_and_left_out_of_the_document() -> Result<(), Box<dyn std::error::Error>> {
+    let (short, whole) = (long(100), long(5000).to_string());
+    assert!(whole.len() > check::LARGEST);
+    assert_eq!(version(&parsed(short.to_string().as_bytes(), None)?.known), (41, Some(100)));
+    let config = parsed(whole.as_bytes(), Some(&short))?;
+    assert_eq!(version(&config.known), (41, Some(5000)));
+    let said = config.document["known"]["endpoints"].as_str().ok_or("it is not left out")?;
+    assert!(said.starts_with("5000 endpoints, CRC-32 "), "{said}");
+    // Another list of that length is another document, the same one is none.
+    let other = whole.replace("10.0.0.1:9000", "10.0.0.2:9000");
+    let changes = check::changes(&config.document, &parsed(other.as_bytes(), None)?.document);
+    assert_eq!(changes.iter().map(|change| change.key.as_str()).collect::<Vec<_>>(), ["known.endpoints"]);
+    let again = parsed(whole.as_bytes(), Some(&config.document))?;
+    assert_eq!(check::changes(&config.document, &again.document), []);
+    Ok(())
+}
+
+/// What is wrong with a long document is told as with any other, with its list or beside it.
+#[test]
+fn faults_of_a_long_document_are_told_by_key() -> Result<(), Box<dyn std::error::Error>> {
+    let whole = long(5000).to_string();
+    let keys = |text: &str| -> Vec<String> {
+        let faults = check(text.as_bytes(), None).err().unwrap_or_default();
+        faults.into_iter().map(|fault| fault.key).collect()
+    };
+    let last = whole.rfind("\"group\":4999").ok_or("the last one")?;
+    let spoilt = format!("{}\"group\":-1{}", &whole[..last], &whole[last + "\"group\":4999".len()..]);
+    assert_eq!(keys(&spoilt), ["known.endpoints"]);
+    assert_eq!(
+        keys(&spoilt.replace("\"try_limit\":6", "\"try_limit\":0")),
+        ["settings.limits.try_limit", "known.endpoints"]
+    );
+    assert_eq!(keys(&whole.replace("\"seed\":\"1\"", "\"seed\":3")), ["seed"]);
+    for end in [whole.len() - 1, whole.len() / 2, last] {
+        assert_eq!(keys(&whole[..end]), [""], "cut off at {end}");
+    }
+    let padded = format!("{whole}{}", " ".repeat(check::LARGEST));
+    assert_eq!(keys(&padded), [""], "too long without its list");
+    assert_eq!(keys(&whole.replacen('{', "{\"known\":{},", 1)), [""], "given twice");
+    let long_text = json!({"known": {"endpoints": " ".repeat(check::LARGEST)}}).to_string();
+    assert_eq!(keys(&long_text), [""], "no list");
+    Ok(())
+}
+
+/// Beyond the bounds a list is turned down with the remedy that discovery's would have.
+#[test]
+fn a_list_beyond_its_bounds_says_what_can_be_done() -> Result<(), Box<dyn std::error::Error>> {
+    let whole = long(5000).to_string();
+    let bounds = Bounds { bytes: 10, ..Bounds::default() };
+    let faults = apart::apart(whole.as_bytes(), &bounds).err().unwrap_or_default();
+    let told = faults.first().ok_or("it is taken")?.to_string();
+    assert!(told.contains("over 262154 bytes") && told.contains("known.endpoints"), "{told}");
+    let apart = apart::apart(whole.as_bytes(), &Bounds::default()).map_err(|faults| faults[0].to_string())?;
+    let list = apart.list.ok_or("it has a list")?;
+    let spoilt = [&list[..list.len() - 1], b"!"].concat();
+    let told = apart::read(&spoilt, 41, &Bounds::default()).err().ok_or("it is taken")?.to_string();
+    assert!(told.contains("list.malformed") && told.contains("look at what discovery answers"), "{told}");
+    Ok(())
+}
--- a/src/net/driver.rs
+++ b/src/net/driver.rs
@@ -14,7 +14,6 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use myrtleyard::endpoints::reader::List;
 use myrtleyard::interface::*;
 use myrtleyard::policy::Policy;
 use myrtleyard::start::Source;
@@ -33,7 +32,7 @@
 use super::handover::{self, Claim, Order, Predecessor, Relay};
 use super::intake::{Answer, HandedIn, Intake};
 use super::journal::{Attempt, GivenUp, Journal, Live, Record, Taken, taken_on};
-use super::listing::{Known, ListBody, Shape};
+use super::listing::{Known, ListBody, Shape, body, version};
 use super::mgmt::{self, Mgmt};
 use super::names::{Names, following};
 use super::parts::indexing::end_of;
@@ -196,7 +195,7 @@
         endpoints: HashMap::new(),
         ids: HashMap::new(),
         given: 0,
-        index: config.known.index,
+        index: version(&config.known).0,
         timers: BTreeSet::new(),
         held: HashMap::new(),
         attempts: HashMap::new(),
@@ -216,7 +215,7 @@
             let (first, followed) = driver.take_over(predecessor, inbound.clone(), config.seed);
             (first, Some(followed))
         }
-        None => (driver.start(from.unwrap_or(config.known)), None),
+        None => (driver.start(from.unwrap_or_else(|| body(config.known))), None),
     };
     driver.turn(first);
 
@@ -573,14 +572,7 @@
                 }
             }
             Inbound::Listed(list) => {
-                let list = match list {
-                    List::Entries(list) => list,
-                    // the working set's part replaces this
-                    List::Table { index, table } => {
-                        ListBody { index, snapshot: true, endpoints: table.iter().collect() }
-                    }
-                };
-                said.push(self.listed(list));
+                said.push(self.listed(body(list)));
                 self.start_listed();
                 self.forget_marks();
             }
--- a/src/net/listing.rs
+++ b/src/net/listing.rs
@@ -3,8 +3,26 @@
 use std::net::SocketAddr;
 
 pub use myrtleyard::endpoints::listing::{ListBody, Listing};
+use myrtleyard::endpoints::reader::List;
 use serde::{Deserialize, Serialize};
 
+/// The version of a list, and of how many entries it is if it is whole.
+pub fn version(list: &List) -> (u64, Option<usize>) {
+    match list {
+        List::Entries(list) => (list.index, list.snapshot.then_some(list.endpoints.len())),
+        List::Table { index, table } => (*index, Some(table.len())),
+    }
+}
+
+/// All entries of a list.
+pub fn body(list: List) -> ListBody {
+    match list {
+        List::Entries(list) => list,
+        // the working set's part replaces this
+        List::Table { index, table } => ListBody { index, snapshot: true, endpoints: table.iter().collect() },
+    }
+}
+
 /// An endpoint as the list has it.
 #[derive(Serialize, Deserialize)]
 pub struct Known {
--- a/src/net/parts/starting.rs
+++ b/src/net/parts/starting.rs
@@ -7,6 +7,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use myrtleyard::endpoints::reader::List;
 use myrtleyard::interface::Micros;
 use myrtleyard::membership::{Facts, State};
 use myrtleyard::start::kept::{EVERY, Kept, MOST_BYTES};
@@ -18,7 +19,7 @@
 use super::super::Clock;
 use super::super::config::Config;
 use super::super::lasting;
-use super::super::listing::{ListBody, Listing};
+use super::super::listing::{ListBody, Listing, version};
 use super::{Out, Part};
 
 /// The slot of a call that waits for its turn is looked at again so often: it moves with what is heard.
@@ -49,7 +50,19 @@
 
 /// The entries of a list as others are told them.
 pub fn named(list: &[Listing]) -> impl Iterator<Item = Named> {
-    list.iter().map(|listing| (listing.name.clone(), listing.group, listing.status == "active"))
+    list.iter().map(of)
+}
+
+fn of(listing: &Listing) -> Named {
+    (listing.name.clone(), listing.group, listing.status == "active")
+}
+
+/// How many a list has.
+fn entries(list: &List) -> usize {
+    match list {
+        List::Entries(list) => list.endpoints.len(),
+        List::Table { table, .. } => table.len(),
+    }
 }
 
 impl Starting {
@@ -80,7 +93,7 @@
         };
         let active = kept.as_ref().map(|kept| active(&kept.entries)).unwrap_or_default();
         let bears = kept.as_ref().filter(|kept| kept.tier == tier).map(|kept| kept.bears);
-        let fit = kept.filter(|kept| match kept.fit(tier, config.known.index, now) {
+        let fit = kept.filter(|kept| match kept.fit(tier, version(&config.known).0, now) {
             Ok(()) => true,
             Err(why) => {
                 let (code, remedy) = (why.code(), why.remedy());
@@ -92,14 +105,14 @@
         let from = fit.map(|kept| ListBody { index: kept.version, snapshot: true, endpoints: kept.entries });
         let source = match &from {
             Some(_) => "folder",
-            None if config.known.endpoints.is_empty() => "none",
+            None if entries(&config.known) == 0 => "none",
             None => "configuration",
         };
-        let begun = from.as_ref().unwrap_or(&config.known);
+        let index = from.as_ref().map_or(version(&config.known).0, |from| from.index);
         let begin = Begin {
             own,
             size: config.peers.len(),
-            version: begun.index,
+            version: index,
             bears,
             lives: lives.into(),
             watched: !config.settings.must_ask,
@@ -107,7 +120,12 @@
             seed: config.seed,
         };
         let mut core = Start::new(section, begin, now);
-        core.begins_from(begun.index, named(&begun.endpoints));
+        match (&from, &config.known) {
+            (Some(list), _) | (None, List::Entries(list)) => core.begins_from(index, named(&list.endpoints)),
+            (None, List::Table { table, .. }) => {
+                core.begins_from(index, table.iter().map(|listing| of(&listing)))
+            }
+        }
         let core = Rc::new(RefCell::new(core));
         let written = (now.saturating_sub(EVERY), false);
         Some(Self { core, list_at, lives_at, from, source, kept_at, written, active, through: false })
--- a/src/net/platform.rs
+++ b/src/net/platform.rs
@@ -25,6 +25,7 @@
 use super::calls::Conn;
 use super::figures::Figures;
 use super::journal::GivenUp;
+use super::listing::version;
 use super::parts::starting::Pace;
 use super::{BODY_LIMIT, Inbound};
 use arrival::{Arrival, Begun};
@@ -222,14 +223,6 @@
     }
 }
 
-/// The version of a list, and of how many entries it is if it is whole.
-fn version(list: &List) -> (u64, Option<usize>) {
-    match list {
-        List::Entries(list) => (list.index, list.snapshot.then_some(list.endpoints.len())),
-        List::Table { index, table } => (*index, Some(table.len())),
-    }
-}
-
 /// Makes a call, and waits for the first bytes of its list.
 async fn begin(
     conn: &mut Option<Conn>,
--- a/tests/node/lists.rs
+++ b/tests/node/lists.rs
@@ -229,3 +229,26 @@
     let counters = counters(&node);
     assert_eq!((&counters["cluster_size"], &counters["list"]["refused"]), (&json!(1), &json!(0)));
 }
+
+/// Found with 5,000 endpoints in the configuration: it was turned down at 262,144 bytes.
+#[test]
+fn a_configuration_with_a_long_list_is_begun_from_and_read_again() {
+    let (platform, endpoint) = (Platform::new(), Served::new());
+    let known: Vec<_> =
+        (0..5000).map(|n| listing(&format!("s-{n:08x}"), n, "plain", endpoint.address)).collect();
+    let node = Node::start(&platform, &known, |config| config["mgmt"] = json!("127.0.0.1:0"));
+    delivered(&node, &endpoint, "a", 4999);
+    assert_eq!(counters(&node)["cluster_size"], 5000);
+    let folder = tempfile::tempdir().unwrap();
+    let file = folder.path().join("candidate.json");
+    std::fs::write(&file, node.configuration().to_string()).unwrap();
+    let program = env!("CARGO_BIN_EXE_myrtleyard");
+    let checked = std::process::Command::new(program).arg("--check").arg(&file).output().unwrap();
+    assert_eq!(String::from_utf8_lossy(&checked.stdout), "{\"faults\":[],\"valid\":true}\n");
+    node.reload_and_wait(|config| config["settings"]["limits"]["try_limit"] = json!(5));
+    // What is spoilt in the list is told, and changes nothing.
+    node.reload(|config| config["known"]["endpoints"][4999]["group"] = json!("seven"));
+    wait_until(|| counters(&node)["conf_invalid"] == 1);
+    wait_until(|| node.log().contains("known.endpoints: list.malformed"));
+    delivered(&node, &endpoint, "b", 4998);
+}
