Show the figures of lists only once a list was refused

Need: the_figures_count_what_happened holds the whole answer of GET /control/counters against its members, and failed by the new member list since it was added; it was not run then. Change: list is left out until a list of endpoints was refused in this process. The test is as it was; those of the lists look for the member's absence too.

--- a/src/net/figures.rs
+++ b/src/net/figures.rs
@@ -54,6 +54,13 @@
     index: u64,
 }
 
+impl Lists {
+    /// Nothing has to be told of them.
+    fn are_all_taken(&self) -> bool {
+        self.refused == 0
+    }
+}
+
 #[derive(Debug, Default, Serialize)]
 struct Counts {
     answered: BTreeMap<String, u64>,
@@ -62,6 +69,7 @@
     sends: u64,
     conf_loaded: u64,
     conf_invalid: u64,
+    #[serde(skip_serializing_if = "Lists::are_all_taken")]
     list: Lists,
     #[serde(flatten)]
     now: Now,
