--- a/src/net/driver.rs
+++ b/src/net/driver.rs
@@ -145,11 +145,15 @@
     }
 
     /// The list as last known, and what an earlier process left in the journal.
-    fn start(&mut self, known: ListBody) -> Vec<Event> {
+    fn start(&mut self, known: List) -> Vec<Event> {
         let now = self.clock.now();
         // It may be old: what is not in it may be in discovery's, so that it ends no mark.
         let mut said = Vec::new();
-        self.take_list(List::Entries(ListBody { snapshot: true, ..known }), &mut said);
+        let whole = match known {
+            List::Entries(body) => List::Entries(ListBody { snapshot: true, ..body }),
+            table => table,
+        };
+        self.take_list(whole, &mut said);
         if self.working.beyond {
             self.start_from_known();
         }
--- a/src/net/driver/service.rs
+++ b/src/net/driver/service.rs
@@ -8,6 +8,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use myrtleyard::endpoints::reader::List;
 use myrtleyard::interface::*;
 use myrtleyard::policy::Policy;
 use myrtleyard::start::Source;
@@ -23,7 +24,7 @@
 use super::super::handover::{self, Claim, Offered, Predecessor};
 use super::super::intake::Intake;
 use super::super::journal::Journal;
-use super::super::listing::ListBody;
+use super::super::listing::version;
 use super::super::mgmt::{self, Mgmt};
 use super::super::parts::Parts;
 use super::super::peers::Peers;
@@ -166,7 +167,7 @@
         places: usize,
         clock: Clock,
         channels: Channels,
-    ) -> Result<(Self, ListBody), NoStart> {
+    ) -> Result<(Self, List), NoStart> {
         let Channels { inbound, notices, standing, stand, figures } = channels;
         let disk = config.disk - Parts::room(&config);
         let failed = |why| NoStart::Journal { folder: config.state.clone(), why };
@@ -198,7 +199,7 @@
             working: Working::default(),
             ids: HashMap::new(),
             given: 0,
-            index: config.known.index,
+            index: version(&config.known).0,
             timers: BTreeSet::new(),
             held: HashMap::new(),
             attempts: HashMap::new(),
@@ -213,7 +214,7 @@
         driver.resume_covered();
         driver.resume_indexed();
         let kept = driver.parts.starting.as_mut().and_then(|part| part.from.take());
-        Ok((driver, kept.unwrap_or(config.known)))
+        Ok((driver, kept.map_or(config.known, List::Entries)))
     }
 
     /// Takes clients, sends notices and follows the list from now on.
