Hold the memory of two lists of the design size against the system's figures

Need: the table counts its own bytes; what the process takes while a list is read, and gives back, was held by no test. Change: a test of its own process reads four lists of 558,000 endpoints in a row, each beside a worn table: 23 MB for one, 48 MB at any time. The made-up text is shared with the example.

--- a/examples/list_cost.rs
+++ b/examples/list_cost.rs
@@ -3,119 +3,48 @@
 //! `cargo run --release --example list_cost [ENDPOINTS DESTINATIONS [ROUNDS]]`
 
 use std::fs;
-use std::io::{self, Read, Write};
+use std::io;
 use std::process::ExitCode;
 use std::time::Instant;
 
 use myrtleyard::endpoints::Bounds;
-use myrtleyard::endpoints::listing::Listing;
 use myrtleyard::endpoints::reader::{self, List};
 use myrtleyard::endpoints::table::Table;
 
+#[path = "../tests/common/list_text.rs"]
+mod list_text;
+
+use list_text::{DESIGN, Size, Text};
+
 const USAGE: &str =
     "usage: list_cost [ENDPOINTS DESTINATIONS [ROUNDS]], each from 1 on, ENDPOINTS from 2,049";
 
-/// Bytes handed out at once, as by a connection.
-const PIECE: usize = 16 << 10;
-
 /// Names from here on are in no list.
 const NEW: u32 = 1 << 30;
 
-/// A list's size, and how often it is read anew at the end.
-#[derive(Clone, Copy)]
-struct Size {
-    endpoints: u32,
-    destinations: u32,
-    rounds: u32,
-}
-
-impl Size {
-    fn of(arguments: &[String]) -> Option<Self> {
-        let numbers: Result<Vec<u32>, _> = arguments.iter().map(|argument| argument.parse()).collect();
-        let (endpoints, destinations, rounds) = match numbers.ok()?[..] {
-            [] => (558_000, 310_000, 20),
-            [endpoints, destinations] => (endpoints, destinations, 20),
-            [endpoints, destinations, rounds] => (endpoints, destinations, rounds),
-            _ => return None,
-        };
-        let fit = endpoints as usize > reader::ENTRIES && endpoints < NEW && destinations > 0 && rounds > 0;
-        fit.then_some(Self { endpoints, destinations, rounds })
-    }
-
-    fn name(self, number: u32) -> String {
-        // An odd factor: each number has a name of its own.
-        format!("s-{:08x}", number.wrapping_mul(2_654_435_761))
-    }
-
-    fn entry(self, number: u32) -> Listing {
-        let [_, high, middle, low] = number.to_be_bytes();
-        Listing {
-            name: self.name(number),
-            address: format!("10.{high}.{middle}.{low}:{}", 8000 + number % 1000),
-            zone: format!("zone-{}", number % 12),
-            kind: if number.is_multiple_of(9) { "wide" } else { "plain" }.to_owned(),
-            group: number.wrapping_mul(7919) % self.destinations,
-            status: if number.is_multiple_of(50) { "leaving" } else { "active" }.to_owned(),
-            weight: if number.is_multiple_of(4) { 0.5 } else { 1.0 },
-            since_ms: if number.is_multiple_of(20) { 1_796_000_000_000 + u64::from(number) } else { 0 },
-        }
-    }
-}
-
-/// The JSON text of a list, written as it is read.
-struct Text {
-    size: Size,
-    next: u32,
-    piece: Vec<u8>,
-    taken: usize,
-}
-
-impl Text {
-    fn new(size: Size) -> Self {
-        let piece = br#"{"index":9,"snapshot":true,"endpoints":["#.to_vec();
-        Self { size, next: 0, piece, taken: 0 }
-    }
-
-    fn write_piece(&mut self) -> io::Result<()> {
-        self.piece.clear();
-        self.taken = 0;
-        while self.next < self.size.endpoints && self.piece.len() < PIECE {
-            self.write_entry()?;
-            self.next += 1;
-            let behind: &[u8] = if self.next == self.size.endpoints { b"]}" } else { b"," };
-            self.piece.extend_from_slice(behind);
-        }
-        Ok(())
-    }
-
-    fn write_entry(&mut self) -> io::Result<()> {
-        let Listing { name, address, zone, kind, group, status, weight, since_ms } =
-            self.size.entry(self.next);
-        write!(
-            self.piece,
-            r#"{{"name":"{name}","address":"{address}","zone":"{zone}","type":"{kind}","group":{group},"status":"{status}","weight":{weight:?},"since_ms":{since_ms}}}"#
-        )
-    }
-}
-
-impl Read for Text {
-    fn read(&mut self, buffer: &mut [u8]) -> io::Result<usize> {
-        if self.taken == self.piece.len() {
-            self.write_piece()?;
-        }
-        let read = (&self.piece[self.taken..]).read(buffer)?;
-        self.taken += read;
-        Ok(read)
-    }
+/// How often the list is read anew at the end, if nothing else is asked for.
+const ROUNDS: u32 = 20;
+
+/// A list's size, and how often it is read anew.
+fn asked(arguments: &[String]) -> Option<(Size, u32)> {
+    let numbers: Result<Vec<u32>, _> = arguments.iter().map(|argument| argument.parse()).collect();
+    let (size, rounds) = match numbers.ok()?[..] {
+        [] => (DESIGN, ROUNDS),
+        [endpoints, destinations] => (Size { endpoints, destinations }, ROUNDS),
+        [endpoints, destinations, rounds] => (Size { endpoints, destinations }, rounds),
+        _ => return None,
+    };
+    let long = size.endpoints as usize > reader::ENTRIES && size.endpoints < NEW;
+    (long && size.destinations > 0 && rounds > 0).then_some((size, rounds))
 }
 
 fn main() -> ExitCode {
     let arguments: Vec<String> = std::env::args().skip(1).collect();
-    let Some(size) = Size::of(&arguments) else {
+    let Some((size, rounds)) = asked(&arguments) else {
         eprintln!("{USAGE}");
         return ExitCode::from(2);
     };
-    match measure(size) {
+    match measure(size, rounds) {
         Ok(()) => ExitCode::SUCCESS,
         Err(why) => {
             eprintln!("{why}");
@@ -124,7 +53,7 @@
     }
 }
 
-fn measure(size: Size) -> io::Result<()> {
+fn measure(size: Size, rounds: u32) -> io::Result<()> {
     println!("{} endpoints of at most {} destinations", size.endpoints, size.destinations);
     let begun = processor_ns()?;
     let bytes = io::copy(&mut Text::new(size), &mut io::sink())?;
@@ -147,13 +76,13 @@
     change(&mut table, size)?;
     look_up(&table, size);
 
-    for _ in 0..size.rounds {
+    for _ in 0..rounds {
         // The former table is held until the next one is there.
         table = read(size)?;
     }
     println!(
         "after {} more, each taken with one held: resident {}, peak {}",
-        size.rounds,
+        rounds,
         memory("VmRSS")?,
         memory("VmHWM")?
     );
--- /dev/null
+++ b/tests/list_memory.rs
@@ -0,0 +1,64 @@
+//! Memory of the list's core at the size that a sender is made for, as the system has it. One test alone in its process:
+//! others' memory would count.
+#![cfg(target_os = "linux")]
+
+#[path = "common/list_text.rs"]
+mod list_text;
+
+use std::fs;
+
+use list_text::{DESIGN, Text};
+use myrtleyard::endpoints::Bounds;
+use myrtleyard::endpoints::listing::Listing;
+use myrtleyard::endpoints::reader::{self, List};
+use myrtleyard::endpoints::table::Table;
+
+/// Bytes that one table may add to the process.
+const ONE: u64 = 23_000_000;
+
+/// Bytes that the process may have more at any time: a worn table, and another one being made of a stream.
+const MOST: u64 = 48_000_000;
+
+/// Snapshots taken in a row, each while the former one is held.
+const ROUNDS: usize = 3;
+
+/// A figure of this process's memory, in bytes.
+fn memory(figure: &str) -> u64 {
+    let text = fs::read_to_string("/proc/self/status").unwrap();
+    let line = text.lines().find_map(|line| line.strip_prefix(figure)?.strip_prefix(':')).unwrap();
+    let number = line.trim().strip_suffix(" kB").unwrap();
+    number.parse::<u64>().unwrap() * 1024
+}
+
+fn taken() -> Table {
+    match reader::read(Text::new(DESIGN), &Bounds::default()) {
+        Ok(List::Table { table, .. }) => *table,
+        other => panic!("{other:?}"),
+    }
+}
+
+fn wear(table: &mut Table) {
+    let mut number = 0;
+    while !table.worn() {
+        let entry = Listing { weight: 0.25, ..DESIGN.entry(number) };
+        table.change(entry, usize::MAX).unwrap();
+        number += 1;
+    }
+}
+
+/// Guards the memory of a sender, and that what a list took goes back to the system with it.
+#[test]
+fn two_lists_of_the_design_size_fit() {
+    let before = memory("VmRSS");
+    let mut table = taken();
+    let one = memory("VmRSS") - before;
+    assert!(one <= ONE, "one table takes {one} bytes");
+    for round in 0..ROUNDS {
+        wear(&mut table);
+        table = taken();
+        assert_eq!((table.len(), table.destinations()), (558_000, 310_000));
+        let (one, most) = (memory("VmRSS") - before, memory("VmHWM") - before);
+        assert!(one <= ONE + ONE / 20, "{one} bytes are held after round {round}");
+        assert!(most <= MOST, "{most} bytes at most in round {round}");
+    }
+}
