End the list's tests also where no table is ever worn

Need: two tests went on until a table is worn, and would not end where none is. Change: they make one change more than wears it, and hold that it is worn then and not before.

--- a/src/endpoints/table/tests.rs
+++ b/src/endpoints/table/tests.rs
@@ -275,12 +275,12 @@
         assert!(table.of(expected.group).contains(&expected));
     }
     let fresh = table.heap_bytes();
-    let mut changed = 0;
-    while !table.worn() {
-        let entry = Listing { weight: 0.5, ..design_size(changed * 7 % endpoints) };
+    for number in 0..=endpoints / WORN_SHARE as u32 {
+        assert!(!table.worn());
+        let entry = Listing { weight: 0.5, ..design_size(number * 7 % endpoints) };
         table.change(entry, usize::MAX).unwrap();
-        changed += 1;
     }
+    assert!(table.worn());
     // A worn table takes a tenth more.
     assert!(table.heap_bytes() - fresh <= most / 10, "{} on top of {fresh}", table.heap_bytes() - fresh);
 }
--- a/tests/list_memory.rs
+++ b/tests/list_memory.rs
@@ -11,7 +11,7 @@
 use myrtleyard::endpoints::Bounds;
 use myrtleyard::endpoints::listing::Listing;
 use myrtleyard::endpoints::reader::{self, List};
-use myrtleyard::endpoints::table::Table;
+use myrtleyard::endpoints::table::{Table, WORN_SHARE};
 
 /// Bytes that one table may add to the process.
 const ONE: u64 = 23_000_000;
@@ -38,12 +38,11 @@
 }
 
 fn wear(table: &mut Table) {
-    let mut number = 0;
-    while !table.worn() {
+    for number in 0..=DESIGN.endpoints / WORN_SHARE as u32 {
         let entry = Listing { weight: 0.25, ..DESIGN.entry(number) };
         table.change(entry, usize::MAX).unwrap();
-        number += 1;
     }
+    assert!(table.worn());
 }
 
 /// Guards the memory of a sender, and that what a list took goes back to the system with it.
