--- a/src/net/platform.rs
+++ b/src/net/platform.rs
@@ -52,8 +52,6 @@
 const AGAIN: Duration = Duration::from_millis(50);
 /// Doublings of [`AGAIN`] after refused lists at most; the rest is bounded by [`rest_after_refusal`] before that.
 const MOST_DOUBLINGS: u32 = 10;
-/// The code of a list of changes that is too long: the whole list, which may be longer, is asked for instead.
-const TOO_MANY_CHANGES: &str = "list.changes";
 /// Characters of an error that go into a line of the log.
 const SHOWN: usize = 200;
 /// How long a notice may take; it is sent again after that.
@@ -402,7 +400,8 @@
             refused,
             "a list of endpoints is not taken; the one before stays: {shown}"
         );
-        self.whole |= code == TOO_MANY_CHANGES;
+        // The whole list may be longer than a list of changes.
+        self.whole |= matches!(why, ListError::Changes(_));
         if matches!(self.following, Following::Ask(..)) {
             return self.rest_after_failed(took);
         }
