--- a/src/net/platform.rs
+++ b/src/net/platform.rs
@@ -55,8 +55,6 @@
 /// Rest after short refused lists of an agent at most: news that comes in a row of them is told that much later, and
 /// calls there cost nothing.
 const MOST_AT_AGENT: Duration = Duration::from_secs(1);
-/// The code of a list of changes that is too long: the whole list, which may be longer, is asked for instead.
-const TOO_MANY_CHANGES: &str = "list.changes";
 /// Characters of an error that go into a line of the log.
 const SHOWN: usize = 200;
 /// How long a notice may take; it is sent again after that.
@@ -423,7 +421,8 @@
             refused,
             "a list of endpoints is not taken; the one before stays: {shown}"
         );
-        self.whole |= code == TOO_MANY_CHANGES;
+        // The whole list may be longer than a list of changes.
+        self.whole |= matches!(why, ListError::Changes(_));
         if matches!(self.following, Following::Ask(..)) {
             return self.rest_after_failed(took);
         }
--- a/src/net/platform/tests.rs
+++ b/src/net/platform/tests.rs
@@ -1,5 +1,6 @@
 use std::io;
 
+use myrtleyard::endpoints::reader::CHANGES;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::mpsc::unbounded_channel;
@@ -357,7 +358,7 @@
 async fn a_list_that_is_cut_or_spoilt_is_counted_and_asked_for_ever_more_rarely() -> io::Result<()> {
     let run = async {
         let (short, long) = (answer(&list(2, 100)), answer(&list(2, 5000)));
-        let spoilt = |list: &str| answer(&list[..list.len() - 1]);
+        let spoilt = |list: &str| answer(&format!("{}!", &list[..list.len() - 1]));
         let cases = [
             (short[..short.len() - 1].to_owned(), "list.cut"),
             (short[..60].to_owned(), "list.cut"),
@@ -548,3 +549,23 @@
         "no storm at a service"
     );
 }
+
+/// Changes that are too many at once are never taken: the whole list is asked for instead.
+#[tokio::test]
+async fn the_whole_list_is_asked_for_after_too_many_changes() -> io::Result<()> {
+    let run = async {
+        let mut agent = Agent::new(Following::Watch(1, LONGEST_HOLD), Rc::default()).await?;
+        let (mut stream, _) = agent.asked().await?;
+        let changes = list(2, CHANGES + 1).replacen("\"snapshot\":true", "\"snapshot\":false", 1);
+        // The sender may have had enough before the end.
+        let _ = stream.write_all(answer(&changes).as_bytes()).await;
+        let heard = timeout(PATIENCE, agent.1.recv()).await?;
+        assert!(matches!(heard, Some(Inbound::Event(Event::ListFailed))), "{heard:?}");
+        let (mut stream, path) = agent.asked().await?;
+        assert_eq!(path, "/v1/endpoints");
+        stream.write_all(answer(&list(3, 5)).as_bytes()).await?;
+        assert_eq!(asked(&mut stream).await?, "/v1/endpoints?from=3&hold_ms=2000");
+        Ok(())
+    };
+    LocalSet::new().run_until(run).await
+}
