Measure the view, the list and the breakers along axes of size

Need: nobody knows where the sender breaks on the way to 4,900 senders, 310,000 destinations and 4.4% of them down. Change: `linenwing-fleet scale` measures points along axes, each in a process of its own, and keeps typed records: the view in virtual time and with hollow members round a real sender, the list of a real sender, and the module's breakers in virtual time. Fits by least squares are checked by a point that is held out. It uses the library's cores and the bench's own configuration of a sender, which is a function of its own now, and no copies of either.

--- a/fleet/src/experiment.rs
+++ b/fleet/src/experiment.rs
@@ -29,7 +29,7 @@
 use crate::world::clients::{Clients, arrivals};
 use crate::world::discovery::{self, Agent, List, Listed, Service};
 use crate::world::endpoints::{Nature, Partner, TRY_LIMIT};
-use crate::world::senders::{Block, Place, Tier, settings};
+use crate::world::senders::{Addresses, Block, Place, Tier, document, settings};
 use crate::world::sessions::Readers;
 use crate::world::{End, Registry, sessions, views};
 use crate::{Micros, micros};
@@ -364,16 +364,14 @@
         settings["rank"] = json!(sender);
         settings["locality"] = json!(zone(sender));
         let own = block.peer_listen(sender);
-        let peers: Vec<String> = world.relays.peers(sender, own).iter().map(ToString::to_string).collect();
-        let mut config = json!({
-            "name": format!("n{sender}"), "listen": block.listen(sender).to_string(),
-            "discovery": world.platform[sender].address.to_string(),
-            "seed": format!("{:016x}", play.seed.wrapping_mul(0x9e37_79b9_7f4a_7c15) ^ sender as u64),
-            "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024, "disk_mb": 3},
-            "peer_listen": own.to_string(), "peers": peers,
-            "peers_all": world.relays.peers_all(sender).to_string(),
-            "settings": settings,
-        });
+        let addresses = Addresses {
+            listen: block.listen(sender),
+            discovery: world.platform[sender].address,
+            peer_listen: own,
+            peers: world.relays.peers(sender, own),
+            peers_all: world.relays.peers_all(sender),
+        };
+        let mut config = document(sender, play.seed, &addresses, settings);
         for (name, section) in &scenario.sections {
             config[name.as_str()] = serde_json::to_value(section)?;
         }
--- a/fleet/src/failures.rs
+++ b/fleet/src/failures.rs
@@ -3,6 +3,7 @@
 use std::io;
 use std::path::PathBuf;
 
+use crate::scale::command::NoScale;
 use crate::sweep::NoRuns;
 use crate::told;
 
@@ -41,6 +42,9 @@
     /// No runs are begun.
     #[error("{0}")]
     Runs(#[from] NoRuns),
+    /// No points are measured, or no page is written.
+    #[error("{0}")]
+    Scale(#[from] NoScale),
 }
 
 told! { Bad {
@@ -53,6 +57,7 @@
     Text => "fleet.text", "tell the developers";
     Unbuilt => "fleet.unbuilt", "run the build as the line says, and mend what it tells";
     ..Runs;
+    ..Scale;
 } }
 
 #[cfg(test)]
--- a/fleet/src/failures/tests.rs
+++ b/fleet/src/failures/tests.rs
@@ -7,5 +7,5 @@
 fn the_page_has_every_code_of_the_bench() {
     let page = listed(include_str!("../../../docs/operations.md"));
     let page: Vec<&str> = page.into_iter().filter(|code| code.starts_with("fleet.")).collect();
-    assert_eq!(page, [Bad::CODES, NoRuns::CODES, NotReady::CODES].concat());
+    assert_eq!(page, [Bad::CODES, NoRuns::CODES, NotReady::CODES, NoScale::CODES].concat());
 }
--- a/fleet/src/lib.rs
+++ b/fleet/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod links;
 pub mod nemesis;
 pub mod report;
+pub mod scale;
 pub mod scenario;
 pub mod sweep;
 #[path = "../../src/told.rs"]
--- a/fleet/src/main.rs
+++ b/fleet/src/main.rs
@@ -11,7 +11,7 @@
 use linenwing_fleet::ledger::History;
 use linenwing_fleet::scenario::{Mix, MixName, Scenario};
 use linenwing_fleet::told::Told;
-use linenwing_fleet::{explain, report, sweep};
+use linenwing_fleet::{explain, report, scale, sweep};
 
 /// Plays many processes of the sender with faults between them, and proves from a ledger what was lost.
 ///
@@ -102,6 +102,8 @@
         #[command(flatten)]
         common: Common,
     },
+    /// Measures points along axes of size, and writes the page on capacity from their records.
+    Scale(scale::command::Call),
     /// Tells the story of one message of a run.
     Explain { folder: PathBuf, id: String },
 }
@@ -254,6 +256,7 @@
             println!("{} faults, in {}", smaller.fault.len(), to.display());
             Ok(0)
         }
+        Some(Act::Scale(call)) => Ok(scale::command::run(&call)?),
         Some(Act::Explain { folder, id }) => {
             print!("{}", explain::story(&folder, &id)?);
             Ok(0)
--- /dev/null
+++ b/fleet/src/scale/mod.rs
@@ -0,0 +1,223 @@
+//! How the sender's costs grow with the size of a deployment: points along axes, each measured alone in a process of its
+//! own, kept as records, fitted, and shown on a page beside the operators' design size.
+//!
+//! What can be is run with real processes; the rest runs the shipping cores in virtual time, and each record says which.
+
+pub mod agent;
+pub mod book;
+pub mod command;
+pub mod design;
+pub mod figure;
+pub mod fit;
+pub mod machine;
+pub mod page;
+pub mod record;
+
+mod down;
+mod hollow;
+mod known;
+mod list;
+mod module;
+mod process;
+mod talk;
+mod view;
+
+#[path = "../../../tests/common/tier.rs"]
+mod tier;
+
+use std::io;
+use std::path::PathBuf;
+
+use serde::{Deserialize, Serialize};
+
+use crate::world::senders::NotReady;
+use figure::Figure;
+use record::{Measured, Mode};
+
+/// What grows along an axis.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum Axis {
+    /// Members of the view, in virtual time.
+    View,
+    /// Members of the view: one real sender among hollow ones, each with a socket of its own.
+    Hollow,
+    /// Destinations in the list of a real sender.
+    List,
+    /// Destinations under constant load, 4.4% of them down, in virtual time.
+    Spread,
+    /// Tenths of a percent of 310,000 destinations that are down, in virtual time.
+    Down,
+}
+
+/// A point to be measured.
+#[derive(Debug, Clone)]
+pub struct Point {
+    /// Along which axis.
+    pub axis: Axis,
+    /// How far, in the axis's unit.
+    pub size: u64,
+    /// Of all chance.
+    pub seed: u64,
+    /// The sender's program.
+    pub binary: PathBuf,
+    /// The run is kept short: figures of it are no measure.
+    pub smoke: bool,
+}
+
+/// Why a point was not measured.
+#[derive(Debug, thiserror::Error)]
+pub enum Unmeasured {
+    /// Something that the machine refuses.
+    #[error("{0}")]
+    Machine(#[from] io::Error),
+    /// The real sender does not start.
+    #[error("{0}")]
+    Sender(#[from] NotReady),
+    /// The real sender does not answer as it should.
+    #[error("the sender's answer to {0} can't be read")]
+    Answer(String),
+    /// It did not come within its time.
+    #[error("{0} did not come within its time")]
+    Late(&'static str),
+    /// The bench's own settings are not the module's.
+    #[error("{0}")]
+    Settings(#[from] myrtleyard::wire::WireError),
+}
+
+impl Axis {
+    /// All of them, in the order in which they are run.
+    pub const ALL: [Self; 5] = [Self::View, Self::Hollow, Self::List, Self::Spread, Self::Down];
+
+    /// Its name: of its file, and on the command line.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::View => "view",
+            Self::Hollow => "hollow",
+            Self::List => "list",
+            Self::Spread => "spread",
+            Self::Down => "down",
+        }
+    }
+
+    /// By its name.
+    pub fn named(name: &str) -> Option<Self> {
+        Self::ALL.into_iter().find(|axis| axis.name() == name)
+    }
+
+    /// What a size counts.
+    pub fn unit(self) -> &'static str {
+        match self {
+            Self::View => "members of the view",
+            Self::Hollow => "members of the view, one of them a real sender",
+            Self::List => "destinations in the list",
+            Self::Spread => "destinations under 224 messages a second, 4.4% of them down",
+            Self::Down => "destinations down of 310,000, in tenths of a percent",
+        }
+    }
+
+    /// How its points are run.
+    pub fn mode(self) -> Mode {
+        match self {
+            Self::View | Self::Spread | Self::Down => Mode::Virtual,
+            Self::Hollow | Self::List => Mode::Real,
+        }
+    }
+
+    /// Its points, in ascending order.
+    pub fn sizes(self) -> &'static [u64] {
+        match self {
+            Self::View => &[10, 30, 100, 300, 1_000],
+            Self::Hollow => &[10, 30, 100, 300, 1_000, design::SENDERS],
+            Self::List => &[100, 1_000, 3_000, 10_000, 100_000, design::DESTINATIONS],
+            Self::Spread => &[100, 1_000, 10_000, 100_000, design::DESTINATIONS],
+            Self::Down => &[0, 5, 11, 22, 44],
+        }
+    }
+
+    /// A point that is measured in a second or so.
+    pub fn smoke(self) -> u64 {
+        match self {
+            Self::View => 20,
+            Self::Hollow => 8,
+            Self::List => 200,
+            Self::Spread => 1_000,
+            Self::Down => 44,
+        }
+    }
+
+    /// The figures that are fitted and shown.
+    pub fn shown(self) -> &'static [Figure] {
+        use Figure as F;
+        match self {
+            Self::View => &[
+                F::SentMedian,
+                F::SentBytesMedian,
+                F::SentBytesP99,
+                F::SentBytesWorst,
+                F::ReceivedBytesMedian,
+                F::ReceivedBytesWorst,
+                F::CpuMember,
+                F::MemberResident,
+                F::MemberPeak,
+                F::Known,
+                F::CrashKnown,
+            ],
+            Self::Hollow => &[
+                F::SentMedian,
+                F::SentBytesMedian,
+                F::SentBytesWorst,
+                F::CpuMember,
+                F::CpuPerSecond,
+                F::Resident,
+                F::Peak,
+                F::Known,
+            ],
+            Self::List => &[
+                F::Listed,
+                F::Taken,
+                F::CpuStart,
+                F::Resident,
+                F::Peak,
+                F::CpuPerSecond,
+                F::Calls,
+                F::CallBytes,
+                F::Delivered,
+            ],
+            Self::Spread | Self::Down => &[
+                F::Attempts,
+                F::Wasted,
+                F::Tries,
+                F::Open,
+                F::OpenShare,
+                F::Reused,
+                F::CpuEach,
+                F::Resident,
+                F::Peak,
+            ],
+        }
+    }
+
+    fn measure(self, point: &Point) -> Result<Measured, Unmeasured> {
+        match self {
+            Self::View => view::measure(point),
+            Self::Hollow => hollow::measure(point),
+            Self::List => list::measure(point),
+            Self::Spread => down::spread(point),
+            Self::Down => down::down(point),
+        }
+    }
+}
+
+impl Point {
+    /// Measures it in this process, and takes down how late that ran.
+    ///
+    /// # Errors
+    /// Tells why it could not be measured.
+    pub fn measure(&self) -> Result<Measured, Unmeasured> {
+        let lateness = machine::Lateness::begin();
+        let measured = self.axis.measure(self);
+        let lateness_us = lateness.end();
+        Ok(Measured { lateness_us, ..measured? })
+    }
+}
--- /dev/null
+++ b/fleet/src/scale/process.rs
@@ -0,0 +1,188 @@
+//! One real sender, beside an agent for its list and, where wanted, other members.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use serde_json::{Value, json};
+use tempfile::TempDir;
+
+use super::agent::{Agent, KINDS, Manner, ZONES};
+use super::machine::Usage;
+use super::talk;
+use super::{Point, Unmeasured};
+use crate::ledger::{Head, Recorder};
+use crate::scenario::{LogLevel, Scenario};
+use crate::world::senders::{ADDRESSES, Addresses, Block, Place, Tier, document, settings};
+
+/// Between two looks at the sender.
+const LOOK: Duration = Duration::from_millis(100);
+/// The bench's usual deployment, which these senders are of.
+const SCENARIO: &str = "name = \"scale\"\nlength_s = 1\nsenders = 1";
+
+/// What a point wants of its sender.
+pub struct Wish {
+    /// Destinations in the agent's list.
+    pub destinations: u64,
+    /// How the endpoints behave.
+    pub manner: Manner,
+    /// Senders of the tier, itself among them.
+    pub members: usize,
+    /// Changes the configuration before it is written.
+    pub change: fn(&mut Value),
+}
+
+/// A sender that runs, and what it meets.
+pub struct Sender {
+    tier: Tier,
+    /// Its agent, and its endpoints.
+    pub agent: Arc<Agent>,
+    /// Where clients hand in.
+    pub listen: SocketAddr,
+    /// All senders of the tier, itself first.
+    pub peers: Vec<SocketAddr>,
+    _folder: TempDir,
+    begun: Instant,
+    _block: Arc<Block>,
+}
+
+/// The settings of the bench's senders, in the protocol's form.
+pub fn usual_settings(members: usize) -> Value {
+    let mut scenario = Scenario::read(SCENARIO).unwrap_or_else(|wrong| unreachable!("{wrong:?}"));
+    scenario.senders = members;
+    let mut settings = settings(&scenario, &ZONES, &KINDS);
+    settings["rank"] = json!(0);
+    settings["locality"] = json!(0);
+    settings
+}
+
+/// A member's socket, of its own among all on this machine.
+fn member(block: &Block, number: usize) -> SocketAddr {
+    let mut address = block.peer_listen(number % ADDRESSES);
+    address.set_port(address.port() + (number / ADDRESSES) as u16);
+    address
+}
+
+fn head(seed: u64) -> Head {
+    Head {
+        scenario: "scale".to_owned(),
+        seed,
+        senders: 1,
+        classes: Vec::new(),
+        try_limit: 0,
+        drain_grace: 0,
+        view_period: None,
+        plans: Vec::new(),
+    }
+}
+
+impl Sender {
+    /// Places a sender; it is started by [`Sender::start`].
+    ///
+    /// # Errors
+    /// Fails when an address or a folder is not to be had.
+    pub async fn place(point: &Point, wish: &Wish) -> Result<Self, Unmeasured> {
+        let block = Arc::new(Block::claim()?);
+        let agent = Agent::serve(block.world(), wish.destinations, wish.manner).await?;
+        let peers: Vec<SocketAddr> = (0..wish.members).map(|number| member(&block, number)).collect();
+        let addresses = Addresses {
+            listen: block.listen(0),
+            discovery: agent.address,
+            peer_listen: peers[0],
+            peers: peers.clone(),
+            peers_all: SocketAddr::new(block.world(), 9),
+        };
+        let mut config = document(0, point.seed, &addresses, usual_settings(wish.members));
+        (wish.change)(&mut config);
+        let folder = tempfile::tempdir()?;
+        let (recorder, _) = Recorder::begin(&folder.path().join("history.jsonl"), &head(point.seed))?;
+        let place = Place { folder: folder.path().to_owned(), config, held: None };
+        let (at, known) = (block.clone(), agent.clone());
+        let tier = Tier::new(
+            point.binary.clone(),
+            vec![place],
+            move |sender, generation| at.mgmt(sender, generation),
+            move |_| known.known(),
+            recorder,
+            LogLevel::Info,
+        )?;
+        let listen = block.listen(0);
+        Ok(Self { tier, agent, listen, peers, _folder: folder, begun: Instant::now(), _block: block })
+    }
+
+    /// Starts it and waits until it takes clients.
+    ///
+    /// # Errors
+    /// Tells, with its last lines, that it does not start.
+    pub async fn start(&mut self) -> Result<(), Unmeasured> {
+        self.begun = Instant::now();
+        Ok(self.tier.start(0, true).await?)
+    }
+
+    /// Time since it was started, seconds.
+    pub fn age_s(&self) -> f64 {
+        self.begun.elapsed().as_secs_f64()
+    }
+
+    /// What it takes of the machine.
+    ///
+    /// # Errors
+    /// Fails when it has gone.
+    pub fn usage(&self) -> Result<Usage, Unmeasured> {
+        let id = self.tier.id(0).ok_or(Unmeasured::Late("the sender's process"))?;
+        Ok(Usage::of(id)?)
+    }
+
+    /// What operators read at a path.
+    ///
+    /// # Errors
+    /// Fails when it does not answer with JSON.
+    pub async fn told(&self, path: &str) -> Result<Value, Unmeasured> {
+        let unread = || Unmeasured::Answer(path.to_owned());
+        let (address, _) = self.tier.mgmt(0).ok_or_else(unread)?;
+        talk::get(address, path).await.ok_or_else(unread)
+    }
+
+    /// A figure of its counters.
+    ///
+    /// # Errors
+    /// Fails when it does not tell it.
+    pub async fn counter(&self, name: &str) -> Result<u64, Unmeasured> {
+        let counters = self.told("/control/counters").await?;
+        counters[name].as_u64().ok_or_else(|| Unmeasured::Answer(format!("the counter {name}")))
+    }
+
+    /// Looks until it is so; nothing if it is not within this time.
+    ///
+    /// # Errors
+    /// As the look.
+    pub async fn until<L>(&self, within: Duration, so: impl Fn() -> L) -> Result<bool, Unmeasured>
+    where
+        L: Future<Output = Result<bool, Unmeasured>>,
+    {
+        let end = Instant::now() + within;
+        while Instant::now() < end {
+            if so().await? {
+                return Ok(true);
+            }
+            tokio::time::sleep(LOOK).await;
+        }
+        Ok(false)
+    }
+
+    /// Kills it and waits for its end.
+    pub async fn end(self) {
+        self.tier.end().await;
+    }
+}
+
+/// Runs a point with its sender in a runtime of its own.
+///
+/// # Errors
+/// As the run, or when there can be no runtime.
+pub fn run<T>(point: impl Future<Output = Result<T, Unmeasured>>) -> Result<T, Unmeasured> {
+    let runtime = tokio::runtime::Builder::new_multi_thread().worker_threads(2).enable_all().build()?;
+    let ended = runtime.block_on(point);
+    runtime.shutdown_timeout(Duration::from_secs(1));
+    ended
+}
--- a/fleet/src/world/senders.rs
+++ b/fleet/src/world/senders.rs
@@ -92,6 +92,8 @@
 
 /// Senders that have their addresses in one piece of 254.
 const IN_ONE: usize = 200;
+/// Senders that have addresses of their own in a [`Block`].
+pub const ADDRESSES: usize = 2 * IN_ONE;
 
 impl Block {
     /// Claims one.
@@ -176,9 +178,36 @@
                         "stop_sending_within_us": 2_000_000}})
 }
 
+/// Where a sender is, and whom it talks to.
+pub struct Addresses {
+    /// Where it takes clients.
+    pub listen: SocketAddr,
+    /// Its agent for the list.
+    pub discovery: SocketAddr,
+    /// Where it hears others.
+    pub peer_listen: SocketAddr,
+    /// All senders as it reaches them, itself among them, by rank.
+    pub peers: Vec<SocketAddr>,
+    /// Where a note to all of them goes.
+    pub peers_all: SocketAddr,
+}
+
+/// A sender's configuration but for `mgmt`, `known` and the sections of optional parts.
+pub fn document(sender: usize, seed: u64, at: &Addresses, settings: Value) -> Value {
+    let text = |address: &SocketAddr| address.to_string();
+    json!({
+        "name": format!("n{sender}"), "listen": text(&at.listen), "discovery": text(&at.discovery),
+        "seed": format!("{:016x}", seed.wrapping_mul(0x9e37_79b9_7f4a_7c15) ^ sender as u64),
+        "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024, "disk_mb": 3},
+        "peer_listen": text(&at.peer_listen), "peers": at.peers.iter().map(text).collect::<Vec<_>>(),
+        "peers_all": text(&at.peers_all), "settings": settings,
+    })
+}
+
 /// A process of a sender.
 #[derive(Clone)]
 struct Process {
+    id: Option<u32>,
     generation: u32,
     orders: mpsc::UnboundedSender<(Signal, Asked)>,
     ended: watch::Receiver<Option<Asked>>,
@@ -285,6 +314,7 @@
             let text = |key: &str| listed[key].as_str().unwrap_or_default().to_owned();
             self.recorder.see(What::Told { sender, endpoint: text("name"), status: text("status") });
         }
+        let id = child.id();
         let (orders, mut ordered) = mpsc::unbounded_channel::<(Signal, Asked)>();
         let (end, ended) = watch::channel(None);
         let recorder = self.recorder.clone();
@@ -303,7 +333,7 @@
             recorder.see(What::Ended { sender, generation, asked, code });
             end.send_replace(Some(asked));
         });
-        let process = Process { generation, orders, ended: ended.clone() };
+        let process = Process { id, generation, orders, ended: ended.clone() };
         if let Ok(mut current) = self.current[sender].lock() {
             *current = Some(process);
         }
@@ -417,6 +447,11 @@
         self.process(sender).is_some_and(|process| process.ended.borrow().is_none())
     }
 
+    /// The system's number of a sender's newest process while that runs.
+    pub fn id(&self, sender: usize) -> Option<u32> {
+        self.process(sender).filter(|process| process.ended.borrow().is_none())?.id
+    }
+
     /// Where operators call a sender's newest process, and its number.
     pub fn mgmt(&self, sender: usize) -> Option<(SocketAddr, u32)> {
         let generation = self.process(sender)?.generation;
--- /dev/null
+++ b/fleet/tests/scale.rs
@@ -0,0 +1,100 @@
+//! The subcommand `scale`: a short run of each axis end to end, its arguments, its fits, and its page.
+
+use std::path::Path;
+use std::process::{Command, Output};
+use std::time::{Duration, Instant};
+
+use linenwing_fleet::scale::fit::{Fit, Form};
+use linenwing_fleet::scale::record::{self, Record};
+use linenwing_fleet::scale::{Axis, figure::Figure};
+
+const TOOL: &str = env!("CARGO_BIN_EXE_linenwing-fleet");
+/// A smoke run is over within this time also on a busy machine.
+const SMOKE_WITHIN: Duration = Duration::from_secs(60);
+
+fn scale(arguments: &[&str]) -> Output {
+    Command::new(TOOL).arg("scale").args(arguments).output().unwrap()
+}
+
+fn text(path: &Path) -> &str {
+    path.to_str().unwrap()
+}
+
+/// Guards the whole way from a point to its record: each axis has a point that was measured, with its mode, and how late
+/// the bench ran. A run that says that it was starved may, since machines are not quiet.
+#[test]
+fn a_smoke_run_leaves_a_record_of_each_axis() {
+    let folder = tempfile::tempdir().unwrap();
+    let begun = Instant::now();
+    let output = scale(&["--smoke", "--out", text(folder.path())]);
+    assert!(begun.elapsed() < SMOKE_WITHIN, "{:?}", begun.elapsed());
+    let told = String::from_utf8_lossy(&output.stderr).into_owned();
+    let read = |axis| record::read(folder.path(), axis).unwrap();
+    let records: Vec<Record> = Axis::ALL.into_iter().flat_map(read).collect();
+    let axes: Vec<Axis> = records.iter().map(|record| record.axis).collect();
+    assert_eq!(axes, Axis::ALL, "{told}");
+    let starved = records.iter().any(|record| record.starved.is_some());
+    assert_eq!(output.status.code(), Some(if starved { 3 } else { 0 }), "{told}");
+    for record in &records {
+        assert_eq!((record.size, record.mode), (record.axis.smoke(), record.axis.mode()));
+        assert_eq!(record.measured.refused, None, "{}", record.axis.name());
+        assert!(record.measured.figures.len() > 3 && record.cores > 0, "{}", record.axis.name());
+        assert!(record.measured.lateness_us[2] > 0, "no timer is never late");
+    }
+    let list = records.iter().find(|record| record.axis == Axis::List).unwrap();
+    assert_eq!(list.measured.figures[&Figure::Delivered], 1.0, "a message reaches the last destination");
+    assert_eq!(list.measured.figures[&Figure::Listed], 360.0, "1.8 endpoints a destination");
+}
+
+#[test]
+fn bad_arguments_end_with_2_and_a_line_that_says_what_to_do() {
+    let folder = tempfile::tempdir().unwrap();
+    let spoilt = folder.path().join("spoilt");
+    std::fs::create_dir(&spoilt).unwrap();
+    std::fs::write(spoilt.join("view.jsonl"), "{\"axis\":\n").unwrap();
+    let calls: [(&[&str], &str); 4] = [
+        (&["--axis", "width"], "fleet.scale-axis: name an axis"),
+        (&["--seeds", "3..1"], "fleet.seeds: give a number"),
+        (&["--point", "7"], "fleet.scale-point: leave --point out"),
+        (&["--page", "--out", text(&spoilt)], "fleet.scale-records: mend the line"),
+    ];
+    for (arguments, remedy) in calls {
+        let output = scale(arguments);
+        let told = String::from_utf8_lossy(&output.stderr).into_owned();
+        assert_eq!(output.status.code(), Some(2), "{arguments:?}: {told}");
+        assert!(told.lines().any(|line| line.starts_with(remedy)), "{arguments:?}: {told}");
+    }
+}
+
+fn points(of: impl Fn(f64) -> f64) -> Vec<(f64, f64)> {
+    [10.0, 100.0, 1000.0, 10_000.0, 100_000.0].map(|n| (n, of(n))).to_vec()
+}
+
+#[test]
+fn each_form_is_found_again_and_predicts_the_point_that_was_held_out() {
+    type Of = fn(f64) -> f64;
+    let forms: [(Form, Of); 3] = [
+        (Form::Constant, |_| 7.0),
+        (Form::Linear, |n| 500.0 + 3.0 * n),
+        (Form::Linearithmic, |n| 500.0 + 3.0 * n * n.log2()),
+    ];
+    for (form, of) in forms {
+        let fit = Fit::of(&points(of)).unwrap();
+        assert_eq!(fit.form, form);
+        assert!(fit.stands() && fit.held_out_error.abs() < 1e-6, "{fit:?}");
+        assert!((fit.at(310_000.0) / of(310_000.0) - 1.0).abs() < 1e-6, "{fit:?}");
+    }
+}
+
+/// Guards a page against slopes that are not there.
+#[test]
+fn a_form_that_misses_the_held_out_point_does_not_stand() {
+    let quadratic = Fit::of(&points(|n| 1.0 + n * n)).unwrap();
+    assert!(!quadratic.stands(), "{quadratic:?}");
+    let mut steps = points(|n| 100.0 + n);
+    steps[4].1 *= 1.2;
+    assert!(!Fit::of(&steps).unwrap().stands(), "off by more than 15%");
+    assert_eq!(Fit::of(&steps[..3]), None, "two points are no slope");
+    steps[1].1 = f64::NAN;
+    assert_eq!(Fit::of(&steps), None, "nor is what was not measured");
+}
