--- a/fleet/src/scale/figure.rs
+++ b/fleet/src/scale/figure.rs
@@ -31,6 +31,7 @@
 figures! {
     Resident "resident_bytes" "resident memory of the process, bytes";
     Peak "peak_bytes" "most memory that was ever resident, bytes";
+    ResidentEach "resident_bytes_each" "resident memory that each message in hand adds, bytes";
     MemberResident "member_resident_bytes" "resident memory of a member, the network's queue included, bytes";
     MemberPeak "member_peak_bytes" "most memory of a member that was ever resident, bytes";
     CpuPerSecond "cpu_us_per_s" "processor time of a sender in a second, microseconds";
@@ -78,5 +79,5 @@
     JournalBytes "journal_bytes" "length of the journal, bytes";
     JournalEach "journal_bytes_each" "length of the journal for each message in hand, bytes";
     Written "written_bytes_per_s" "bytes that went to the disk in a second";
-    InHand "in_hand" "messages in hand when the first was refused";
+    InHand "in_hand" "messages in hand";
 }
--- a/fleet/src/scale/hollow.rs
+++ b/fleet/src/scale/hollow.rs
@@ -46,7 +46,8 @@
     process::run(async {
         let members = point.size as usize;
         let change = |config: &mut Value| config["membership"] = json!({"period_ms": PERIOD_MS});
-        let wish = Wish { destinations: DESTINATIONS, manner: Manner::Take, members, change };
+        let wish =
+            Wish { destinations: DESTINATIONS, manner: Manner::Take, members, change: Box::new(change) };
         let mut sender = Sender::place(point, &wish).await?;
         let measured = measured(point, &mut sender).await;
         sender.end().await;
--- a/fleet/src/scale/machine.rs
+++ b/fleet/src/scale/machine.rs
@@ -96,10 +96,14 @@
 
 fn watch(over: &AtomicBool) -> [u64; 3] {
     let Ok(mut lateness) = Histogram::<u64>::new_with_max(LATEST_US, 3) else { return [LATEST_US; 3] };
-    while !over.load(Ordering::Relaxed) {
+    loop {
         let due = Instant::now() + PROBE_EVERY;
         std::thread::sleep(PROBE_EVERY);
         lateness.saturating_record(due.elapsed().as_micros() as u64);
+        // Asked at the end, so that the shortest point has a look, too.
+        if over.load(Ordering::Relaxed) {
+            break;
+        }
     }
     [lateness.value_at_quantile(0.5), lateness.value_at_quantile(0.99), lateness.max()]
 }
--- a/fleet/src/scale/mod.rs
+++ b/fleet/src/scale/mod.rs
@@ -14,11 +14,16 @@
 pub mod record;
 
 mod down;
+mod events;
+mod hand;
+mod hold;
 mod hollow;
 mod known;
+mod leave;
 mod list;
 mod module;
 mod process;
+mod reload;
 mod talk;
 mod view;
 
@@ -48,6 +53,18 @@
     Spread,
     /// Tenths of a percent of 310,000 destinations that are down, in virtual time.
     Down,
+    /// Events a second at a real sender.
+    Events,
+    /// Messages in hand at the module, in virtual time.
+    Hand,
+    /// Messages in hand at a real sender, with room for all in its journal.
+    Journal,
+    /// Megabytes that a real sender's folder may take.
+    Disk,
+    /// Destinations in the list of a real sender whose configuration changes.
+    Reload,
+    /// Members of a view that many leave at once, in virtual time.
+    Leave,
 }
 
 /// A point to be measured.
@@ -87,7 +104,19 @@
 
 impl Axis {
     /// All of them, in the order in which they are run.
-    pub const ALL: [Self; 5] = [Self::View, Self::Hollow, Self::List, Self::Spread, Self::Down];
+    pub const ALL: [Self; 11] = [
+        Self::View,
+        Self::Hollow,
+        Self::List,
+        Self::Spread,
+        Self::Down,
+        Self::Events,
+        Self::Hand,
+        Self::Journal,
+        Self::Disk,
+        Self::Reload,
+        Self::Leave,
+    ];
 
     /// Its name: of its file, and on the command line.
     pub fn name(self) -> &'static str {
@@ -97,6 +126,12 @@
             Self::List => "list",
             Self::Spread => "spread",
             Self::Down => "down",
+            Self::Events => "events",
+            Self::Hand => "hand",
+            Self::Journal => "journal",
+            Self::Disk => "disk",
+            Self::Reload => "reload",
+            Self::Leave => "leave",
         }
     }
 
@@ -113,14 +148,22 @@
             Self::List => "destinations in the list",
             Self::Spread => "destinations under 224 messages a second, 4.4% of them down",
             Self::Down => "destinations down of 310,000, in tenths of a percent",
+            Self::Events => "events a second at one sender, over 1,000 destinations",
+            Self::Hand => "messages in hand at the module",
+            Self::Journal => "messages in hand at one sender, disk_mb 2,000",
+            Self::Disk => "disk_mb of one sender, filled until a message is refused",
+            Self::Reload => "destinations in the list while the configuration changes",
+            Self::Leave => "members of the view, of which many leave at once",
         }
     }
 
     /// How its points are run.
     pub fn mode(self) -> Mode {
         match self {
-            Self::View | Self::Spread | Self::Down => Mode::Virtual,
-            Self::Hollow | Self::List => Mode::Real,
+            Self::View | Self::Spread | Self::Down | Self::Hand | Self::Leave => Mode::Virtual,
+            Self::Hollow | Self::List | Self::Events | Self::Journal | Self::Disk | Self::Reload => {
+                Mode::Real
+            }
         }
     }
 
@@ -132,6 +175,12 @@
             Self::List => &[100, 1_000, 3_000, 10_000, 100_000, design::DESTINATIONS],
             Self::Spread => &[100, 1_000, 10_000, 100_000, design::DESTINATIONS],
             Self::Down => &[0, 5, 11, 22, 44],
+            Self::Events => &[28, 56, 112, design::SENDER_EVENTS_PER_S, 448],
+            Self::Hand => &[1_000, 10_000, 100_000, 1_000_000],
+            Self::Journal => &[500, 2_000, 8_000, 32_000],
+            Self::Disk => &[3, 6, 12, 24],
+            Self::Reload => &[100, 400, 1_600, 3_200],
+            Self::Leave => &[60, 120, 240, 480],
         }
     }
 
@@ -143,6 +192,12 @@
             Self::List => 200,
             Self::Spread => 1_000,
             Self::Down => 44,
+            Self::Events => 100,
+            Self::Hand => 1_000,
+            Self::Journal => 100,
+            Self::Disk => 1,
+            Self::Reload => 100,
+            Self::Leave => 12,
         }
     }
 
@@ -195,6 +250,41 @@
                 F::Resident,
                 F::Peak,
             ],
+            Self::Events => &[
+                F::Handed,
+                F::Accepted,
+                F::Attempts,
+                F::Reused,
+                F::CpuPerSecond,
+                F::CpuEach,
+                F::Resident,
+                F::Peak,
+                F::JournalBytes,
+                F::Written,
+            ],
+            Self::Hand => &[F::InHand, F::Resident, F::Peak, F::ResidentEach, F::CpuEach, F::CpuTurn],
+            Self::Journal | Self::Disk => &[
+                F::InHand,
+                F::JournalBytes,
+                F::JournalEach,
+                F::Resident,
+                F::Peak,
+                F::ResidentEach,
+                F::CpuEach,
+            ],
+            Self::Reload => &[F::CpuEach, F::CpuPerSecond, F::Resident, F::Peak],
+            Self::Leave => &[
+                F::RackKnown,
+                F::RackBack,
+                F::ZoneKnown,
+                F::ZoneBack,
+                F::RegionKnown,
+                F::RegionBack,
+                F::SplitKnown,
+                F::SplitBack,
+                F::SplitBytesMedian,
+                F::SplitBytesWorst,
+            ],
         }
     }
 
@@ -205,6 +295,12 @@
             Self::List => list::measure(point),
             Self::Spread => down::spread(point),
             Self::Down => down::down(point),
+            Self::Events => events::measure(point),
+            Self::Hand => hand::measure(point),
+            Self::Journal => hold::journal(point),
+            Self::Disk => hold::disk(point),
+            Self::Reload => reload::measure(point),
+            Self::Leave => leave::measure(point),
         }
     }
 }
--- a/fleet/src/scale/process.rs
+++ b/fleet/src/scale/process.rs
@@ -1,9 +1,11 @@
 //! One real sender, beside an agent for its list and, where wanted, other members.
 
 use std::net::SocketAddr;
+use std::path::Path;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
+use nix::sys::signal::Signal;
 use serde_json::{Value, json};
 use tempfile::TempDir;
 
@@ -29,7 +31,7 @@
     /// Senders of the tier, itself among them.
     pub members: usize,
     /// Changes the configuration before it is written.
-    pub change: fn(&mut Value),
+    pub change: Box<dyn Fn(&mut Value)>,
 }
 
 /// A sender that runs, and what it meets.
@@ -41,7 +43,7 @@
     pub listen: SocketAddr,
     /// All senders of the tier, itself first.
     pub peers: Vec<SocketAddr>,
-    _folder: TempDir,
+    folder: TempDir,
     begun: Instant,
     _block: Arc<Block>,
 }
@@ -107,7 +109,7 @@
             LogLevel::Info,
         )?;
         let listen = block.listen(0);
-        Ok(Self { tier, agent, listen, peers, _folder: folder, begun: Instant::now(), _block: block })
+        Ok(Self { tier, agent, listen, peers, folder, begun: Instant::now(), _block: block })
     }
 
     /// Starts it and waits until it takes clients.
@@ -170,6 +172,16 @@
         Ok(false)
     }
 
+    /// Sends it a signal.
+    pub fn signal(&self, signal: Signal) {
+        self.tier.signal(0, signal);
+    }
+
+    /// Its folder, with its configuration, its log and what lasts.
+    pub fn folder(&self) -> &Path {
+        self.folder.path()
+    }
+
     /// Kills it and waits for its end.
     pub async fn end(self) {
         self.tier.end().await;
