Tell the largest measured size where no slope stands, and test the verdicts

Need: cells said "not measured" where a form failed though sizes had been measured, and nothing guarded the verdicts. Change: such cells show the largest size that was taken. A constant is taken over a slope only where it leaves 0.2% or less: at 2%, as the commit before had it, a slope hid behind a large base, which the new test of verdicts found.

--- a/fleet/src/scale/fit.rs
+++ b/fleet/src/scale/fit.rs
@@ -8,7 +8,7 @@
 const WORTH_A_SLOPE: f64 = 0.5;
 /// A constant that leaves no more than this is taken, whatever a slope would leave: over orders of magnitude the least
 /// noise would else become a slope.
-const CONSTANT_WITHIN: f64 = 0.02;
+const CONSTANT_WITHIN: f64 = 0.002;
 /// Points that are fitted at least, beside the one that is held out.
 const FEWEST: usize = 3;
 
--- a/fleet/src/scale/mod.rs
+++ b/fleet/src/scale/mod.rs
@@ -23,13 +23,13 @@
 mod hand;
 mod hold;
 mod hollow;
-mod known;
 mod leave;
 mod list;
 mod module;
 mod process;
 mod reload;
 mod talk;
+mod traffic;
 mod view;
 
 #[path = "../../../tests/common/tier.rs"]
--- a/fleet/src/scale/page.rs
+++ b/fleet/src/scale/page.rs
@@ -75,7 +75,8 @@
         text,
         "\n## Axes\n\nFits are least squares of relative residuals over the sizes that were taken; the form is the one of the \
          least residual.\nThe largest size is held out and predicted by the smaller ones: a form that misses it by more than \
-         {:.0}% is marked wrong,\nand nothing is concluded from it. Rows of fewer than four sizes have no fit.",
+         {:.0}% is marked wrong,\nand nothing is concluded from it. Rows of fewer than four sizes have no fit. \
+         A figure \"by slope\"\nreaches beyond the largest size that was taken, which the columns show: the further, the less it says.",
         HELD_OUT_WITHIN * 100.0
     );
     for axis in Axis::ALL {
@@ -182,12 +183,12 @@
         let beyond = shelf.beyond(axis, known, SENDERS).cell(1.0, "");
         let _ = writeln!(text, "| {name} | {size} | {} | {back} | {} |", at(known), beyond.trim());
     }
-    let bytes = shelf.beyond(Axis::Leave, Figure::SplitBytesWorst, SENDERS).cell(1.0, "bytes a second");
+    let bytes = roles::largest(shelf, Axis::Leave, Figure::SplitBytesWorst);
     let _ = writeln!(
         text,
-        "\nWhile regions are apart the worst member sends {bytes} at 4,900. 1,200 restarts a day are one every 72 s \
-         (arithmetic); what a\nrestart loads the list service and others with is not measured, nor are the list, messages \
-         and connections under these failures."
+        "\nWhile regions are apart the worst member sends, bytes a second: {bytes} members. 1,200 restarts a day are one \
+         every 72 s\n(arithmetic); what a restart loads the list service and others with is not measured, nor are the list, \
+         messages and\nconnections under these failures."
     );
     text
 }
--- a/fleet/src/scale/roles.rs
+++ b/fleet/src/scale/roles.rs
@@ -20,8 +20,6 @@
 const TURN_US: f64 = 5_000.0;
 /// What replicas of the status index may be sent in a second, bytes.
 const STATUS_BYTES_PER_S: f64 = 1_048_576.0;
-/// What the view's row tells of the largest size that was run.
-const MOST_MEMBERS_SHOWN: [Figure; 2] = [Figure::SentBytesMedian, Figure::SentBytesWorst];
 /// Changes of the configuration a second.
 pub const CHANGES_PER_S: f64 = design::CHANGES_PER_DAY as f64 / 86_400.0;
 
@@ -79,6 +77,12 @@
     value.map_or("not measured".to_owned(), |value| format!("{}%", shown(value / budget * 100.0)))
 }
 
+/// A figure at the largest size that was taken, as a cell.
+pub fn largest(shelf: &Shelf, axis: Axis, figure: Figure) -> String {
+    let last = shelf.of(axis).taken(figure).last().copied();
+    last.map_or("not measured".to_owned(), |(size, value)| format!("{} at {}", shown(value), shown(size)))
+}
+
 /// All roles.
 pub fn all(shelf: &Shelf) -> Vec<Role> {
     let mut roles = vec![journal(shelf), module(shelf), hand(shelf), connections(shelf), list(shelf)];
@@ -174,7 +178,7 @@
             shelf.value(Axis::Hand, Figure::ResidentEach, BACKLOG_EACH).cell(BACKLOG_EACH as f64 / 1e9, "GB")
         ),
         ordinary: "part of the row above".to_owned(),
-        worst: format!("{} a turn", turn.cell(1e-6, "s")),
+        worst: format!("processor time of a turn, us: {}", largest(shelf, Axis::Hand, Figure::CpuTurn)),
         rests_on: "hand",
         budget: format!("5 ms a turn: {}", share(turn.known(), TURN_US)),
         verdict,
@@ -235,7 +239,6 @@
 fn view(shelf: &Shelf) -> Role {
     let sent = shelf.beyond(Axis::View, Figure::SentBytesWorst, SENDERS);
     let processor = shelf.beyond(Axis::View, Figure::CpuMember, SENDERS);
-    let memory = shelf.beyond(Axis::View, Figure::MemberResident, SENDERS);
     let refused =
         shelf.value(Axis::Hollow, Figure::SentBytesWorst, SENDERS).verdict(design::BYTES_PER_S, SENDERS);
     let crossed = crossed(shelf.of(Axis::View), Figure::SentBytesWorst, design::BYTES_PER_S, SENDERS);
@@ -243,23 +246,22 @@
         Some((text, share)) => (format!("{text}; the check: {}", refused.0), share),
         None => refused,
     };
-    let most = MOST_MEMBERS_SHOWN.map(|figure| {
-        let last = shelf.of(Axis::View).taken(figure).last().copied();
-        last.map_or("not measured".to_owned(), |(size, value)| format!("{} at {}", shown(value), shown(size)))
-    });
     Role {
         name: "sender: view",
         mechanism: "gossip membership with several observers a member, as Rapid",
-        state: format!("{} a member, the network's queue included", memory.cell(1e-3, "kB")),
+        state: format!(
+            "bytes of a member {}, the network's queue included",
+            largest(shelf, Axis::View, Figure::MemberResident)
+        ),
         ordinary: format!(
             "{}; bytes a second sent {} (median), {} (worst member)",
             processor.cell(1e-4, "% of a core"),
-            most[0],
-            most[1]
+            largest(shelf, Axis::View, Figure::SentBytesMedian),
+            largest(shelf, Axis::View, Figure::SentBytesWorst)
         ),
         worst: format!(
-            "split of regions: {}",
-            shelf.beyond(Axis::Leave, Figure::SplitBytesWorst, SENDERS).cell(1.0, "bytes a second sent")
+            "regions apart: bytes a second sent {} (worst member)",
+            largest(shelf, Axis::Leave, Figure::SplitBytesWorst)
         ),
         rests_on: "view, hollow, leave",
         budget: format!("3 kB a second: {}", share(sent.known(), design::BYTES_PER_S)),
@@ -274,7 +276,7 @@
         mechanism: "leases, two replicas of each message's record",
         state: "not measured".to_owned(),
         ordinary: format!(
-            "{} of 224 events a second, {} of which are covered; three senders with bodies of 512 bytes",
+            "{} at 224 events a second, {} of them covered; three senders, bodies of 512 bytes",
             sent.cell(1e-3, "kB a second sent"),
             shelf.value(Axis::Cover, Figure::Covered, SENDER_EVENTS_PER_S).cell(100.0, "%")
         ),
@@ -331,10 +333,7 @@
         name: "agent and list service",
         mechanism: "long poll, whole snapshots",
         state: "not measured".to_owned(),
-        ordinary: format!(
-            "{} a second of each sender",
-            shelf.beyond(Axis::List, Figure::Calls, DESTINATIONS).cell(1.0, "calls")
-        ),
+        ordinary: format!("calls a second of a sender {}", largest(shelf, Axis::List, Figure::Calls)),
         worst,
         rests_on: "list",
         budget: "not set".to_owned(),
@@ -343,13 +342,14 @@
 }
 
 fn lines(shelf: &Shelf) -> Role {
-    let sent = shelf.beyond(Axis::View, Figure::SentBytesMedian, SENDERS);
-    let crossing = 2.0 / 3.0 * SENDERS as f64 * 8.0 / 1e6;
     Role {
         name: "lines between zones and regions",
         mechanism: "datagrams, two in three to another region",
         state: "none".to_owned(),
-        ordinary: format!("{} of the view between regions (arithmetic)", sent.cell(crossing, "Mbit/s")),
+        ordinary: format!(
+            "the view's bytes a second of a member {}, two in three of them to another region (arithmetic)",
+            largest(shelf, Axis::View, Figure::SentBytesMedian)
+        ),
         worst: "not measured".to_owned(),
         rests_on: "view",
         budget: "not set".to_owned(),
--- a/fleet/src/scale/view.rs
+++ b/fleet/src/scale/view.rs
@@ -3,10 +3,10 @@
 use myrtleyard::membership::{Counts, State};
 
 use super::figure::Figure;
-use super::known::traffic;
 use super::machine::Usage;
 use super::record::Measured;
 use super::tier::{PERIOD, Tier};
+use super::traffic::traffic;
 use super::{Point, Unmeasured};
 
 /// Periods in which all have to know, or it is told that they did not.
--- a/fleet/tests/scale.rs
+++ b/fleet/tests/scale.rs
@@ -4,8 +4,10 @@
 use std::process::{Command, Output};
 use std::time::{Duration, Instant};
 
+use linenwing_fleet::scale::book::Book;
 use linenwing_fleet::scale::fit::{Fit, Form};
-use linenwing_fleet::scale::record::{self, Record};
+use linenwing_fleet::scale::record::{self, Measured, Mode, Record};
+use linenwing_fleet::scale::verdict::Value;
 use linenwing_fleet::scale::{Axis, figure::Figure, page};
 
 const TOOL: &str = env!("CARGO_BIN_EXE_linenwing-fleet");
@@ -126,6 +128,49 @@
     }
 }
 
+/// A record of the list's axis, as if it had been measured.
+fn listed(size: u64, resident: f64, refused: Option<&str>, starved: Option<&str>) -> Record {
+    let figures = [(Figure::Resident, resident)].into();
+    let measured = Measured { figures, refused: refused.map(str::to_owned), lateness_us: [1, 2, 3] };
+    Record {
+        axis: Axis::List,
+        size,
+        seed: 1,
+        mode: Mode::Real,
+        commit: "made-up".to_owned(),
+        program: None,
+        cores: 1,
+        load: 0.0,
+        starved: starved.map(str::to_owned),
+        measured,
+    }
+}
+
+/// Guards verdicts: what is refused is told with its factor, what was starved counts for nothing, and a slope is told as one.
+#[test]
+fn verdicts_follow_from_what_was_taken_and_refused() {
+    let folder = tempfile::tempdir().unwrap();
+    let keep = |record: Record| record::append(folder.path(), &record).unwrap();
+    for size in [100, 300, 1_000, 3_000] {
+        keep(listed(size, 8e6 + 100.0 * size as f64, None, None));
+        keep(listed(size, 9e9, None, Some("late")));
+    }
+    let book = Book::read(folder.path(), Axis::List).unwrap();
+    assert_eq!((book.starved, book.bounds()), (4, (Some(3_000), None)));
+    let value = Value::of(&book, Figure::Resident, 310_000);
+    assert!(matches!(value, Value::BySlope(bytes) if (bytes / 39e6 - 1.0).abs() < 0.01), "{value:?}");
+    assert_eq!(value.verdict(40e6, 310_000), ("holds by slope".to_owned(), None));
+    assert!(value.verdict(32e6, 310_000).0.starts_with("does not hold, by slope"));
+    assert_eq!(Value::of(&book, Figure::Peak, 310_000), Value::Unknown, "which was not measured");
+    keep(listed(10_000, 8e6, Some("not taken"), None));
+    let book = Book::read(folder.path(), Axis::List).unwrap();
+    let value = Value::of(&book, Figure::Resident, 310_000);
+    assert_eq!(value, Value::Refused { taken: 3_000, from: 10_000 });
+    let (text, share) = value.verdict(32e6, 310_000);
+    assert_eq!(text, "does not hold: takes 3000, refuses 10000; short by a factor of 103");
+    assert_eq!(share, Some(3_000.0 / 310_000.0));
+}
+
 /// Guards a page of no records: it says that nothing was measured, and concludes nothing.
 #[test]
 fn a_page_without_records_concludes_nothing() {
