--- a/fleet/src/scale/page.rs
+++ b/fleet/src/scale/page.rs
@@ -34,7 +34,8 @@
 
 At the design size of a sender, if the forms of the sizes that are taken went on beyond what is refused. Where no form
 stands, the largest size that was measured stands in, which is the least that it can be. The list's memory is that of the
-whole process, and its bytes are those that the agent writes to it.
+whole process, and its bytes are those that the agent writes to it. Takeover is a sender of the axis `cover` less one of the
+axis `events`, at 224 events a second.
 
 | part | processor, us a second | memory, bytes | bytes a second |
 | --- | --- | --- | --- |
@@ -136,7 +137,13 @@
         "| configuration, a change every 18 s | {} | part of the list's | none: a file |",
         change.cell(CHANGES_PER_S, "")
     );
-    text += "| takeover, status, estimates, plans, start | not measured | not measured | not measured |\n";
+    let cells = takeover(shelf).into_iter().enumerate().map(|(at, value)| {
+        whole[at] &= value.is_some();
+        sums[at] += value.unwrap_or(0.0);
+        value.map_or("not measured".to_owned(), shown)
+    });
+    let _ = writeln!(text, "| takeover | {} |", cells.collect::<Vec<_>>().join(" | "));
+    text += "| status, estimates, plans, start | not measured | not measured | not measured |\n";
     let budgets = [design::CPU_US_PER_S, design::MEMORY_BYTES, design::BYTES_PER_S];
     let _ = writeln!(text, "| sum of what is known | {} |", sums.map(shown).join(" | "));
     let _ = writeln!(text, "| budget | {} |", budgets.map(shown).join(" | "));
@@ -150,6 +157,14 @@
     text
 }
 
+/// What takeover adds at the design's load: a sender of the axis `cover` less one of the axis `events`, and the bytes that
+/// it sends.
+fn takeover(shelf: &Shelf) -> [Option<f64>; 3] {
+    let at = |axis, figure| shelf.value(axis, figure, design::SENDER_EVENTS_PER_S).known();
+    let added = |figure| Some((at(Axis::Cover, figure)? - at(Axis::Events, figure)?).max(0.0));
+    [added(Figure::CpuPerSecond), added(Figure::Resident), at(Axis::Cover, Figure::SentBytesMedian)]
+}
+
 /// A figure at a design size: its value, whether that is known and not the least that it is, and its cell.
 fn at_design(shelf: &Shelf, axis: Axis, figure: Figure, size: u64) -> (f64, bool, String) {
     let value = shelf.beyond(axis, figure, size);
