Keep a record of a point that failed

Need: a point whose process failed left nothing but a line on the terminal, so that failed trials were in no record. Change: it leaves a record that says so and counts for nothing, as one that was given up does.

--- a/fleet/src/scale/command.rs
+++ b/fleet/src/scale/command.rs
@@ -193,18 +193,17 @@
         let (begun, load) = (Instant::now(), machine::load());
         let within = if self.smoke { SMOKE_WITHIN } else { POINT_WITHIN };
         let process = self.begin(axis, size, seed)?;
-        let (measured, given_up) = match finished(process, within)? {
+        let (measured, without) = match finished(process, within)? {
             Ended::Measured(measured) => (measured, None),
             Ended::GivenUp => (Measured::default(), Some(format!("given up after {} s", within.as_secs()))),
             Ended::Failed => {
-                eprintln!("{} {size} seed {seed}: FAILED", axis.name());
-                return Ok(DOUBTFUL);
+                (Measured::default(), Some("its process failed, and told why itself".to_owned()))
             }
         };
         let [median, late, most] = measured.lateness_us;
         let starved = axis.mode() == Mode::Real && late > STARVED_US;
         let late_by = || format!("timers were {late} us late at the 99th percentile, over {STARVED_US}");
-        let starved = given_up.or_else(|| starved.then(late_by));
+        let starved = without.or_else(|| starved.then(late_by));
         let program = match axis.mode() {
             Mode::Real => Some(machine::program(&self.binary)?),
             Mode::Virtual => None,
--- a/fleet/src/scale/page.rs
+++ b/fleet/src/scale/page.rs
@@ -253,7 +253,7 @@
     let _ = writeln!(
         text,
         "Records `docs/capacity/{}.jsonl`, commit {commit}, {}, {} seeds; timers were late by {:.1} ms (99th percentile) \
-         and {:.1} ms (most)\nat worst; {} records were starved and count for nothing.\n",
+         and {:.1} ms (most)\nat worst; {} records were starved, given up or failed, and count for nothing.\n",
         axis.name(),
         axis.mode().name(),
         book.seeds(),
