--- a/tests/node/residing.rs
+++ b/tests/node/residing.rs
@@ -185,9 +185,11 @@
     assert_eq!(node.hand_in("nowhere", "order", 9, 1_000).status(), 202);
     assert_eq!(platform.notice(204).len(), 1);
     // From a resident destination to one that is not, and back.
-    platform.change(&[at("e7", 4001, old.address)]);
-    served(&node, &old, "e", "order", 4001, status(200));
+    platform.change(&[at("e7", 4001, old.address), at("i", 4003, rest.address)]);
+    wait_until(|| counters(&node)["cluster_size"] == json!(MANY + 2));
     assert_eq!(node.hand_in("waits", "order", 7, 20_000).status(), 202);
+    served(&node, &old, "e", "order", 4001, status(200));
+    assert!(!new.unseen(), "its endpoint is not there any more");
     platform.change(&[at("e7", 7, new.address)]);
     let call = new.next();
     assert_eq!(call.http.headers["req-id"], "waits");
