--- a/src/net/working.rs
+++ b/src/net/working.rs
@@ -152,3 +152,6 @@
         self.looks = VecDeque::new();
     }
 }
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/src/net/working/tests.rs
@@ -0,0 +1,54 @@
+use super::*;
+
+/// One route's state, as it is kept.
+fn routes() -> Vec<Named> {
+    vec![(None, Route::default())]
+}
+
+#[test]
+fn states_are_kept_up_to_the_most_and_the_oldest_goes_first() {
+    let mut working = Working::default();
+    for destination in 0..=MOST_KEPT as u32 {
+        working.left(destination, &routes());
+    }
+    assert_eq!(working.forgotten, 1);
+    assert!(working.take(0).is_empty());
+    assert_eq!(working.take(1).len(), 1);
+    assert!(working.take(1).is_empty(), "given back once");
+    working.left(1, &routes());
+    assert_eq!(working.forgotten, 1, "there is room again");
+}
+
+/// Who leaves again and again takes one place.
+#[test]
+fn a_place_is_free_again_once_its_state_is_taken() {
+    let mut working = Working::default();
+    for _ in 0..2 * MOST_KEPT {
+        working.left(7, &routes());
+        assert_eq!(working.take(7).len(), 1);
+    }
+    assert_eq!((working.order.len(), working.kept.len(), working.forgotten), (0, 0, 0));
+}
+
+#[test]
+fn who_was_used_of_late_is_not_idle() {
+    let mut working = Working { beyond: true, ..Working::default() };
+    assert!(working.touch(1, 0) && working.touch(2, 0));
+    assert!(!working.touch(2, IDLE_FOR / 2));
+    assert!(working.idle(IDLE_FOR - 1).is_empty());
+    assert_eq!(working.idle(IDLE_FOR), [1]);
+    working.stays(1, IDLE_FOR);
+    assert_eq!(working.idle(2 * IDLE_FOR), [2, 1]);
+    working.left(1, &[]);
+    assert_eq!((working.resident(), working.has(1), working.has(2)), (1, false, true));
+}
+
+#[test]
+fn no_turn_has_more_leave_than_may_at_once() {
+    let mut working = Working { beyond: true, ..Working::default() };
+    for destination in 0..LEAVE_AT_ONCE as u32 + 1 {
+        working.touch(destination, 0);
+    }
+    assert_eq!(working.idle(IDLE_FOR).len(), LEAVE_AT_ONCE);
+    assert_eq!(working.idle(IDLE_FOR).len(), 1);
+}
