--- a/src/net/working.rs
+++ b/src/net/working.rs
@@ -181,3 +181,6 @@
         self.looks = VecDeque::new();
     }
 }
+
+#[cfg(test)]
+mod tests;
