Look at an idle destination as soon as it may leave

One that was used again after it had entered was looked at every ten seconds, and stayed for up to twenty: twice the working set that the time allows.

--- a/src/net/working.rs
+++ b/src/net/working.rs
@@ -2,7 +2,7 @@
 //! and what the module had learned of those that have left it. `docs/findings/working-set.md` says why nothing that
 //! binds is lost.
 
-use std::collections::{BTreeMap, HashMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 
 use bytes::Bytes;
 use myrtleyard::endpoints::table::Table;
@@ -45,7 +45,7 @@
     /// Resident destinations, and when each was last used.
     used: HashMap<u32, Micros>,
     /// When each resident is to be looked at, the next first.
-    looks: VecDeque<(Micros, u32)>,
+    looks: BTreeSet<(Micros, u32)>,
     kept: HashMap<u32, Kept>,
     order: BTreeMap<u64, u32>,
     next: u64,
@@ -85,7 +85,7 @@
     pub fn touch(&mut self, destination: u32, now: Micros) -> bool {
         let entered = self.used.insert(destination, now).is_none();
         if entered {
-            self.looks.push_back((now + IDLE_FOR, destination));
+            self.looks.insert((now + IDLE_FOR, destination));
         }
         entered
     }
@@ -95,13 +95,15 @@
     pub fn idle(&mut self, now: Micros) -> Vec<u32> {
         let mut idle = Vec::new();
         while idle.len() < LEAVE_AT_ONCE
-            && let Some((_, destination)) = self.looks.pop_front_if(|look| look.0 <= now)
+            && let Some(look) = self.looks.first().copied().filter(|look| look.0 <= now)
         {
+            self.looks.remove(&look);
+            let destination = look.1;
             let Some(used) = self.used.get(&destination).copied() else { continue };
             if used + IDLE_FOR <= now {
                 idle.push(destination);
             } else {
-                self.stays(destination, now);
+                self.looks.insert((used + IDLE_FOR, destination));
             }
         }
         idle
@@ -109,7 +111,7 @@
 
     /// Something rests on it still: it is looked at again later.
     pub fn stays(&mut self, destination: u32, now: Micros) {
-        self.looks.push_back((now + IDLE_FOR, destination));
+        self.looks.insert((now + IDLE_FOR, destination));
     }
 
     /// It has left, and this is what its routes' state was, where that is worth keeping.
@@ -149,7 +151,7 @@
     pub fn all_resident(&mut self) {
         (self.beyond, self.table) = (false, None);
         self.used = HashMap::new();
-        self.looks = VecDeque::new();
+        self.looks = BTreeSet::new();
     }
 }
 
--- a/src/net/working/tests.rs
+++ b/src/net/working/tests.rs
@@ -38,7 +38,8 @@
     assert!(working.idle(IDLE_FOR - 1).is_empty());
     assert_eq!(working.idle(IDLE_FOR), [1]);
     working.stays(1, IDLE_FOR);
-    assert_eq!(working.idle(2 * IDLE_FOR), [2, 1]);
+    assert_eq!(working.idle(2 * IDLE_FOR - 1), [2], "as soon as it was idle for so long");
+    assert_eq!(working.idle(2 * IDLE_FOR), [1]);
     working.left(1, &[]);
     assert_eq!((working.resident(), working.has(1), working.has(2)), (1, false, true));
 }
