--- a/src/net/working.rs
+++ b/src/net/working.rs
@@ -124,7 +124,7 @@
     /// When the next resident may leave, or the whole list is to be asked for.
     pub fn due(&self) -> Option<Micros> {
         self.table.as_ref()?;
-        let look = self.looks.front().map(|look| look.0.max(self.leave_at));
+        let look = self.looks.first().map(|look| look.0.max(self.leave_at));
         let whole = self.whole_due.then_some(self.asked_at + WHOLE_AGAIN);
         look.into_iter().chain(whole).min()
     }
