Drop states of absent destinations that bind nothing before those that do

Need: of the 16,384 states that are kept, the oldest went first, so that a stream of learned paces and told limits could push out an open breaker, a ramp or, where routes are apart, a told wait.

--- a/src/net/driver/residing.rs
+++ b/src/net/driver/residing.rs
@@ -245,10 +245,12 @@
             return;
         }
         self.working.leave_at = now + LEAVE_EVERY;
-        let mut left: HashMap<u32, Vec<(RouteId, Route)>> = HashMap::new();
+        let mut left: HashMap<u32, (Vec<(RouteId, Route)>, bool)> = HashMap::new();
         for destination in self.working.idle(now) {
+            let outlook = self.policy.outlook(DestinationId(destination), usize::MAX);
+            let binds = outlook.routes.iter().any(|route| route.cold.is_some() || route.shut_until > now);
             match self.policy.evict(DestinationId(destination), now) {
-                Some(routes) => drop(left.insert(destination, routes)),
+                Some(routes) => drop(left.insert(destination, (routes, binds))),
                 None => self.working.stays(destination, now),
             }
         }
@@ -261,13 +263,13 @@
             self.ids.remove(&known.name);
             self.calls.close_idle(*id);
         }
-        for (destination, routes) in left {
+        for (destination, (routes, binds)) in left {
             let name = |((_, endpoint), route): (RouteId, Route)| match endpoint {
                 Some(id) => Some((Some(gone.get(&id)?.name.clone()), route)),
                 None => Some((None, route)),
             };
             let routes: Vec<Named> = routes.into_iter().filter_map(name).collect();
-            self.working.left(destination, &routes);
+            self.working.left(destination, &routes, binds);
         }
     }
 
--- a/src/net/working.rs
+++ b/src/net/working.rs
@@ -16,7 +16,7 @@
 pub const IDLE_FOR: Micros = 10_000_000;
 /// Destinations that leave at once at most, so that the turn stays short: each looks at all messages in hand.
 pub const LEAVE_AT_ONCE: usize = 32;
-/// Destinations whose routes' state is kept while they are away, at some 200 bytes each; the oldest goes first.
+/// Destinations whose routes' state is kept while they are away, at some 200 bytes each; see [`Place`] for which goes first.
 pub const MOST_KEPT: usize = 16_384;
 
 /// A table that is worn, or full, has the whole list asked for no more often than this.
@@ -28,11 +28,14 @@
 /// The state of one route, by the name of its endpoint where routes are apart.
 pub type Named = (Option<String>, Route);
 
+/// The order in which kept states are dropped: those that bind nothing at the time of leaving first, each by age.
+type Place = (bool, u64);
+
 /// What was learned of a destination that has left.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 struct Kept {
-    /// Its place in the order of leaving.
-    place: u64,
+    /// Its place in the order of dropping.
+    place: Place,
     /// How limits were told then; see [`Working::limits_told_otherwise`].
     form: u32,
     /// Its routes, as [`Named`].
@@ -53,7 +56,7 @@
     /// When each resident is to be looked at, the next first.
     looks: BTreeSet<(Micros, u32)>,
     kept: HashMap<u32, Kept>,
-    order: BTreeMap<u64, u32>,
+    order: BTreeMap<Place, u32>,
     next: u64,
     form: u32,
     /// [`ROUTES_FORM`] of the version that kept them.
@@ -134,12 +137,13 @@
         self.looks.insert((now + IDLE_FOR, destination));
     }
 
-    /// It has left, and this is what its routes' state was, where that is worth keeping.
-    pub fn left(&mut self, destination: u32, routes: &[Named]) {
+    /// It has left, and this is what its routes' state was, where that is worth keeping; `binds` where a wait, an open
+    /// breaker or a ramp is in it, beside what was learned.
+    pub fn left(&mut self, destination: u32, routes: &[Named], binds: bool) {
         self.used.remove(&destination);
         let bytes = postcard::to_allocvec(routes);
         let Some(routes) = bytes.ok().filter(|_| !routes.is_empty()) else { return };
-        let (place, form) = (self.next, self.form);
+        let (place, form) = ((binds, self.next), self.form);
         self.next += 1;
         self.kept.insert(destination, Kept { place, form, routes: routes.into() });
         self.order.insert(place, destination);
--- a/src/net/working/tests.rs
+++ b/src/net/working/tests.rs
@@ -9,22 +9,48 @@
 fn states_are_kept_up_to_the_most_and_the_oldest_goes_first() {
     let mut working = Working::default();
     for destination in 0..=MOST_KEPT as u32 {
-        working.left(destination, &routes());
+        working.left(destination, &routes(), false);
     }
     assert_eq!(working.forgotten, 1);
     assert!(working.take(0).is_empty());
     assert_eq!(working.take(1).len(), 1);
     assert!(working.take(1).is_empty(), "given back once");
-    working.left(1, &routes());
+    working.left(1, &routes(), false);
     assert_eq!(working.forgotten, 1, "there is room again");
 }
 
+/// Guards told waits, breakers and ramps: what was merely learned is dropped before them, however new.
+#[test]
+fn states_that_bind_are_dropped_last() {
+    let mut working = Working::default();
+    for destination in 0..100 {
+        working.left(destination, &routes(), true);
+    }
+    for destination in 100..MOST_KEPT as u32 + 200 {
+        working.left(destination, &routes(), false);
+    }
+    assert_eq!(working.forgotten, 200);
+    assert!((0..100).all(|destination| working.take(destination).len() == 1));
+    assert!(working.take(299).is_empty() && working.take(300).len() == 1);
+}
+
+/// Guards versions: routes stand by position, so that those of another form must not be read.
+#[test]
+fn states_of_another_form_are_dropped_and_counted() {
+    let mut working = Working::default();
+    working.left(1, &routes(), true);
+    assert_eq!(working.drop_other_form(), 0);
+    working.routes_form = ROUTES_FORM + 1;
+    assert_eq!(working.drop_other_form(), 1);
+    assert!(working.take(1).is_empty() && working.order.is_empty());
+}
+
 /// Who leaves again and again takes one place.
 #[test]
 fn a_place_is_free_again_once_its_state_is_taken() {
     let mut working = Working::default();
     for _ in 0..2 * MOST_KEPT {
-        working.left(7, &routes());
+        working.left(7, &routes(), false);
         assert_eq!(working.take(7).len(), 1);
     }
     assert_eq!((working.order.len(), working.kept.len(), working.forgotten), (0, 0, 0));
@@ -40,7 +66,7 @@
     working.stays(1, IDLE_FOR);
     assert_eq!(working.idle(2 * IDLE_FOR - 1), [2], "as soon as it was idle for so long");
     assert_eq!(working.idle(2 * IDLE_FOR), [1]);
-    working.left(1, &[]);
+    working.left(1, &[], false);
     assert_eq!((working.resident(), working.has(1), working.has(2)), (1, false, true));
 }
 
