--- a/src/policy.rs
+++ b/src/policy.rs
@@ -201,7 +201,7 @@
         (self.told, self.reported) = (0.0, 0.0);
     }
 
-    /// Whether nothing of it binds or was learned but fading estimates; by field in `docs/findings/working-set.md`.
+    /// Whether nothing of it binds or was learned but fading estimates (see `docs/findings/working-set.md`).
     fn as_new(&self, rules: &Rules, now: Micros) -> bool {
         let quiet = !self.failing() && self.fulls + self.breaker.failures + self.breaker.timeouts == 0;
         let free = self.wait_until.max(self.booked) <= now && self.slot.is_none_or(|at| at <= now);
@@ -631,8 +631,8 @@
         Some(routes.into_iter().filter(|(_, route)| !route.as_new(rules, now)).collect())
     }
 
-    /// A destination is about to be listed with these routes. What is not among the kept ones is taken for known, and
-    /// idle, since ever. Where routes have come together or apart, a wait that was told binds all that it may be about.
+    /// A destination is about to be listed with these routes. What was not kept is taken for known and idle since
+    /// ever. Where routes have come together or apart, a told wait binds all that it may be about.
     pub fn enter(&mut self, routes: impl IntoIterator<Item = RouteId>, mut kept: BTreeMap<RouteId, Route>) {
         let waits: Vec<(RouteId, Micros)> = kept.iter().map(|(id, route)| (*id, route.wait_until)).collect();
         for id in routes {
