--- a/src/policy.rs
+++ b/src/policy.rs
@@ -631,8 +631,8 @@
         Some(routes.into_iter().filter(|(_, route)| !route.as_new(rules, now)).collect())
     }
 
-    /// A destination is about to be listed with these routes. What was not kept is taken for known and idle since
-    /// ever. Where routes have come together or apart, a told wait binds all that it may be about.
+    /// A destination is about to be listed with these routes. What was not kept is taken for known, and idle
+    /// since ever. Where routes have come together or apart, a told wait binds all that it may be about.
     pub fn enter(&mut self, routes: impl IntoIterator<Item = RouteId>, mut kept: BTreeMap<RouteId, Route>) {
         let waits: Vec<(RouteId, Micros)> = kept.iter().map(|(id, route)| (*id, route.wait_until)).collect();
         for id in routes {
