Measure a real sender at the design size: list, changes, whole lists, and ends under load

The axes so far run that load in virtual time, or a real sender without it.

The agent tells versions (whole or one change) and notes reports; each destination has a loopback address of its own, so that a message at another one is seen. Processor time at rest is taken thread by thread, since threads that end between two looks took theirs along. The figures over members move from `traffic` to `members`. A point of this axis is given up after 240 s, those of the others after 150 s as before.

--- a/fleet/src/scale/book.rs
+++ b/fleet/src/scale/book.rs
@@ -6,8 +6,8 @@
 use super::Axis;
 use super::figure::Figure;
 use super::fit::Fit;
+use super::members::quantile;
 use super::record::{self, Record, Unread};
-use super::traffic::quantile;
 
 /// An axis's records of the commit that was measured last, starved ones apart.
 pub struct Book {
--- a/fleet/src/scale/command.rs
+++ b/fleet/src/scale/command.rs
@@ -21,6 +21,8 @@
 const PAGE: &str = "CAPACITY.md";
 /// A point that takes longer is given up.
 const POINT_WITHIN: Duration = Duration::from_secs(150);
+/// The same on the axis `traffic`, which loads its largest point for two minutes.
+const TRAFFIC_WITHIN: Duration = Duration::from_secs(240);
 /// The same, in a smoke run.
 const SMOKE_WITHIN: Duration = Duration::from_secs(40);
 /// Between two looks at a point's process.
@@ -191,7 +193,11 @@
     /// Measures a point in a process of its own and keeps its record.
     fn point(&self, axis: Axis, size: u64, seed: u64) -> Result<u8, NoScale> {
         let (begun, load) = (Instant::now(), machine::load());
-        let within = if self.smoke { SMOKE_WITHIN } else { POINT_WITHIN };
+        let within = match axis {
+            _ if self.smoke => SMOKE_WITHIN,
+            Axis::Traffic => TRAFFIC_WITHIN,
+            _ => POINT_WITHIN,
+        };
         let process = self.begin(axis, size, seed)?;
         let (measured, without) = match finished(process, within)? {
             Ended::Measured(measured) => (measured, None),
--- a/fleet/src/scale/cover.rs
+++ b/fleet/src/scale/cover.rs
@@ -9,10 +9,10 @@
 use super::agent::Manner;
 use super::events::{CLIENTS, Count, DESTINATIONS, load};
 use super::figure::Figure;
+use super::members::quantile;
 use super::process::{self, Sender, Wish};
 use super::record::Measured;
 use super::talk::Client;
-use super::traffic::quantile;
 use super::{Point, Unmeasured};
 
 /// Senders, which is the fewest that can cover each other.
--- a/fleet/src/scale/figure.rs
+++ b/fleet/src/scale/figure.rs
@@ -82,4 +82,22 @@
     JournalEach "journal_bytes_each" "length of the journal for each message in hand, bytes";
     Written "written_bytes_per_s" "bytes that went to the disk in a second";
     InHand "in_hand" "messages in hand";
+    ResidentOver "resident_over_bytes" "resident memory after the first list over that of a sender with 30 destinations, bytes";
+    PeakOver "peak_over_bytes" "most memory that was resident while a second whole list was taken, over the same, bytes";
+    CpuChanges "cpu_us_per_s_changes" "processor time of a sender in a second with one change of the list, microseconds";
+    SnapshotTaken "snapshot_s" "from a new whole list at the agent until it was taken under load, median, seconds";
+    CalmP99 "accept_us_p99_calm" "from a hand-in to its answer while the list stays as it is, 99th percentile, microseconds";
+    SnapshotP99 "accept_us_p99_snapshot" "the same while a whole list is taken, 99th percentile, microseconds";
+    P99Ratio "accept_p99_ratio" "the latter over the former";
+    LoadedFor "loaded_s" "time under load, seconds";
+    Unanswered "unanswered" "messages whose hand-in had no answer";
+    Answered202 "answered_202" "messages that were answered 202";
+    EndDelivered "ended_delivered" "those of them that were delivered at an endpoint of their destination";
+    EndNotice "ended_notice" "those of them that ended by a notice";
+    EndLost "lost" "those of them without an end";
+    EndLate "ended_late" "those of them that ended later than 300 ms after their time";
+    EndTwice "ended_twice" "those of them with more than one delivery or notice";
+    Misdirected "misdirected" "deliveries at an endpoint of another destination, or of a message that nobody handed in";
+    LoadedResident "loaded_resident_bytes" "resident memory at the end of the load, bytes";
+    WorkingSet "working_set" "destinations that the decision module knows at the end of the load";
 }
--- a/fleet/src/scale/hollow.rs
+++ b/fleet/src/scale/hollow.rs
@@ -18,9 +18,9 @@
 use super::agent::Manner;
 use super::figure::Figure;
 use super::machine::Usage;
+use super::members::traffic;
 use super::process::{self, Sender, Wish, usual_settings};
 use super::record::Measured;
-use super::traffic::traffic;
 use super::{Point, Unmeasured};
 use crate::world::senders::{Addresses, document};
 
--- a/fleet/src/scale/leave.rs
+++ b/fleet/src/scale/leave.rs
@@ -5,9 +5,9 @@
 use myrtleyard::membership::State;
 
 use super::figure::Figure;
+use super::members::traffic;
 use super::record::Measured;
 use super::tier::{PERIOD, Tier};
-use super::traffic::traffic;
 use super::view::counts;
 use super::{Point, Unmeasured};
 
--- a/fleet/src/scale/machine.rs
+++ b/fleet/src/scale/machine.rs
@@ -1,5 +1,7 @@
 //! What a process takes of the machine, and how late the bench's own timers are.
 
+use std::collections::BTreeMap;
+use std::ffi::OsString;
 use std::io;
 use std::path::Path;
 use std::process::Command;
@@ -56,6 +58,39 @@
     }
 }
 
+/// Processor time of each thread of a process, so that threads which end between two looks take nothing back.
+pub struct Threads(BTreeMap<OsString, f64>);
+
+impl Threads {
+    /// Of a process, by the system's number for it.
+    ///
+    /// # Errors
+    /// Fails when there is no such process.
+    pub fn of(id: u32) -> io::Result<Self> {
+        let folder = Path::new("/proc").join(id.to_string()).join("task");
+        let mut threads = BTreeMap::new();
+        for thread in std::fs::read_dir(folder)? {
+            let thread = thread?;
+            threads.insert(thread.file_name(), thread_us(&thread.path()));
+        }
+        Ok(Self(threads))
+    }
+
+    /// Processor time since an earlier look of the threads that live, microseconds.
+    pub fn since(&self, before: &Self) -> f64 {
+        let spent = |(id, now): (&OsString, &f64)| now - before.0.get(id).copied().unwrap_or(0.0);
+        self.0.iter().map(spent).sum()
+    }
+}
+
+/// Sets a process's peak of resident memory back to what is resident now.
+///
+/// # Errors
+/// Fails when there is no such process, or it is not this user's.
+pub fn reset_peak(id: u32) -> io::Result<()> {
+    std::fs::write(Path::new("/proc").join(id.to_string()).join("clear_refs"), "5")
+}
+
 /// The figure behind a name in a file of the system; 0 where it is missing.
 fn figure(text: &str, name: &str) -> u64 {
     let line = text.lines().find_map(|line| line.strip_prefix(name));
@@ -64,13 +99,18 @@
 
 /// The scheduler's own account, which is finer than the ticks of `stat`.
 fn processor_us(folder: &Path) -> io::Result<f64> {
-    let mut nanoseconds = 0.0;
+    let mut sum = 0.0;
     for thread in std::fs::read_dir(folder.join("task"))? {
-        // A thread may end as it is looked at.
-        let account = std::fs::read_to_string(thread?.path().join("schedstat")).unwrap_or_default();
-        nanoseconds += account.split(' ').next().and_then(|text| text.parse().ok()).unwrap_or(0.0);
+        sum += thread_us(&thread?.path());
     }
-    Ok(nanoseconds / 1000.0)
+    Ok(sum)
+}
+
+/// A thread's processor time, microseconds; 0 for one that ends as it is looked at.
+fn thread_us(folder: &Path) -> f64 {
+    let account = std::fs::read_to_string(folder.join("schedstat")).unwrap_or_default();
+    let nanoseconds: Option<f64> = account.split(' ').next().and_then(|text| text.parse().ok());
+    nanoseconds.unwrap_or(0.0) / 1000.0
 }
 
 /// Looks at the clock every 10 ms on a thread of its own for as long as a point is measured.
--- a/fleet/src/scale/mod.rs
+++ b/fleet/src/scale/mod.rs
@@ -7,11 +7,13 @@
 pub mod book;
 pub mod command;
 pub mod design;
+pub mod ends;
 pub mod figure;
 pub mod fit;
 pub mod leads;
 pub mod machine;
 pub mod page;
+pub mod places;
 pub mod plot;
 pub mod record;
 pub mod roles;
@@ -19,12 +21,14 @@
 
 mod cover;
 mod down;
+mod drive;
 mod events;
 mod hand;
 mod hold;
 mod hollow;
 mod leave;
 mod list;
+mod members;
 mod module;
 mod process;
 mod reload;
@@ -75,6 +79,9 @@
     Reload,
     /// Members of a view that many leave at once, in virtual time.
     Leave,
+    /// Destinations in the list of a real sender: at rest, while the list changes, and under constant load with 4.4% of
+    /// them down.
+    Traffic,
 }
 
 /// A point to be measured.
@@ -114,7 +121,7 @@
 
 impl Axis {
     /// All of them, in the order in which they are run.
-    pub const ALL: [Self; 12] = [
+    pub const ALL: [Self; 13] = [
         Self::View,
         Self::Hollow,
         Self::List,
@@ -127,6 +134,7 @@
         Self::Disk,
         Self::Reload,
         Self::Leave,
+        Self::Traffic,
     ];
 
     /// Its name: of its file, and on the command line.
@@ -144,6 +152,7 @@
             Self::Disk => "disk",
             Self::Reload => "reload",
             Self::Leave => "leave",
+            Self::Traffic => "traffic",
         }
     }
 
@@ -167,6 +176,7 @@
             Self::Disk => "disk_mb of one sender, filled until a message is refused",
             Self::Reload => "destinations in the list while the configuration changes",
             Self::Leave => "members of the view, of which many leave at once",
+            Self::Traffic => "destinations of one sender under 224 messages a second, 4.4% of them down",
         }
     }
 
@@ -180,7 +190,8 @@
             | Self::Cover
             | Self::Journal
             | Self::Disk
-            | Self::Reload => Mode::Real,
+            | Self::Reload
+            | Self::Traffic => Mode::Real,
         }
     }
 
@@ -199,6 +210,7 @@
             Self::Disk => &[3, 6, 12, 24],
             Self::Reload => &[100, 400, 1_600, 3_200],
             Self::Leave => &[60, 120, 240, 480],
+            Self::Traffic => &[traffic::BASE, 1_000, 10_000, 100_000, design::DESTINATIONS],
         }
     }
 
@@ -217,6 +229,7 @@
             Self::Disk => 1,
             Self::Reload => 100,
             Self::Leave => 12,
+            Self::Traffic => 200,
         }
     }
 
@@ -314,6 +327,31 @@
                 F::SplitBytesMedian,
                 F::SplitBytesWorst,
             ],
+            Self::Traffic => &[
+                F::Taken,
+                F::CpuStart,
+                F::ResidentOver,
+                F::PeakOver,
+                F::CpuPerSecond,
+                F::CpuChanges,
+                F::SnapshotTaken,
+                F::CalmP99,
+                F::SnapshotP99,
+                F::P99Ratio,
+                F::LoadedFor,
+                F::Handed,
+                F::Accepted,
+                F::Unanswered,
+                F::Answered202,
+                F::EndDelivered,
+                F::EndNotice,
+                F::EndLost,
+                F::EndLate,
+                F::EndTwice,
+                F::Misdirected,
+                F::LoadedResident,
+                F::WorkingSet,
+            ],
         }
     }
 
@@ -332,6 +370,7 @@
             Self::Disk => Figure::InHand,
             Self::Reload => Figure::CpuEach,
             Self::Leave => Figure::RegionKnown,
+            Self::Traffic => Figure::ResidentOver,
         }
     }
 
@@ -339,7 +378,7 @@
     pub fn design(self) -> u64 {
         match self {
             Self::View | Self::Hollow | Self::Leave => design::SENDERS,
-            Self::List | Self::Spread | Self::Reload => design::DESTINATIONS,
+            Self::List | Self::Spread | Self::Reload | Self::Traffic => design::DESTINATIONS,
             Self::Down => design::DOWN_TENTHS,
             Self::Events | Self::Cover => design::SENDER_EVENTS_PER_S,
             Self::Hand | Self::Journal => design::BACKLOG / design::SENDERS,
@@ -361,6 +400,7 @@
             Self::Disk => hold::disk(point),
             Self::Reload => reload::measure(point),
             Self::Leave => leave::measure(point),
+            Self::Traffic => traffic::measure(point),
         }
     }
 }
--- a/fleet/src/scale/page.rs
+++ b/fleet/src/scale/page.rs
@@ -18,8 +18,8 @@
 
 Made by `linenwing-fleet scale --page` from the records in `docs/capacity`; a test fails where they differ. Each axis is
 measured by `linenwing-fleet scale --axis NAME --seeds 1..3`; figures are medians of the seeds. \"real\" is real processes,
-sockets and time; \"virtual\" is the shipping cores in virtual time. Processor time and bytes are measured, latency is not:
-the machine is shared. What is arithmetic says so, and what was not measured says that.
+sockets and time; \"virtual\" is the shipping cores in virtual time. Processor time and bytes are measured; latency is not, since
+the machine is shared, but on the axis `traffic`, where it is compared with itself. What is arithmetic says so, and what was not measured says that.
 
 ## Design size
 
--- a/fleet/src/scale/process.rs
+++ b/fleet/src/scale/process.rs
@@ -10,7 +10,7 @@
 use tempfile::TempDir;
 
 use super::agent::{Agent, KINDS, Manner, ZONES};
-use super::machine::Usage;
+use super::machine::{self, Threads, Usage};
 use super::talk;
 use super::{Point, Unmeasured};
 use crate::ledger::{Head, Recorder};
@@ -143,8 +143,27 @@
     /// # Errors
     /// Fails when it has gone.
     pub fn usage(&self) -> Result<Usage, Unmeasured> {
-        let id = self.tier.id(0).ok_or(Unmeasured::Late("the sender's process"))?;
-        Ok(Usage::of(id)?)
+        Ok(Usage::of(self.id()?)?)
+    }
+
+    /// The first sender's processor time, thread by thread.
+    ///
+    /// # Errors
+    /// Fails when it has gone.
+    pub fn threads(&self) -> Result<Threads, Unmeasured> {
+        Ok(Threads::of(self.id()?)?)
+    }
+
+    /// Counts the first sender's peak of memory anew from now on.
+    ///
+    /// # Errors
+    /// Fails when it has gone.
+    pub fn reset_peak(&self) -> Result<(), Unmeasured> {
+        Ok(machine::reset_peak(self.id()?)?)
+    }
+
+    fn id(&self) -> Result<u32, Unmeasured> {
+        self.tier.id(0).ok_or(Unmeasured::Late("the sender's process"))
     }
 
     /// What operators read at a path of the first sender.
--- a/fleet/src/scale/roles.rs
+++ b/fleet/src/scale/roles.rs
@@ -153,8 +153,8 @@
             each.cell(SENDER_EVENTS_PER_S as f64 / 1e4, "% of a core"),
             shelf.value(Axis::Spread, Figure::Wasted, DESTINATIONS).cell(1.0, "wasted attempts a second")
         ),
-        worst: "not measured".to_owned(),
-        rests_on: "spread, down",
+        worst: ends(shelf),
+        rests_on: "spread, down, traffic",
         budget: "no part of control".to_owned(),
         verdict,
     }
@@ -211,31 +211,76 @@
     let processor = shelf.beyond(Axis::List, Figure::CpuPerSecond, DESTINATIONS);
     let refused = shelf.value(Axis::List, Figure::Resident, DESTINATIONS);
     let book = shelf.of(Axis::List);
-    let worst = book.bounds().1.map_or("not measured".to_owned(), |from| {
-        let at = |figure| book.at(from, figure).unwrap_or(0.0);
-        format!(
-            "refused at {from} destinations: {} calls, {} MB and {}% of a core a second, without end",
-            shown(at(Figure::Calls)),
-            shown(at(Figure::CallBytes) / 1e6),
-            shown(at(Figure::CpuPerSecond) / 1e4)
-        )
-    });
+    let worst = book.bounds().1.map_or_else(
+        || anew(shelf),
+        |from| {
+            let at = |figure| book.at(from, figure).unwrap_or(0.0);
+            format!(
+                "refused at {from} destinations: {} calls, {} MB and {}% of a core a second, without end",
+                shown(at(Figure::Calls)),
+                shown(at(Figure::CallBytes) / 1e6),
+                shown(at(Figure::CpuPerSecond) / 1e4)
+            )
+        },
+    );
     Role {
         name: "sender: list",
         mechanism: "watch by long poll, snapshot and changes",
         state: format!("{DESTINATIONS} destinations, {} endpoints", design::ENDPOINTS),
         ordinary: format!(
-            "{}, {}, if the form of what is taken went on",
+            "{}, {}{}",
             processor.cell(1e-4, "% of a core"),
-            memory.cell(1e-6, "MB")
+            memory.cell(1e-6, "MB"),
+            if book.bounds().1.is_some() { ", if the form of what is taken went on" } else { "" }
         ),
         worst,
-        rests_on: "list",
+        rests_on: "list, traffic",
         budget: format!("32 MB: {}", share(memory.known(), design::MEMORY_BYTES)),
         verdict: refused.verdict(design::MEMORY_BYTES, DESTINATIONS),
     }
 }
 
+/// Figures of the axis `traffic` at the design size; nothing where one was not measured.
+fn of_traffic<const N: usize>(shelf: &Shelf, figures: [Figure; N]) -> Option<[f64; N]> {
+    let values = figures.map(|figure| shelf.of(Axis::Traffic).at(DESTINATIONS, figure));
+    values.iter().all(Option::is_some).then(|| values.map(Option::unwrap_or_default))
+}
+
+/// What a whole list that comes again takes, and one change a second.
+fn anew(shelf: &Shelf) -> String {
+    let figures = [Figure::PeakOver, Figure::P99Ratio, Figure::CpuChanges];
+    of_traffic(shelf, figures).map_or("not measured".to_owned(), |[peak, ratio, changes]| {
+        format!(
+            "a second whole list: {} MB over a sender of 30 destinations at the peak, {} times the latency to the 202; one \
+             change a second: {}% of a core",
+            shown(peak / 1e6),
+            shown(ratio),
+            shown(changes / 1e4)
+        )
+    })
+}
+
+/// What became of messages under the design's load.
+fn ends(shelf: &Shelf) -> String {
+    let counts = [
+        Figure::LoadedFor,
+        Figure::Answered202,
+        Figure::EndDelivered,
+        Figure::EndNotice,
+        Figure::EndLost,
+        Figure::EndLate,
+        Figure::EndTwice,
+        Figure::Misdirected,
+        Figure::WorkingSet,
+    ];
+    let Some(counts) = of_traffic(shelf, counts) else { return "not measured".to_owned() };
+    let [seconds, taken, delivered, noticed, lost, late, twice, misdirected, working] = counts.map(shown);
+    format!(
+        "real sender, {seconds} s of 224 messages a second: {taken} answered 202, {delivered} delivered, {noticed} ended by \
+         notice, {lost} lost, {late} late, {twice} ended twice, {misdirected} misdirected; {working} destinations at the module"
+    )
+}
+
 fn view(shelf: &Shelf) -> Role {
     let sent = shelf.beyond(Axis::View, Figure::SentBytesWorst, SENDERS);
     let processor = shelf.beyond(Axis::View, Figure::CpuMember, SENDERS);
--- a/fleet/src/scale/talk.rs
+++ b/fleet/src/scale/talk.rs
@@ -23,6 +23,8 @@
     pub path: String,
     /// The header `Req-Id`.
     pub id: Option<String>,
+    /// Its body.
+    pub body: Vec<u8>,
 }
 
 impl Asked {
@@ -89,7 +91,9 @@
     let id = parsed.headers.iter().find(|header| header.name.eq_ignore_ascii_case("req-id"));
     let id = id.map(|header| String::from_utf8_lossy(header.value).into_owned());
     let (method, path) = (parsed.method?.to_owned(), parsed.path?.to_owned());
-    Some(Some((head + length(parsed.headers), Asked { method, path, id })))
+    let whole = head + length(parsed.headers);
+    let body = buffer.get(head..whole).unwrap_or_default().to_vec();
+    Some(Some((whole, Asked { method, path, id, body })))
 }
 
 fn status(buffer: &[u8]) -> Option<Whole<u16>> {
--- a/fleet/src/scale/view.rs
+++ b/fleet/src/scale/view.rs
@@ -4,9 +4,9 @@
 
 use super::figure::Figure;
 use super::machine::Usage;
+use super::members::traffic;
 use super::record::Measured;
 use super::tier::{PERIOD, Tier};
-use super::traffic::traffic;
 use super::{Point, Unmeasured};
 
 /// Periods in which all have to know, or it is told that they did not.
--- a/fleet/tests/scale.rs
+++ b/fleet/tests/scale.rs
@@ -5,7 +5,10 @@
 use std::time::{Duration, Instant};
 
 use linenwing_fleet::scale::book::Book;
+use linenwing_fleet::scale::design;
+use linenwing_fleet::scale::ends::{self, Ends, Judged};
 use linenwing_fleet::scale::fit::{Fit, Form};
+use linenwing_fleet::scale::places::{self, Places};
 use linenwing_fleet::scale::record::{self, Measured, Mode, Record};
 use linenwing_fleet::scale::verdict::Value;
 use linenwing_fleet::scale::{Axis, figure::Figure, page};
@@ -46,6 +49,49 @@
     let list = records.iter().find(|record| record.axis == Axis::List).unwrap();
     assert_eq!(list.measured.figures[&Figure::Delivered], 1.0, "a message reaches the last destination");
     assert_eq!(list.measured.figures[&Figure::Listed], 360.0, "1.8 endpoints a destination");
+    let traffic = records.iter().find(|record| record.axis == Axis::Traffic).unwrap();
+    let count = |figure| traffic.measured.figures[&figure];
+    assert!(count(Figure::EndDelivered) > 0.0 && count(Figure::EndNotice) > 0.0, "{traffic:?}");
+    let ends = count(Figure::EndDelivered) + count(Figure::EndNotice);
+    assert_eq!(ends, count(Figure::Answered202), "each message has one end: {traffic:?}");
+    for none in [Figure::EndLost, Figure::EndTwice, Figure::Misdirected, Figure::Unanswered] {
+        assert_eq!(count(none), 0.0, "{}", none.name());
+    }
+}
+
+/// Guards the count of ends: each fault of a sender is seen, and only what was answered 202 is owed an end.
+#[test]
+fn each_message_is_held_against_its_ends() {
+    let ends = Ends::default();
+    let ids: Vec<String> = (0..6).map(|destination| ends.handed(destination)).collect();
+    ids[..5].iter().for_each(|id| ends.taken(id));
+    ends.delivered(&ids[0], Some(0));
+    assert!(ends.noticed(format!("{{\"id\":\"{}\",\"status\":\"undeliverable\"}}\n", ids[1]).as_bytes()));
+    ends.delivered(&ids[2], Some(2));
+    assert!(ends.noticed(format!("{{\"id\":\"{}\",\"status\":\"deferred\"}}\n", ids[2]).as_bytes()));
+    ends.delivered(&ids[3], Some(4));
+    ends.delivered("nobody's", Some(1));
+    assert!(
+        !ends.noticed(b"{\"id\":\"nobody's\",\"status\":\"deferred\"}\n"),
+        "it is told that it can't be read"
+    );
+    let judged = Judged { taken: 5, delivered: 2, noticed: 2, lost: 2, late: 0, twice: 1, misdirected: 2 };
+    assert_eq!(ends.judged(Duration::from_secs(60)), judged);
+    std::thread::sleep(Duration::from_millis(10) + ends::GRACE);
+    ends.delivered(&ids[4], Some(4));
+    let judged = Judged { delivered: 3, lost: 1, late: 1, ..judged };
+    assert_eq!(ends.judged(Duration::ZERO), judged);
+}
+
+#[test]
+fn each_destination_has_an_address_of_its_own_and_those_that_are_down_refuse() {
+    let each = Places::Each { served: 1, refused: 2 };
+    let down = (0..design::DESTINATIONS).filter(|destination| {
+        let address = each.address(*destination);
+        assert_eq!(places::destination(address.ip()), Some(*destination));
+        address.port() == 2
+    });
+    assert_eq!(down.count() as u64, design::DESTINATIONS * design::DOWN_TENTHS / 1000);
 }
 
 #[test]
