Write the usual wish of a measured sender once

Need: three axes of the scale run built the same wish line by line. Change: Wish::alone; no change of what is measured.

--- a/fleet/src/scale/events.rs
+++ b/fleet/src/scale/events.rs
@@ -4,7 +4,6 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::{Duration, Instant};
 
-use super::agent::Manner;
 use super::figure::Figure;
 use super::process::{self, Sender, Wish};
 use super::record::Measured;
@@ -36,14 +35,7 @@
 /// Measures a point.
 pub fn measure(point: &Point) -> Result<Measured, Unmeasured> {
     process::run(async {
-        let wish = Wish {
-            destinations: DESTINATIONS,
-            manner: Manner::Take,
-            members: 1,
-            real: 1,
-            change: Box::new(|_| ()),
-        };
-        let mut sender = Sender::place(point, &wish).await?;
+        let mut sender = Sender::place(point, &Wish::alone(DESTINATIONS)).await?;
         let measured = measured(point, &mut sender).await;
         sender.end().await;
         measured
--- a/fleet/src/scale/list.rs
+++ b/fleet/src/scale/list.rs
@@ -3,7 +3,7 @@
 use std::sync::atomic::Ordering;
 use std::time::{Duration, Instant};
 
-use super::agent::{Manner, endpoints};
+use super::agent::endpoints;
 use super::figure::Figure;
 use super::process::{self, Sender, Wish};
 use super::record::Measured;
@@ -24,14 +24,7 @@
 /// Measures a point.
 pub fn measure(point: &Point) -> Result<Measured, Unmeasured> {
     process::run(async {
-        let wish = Wish {
-            destinations: point.size,
-            manner: Manner::Take,
-            members: 1,
-            real: 1,
-            change: Box::new(|_| ()),
-        };
-        let mut sender = Sender::place(point, &wish).await?;
+        let mut sender = Sender::place(point, &Wish::alone(point.size)).await?;
         let measured = measured(point, &mut sender).await;
         sender.end().await;
         measured
--- a/fleet/src/scale/process.rs
+++ b/fleet/src/scale/process.rs
@@ -36,6 +36,13 @@
     pub change: Box<dyn Fn(&mut Value)>,
 }
 
+impl Wish {
+    /// A sender alone in its tier, with endpoints that take all, configured as usual.
+    pub fn alone(destinations: u64) -> Self {
+        Self { destinations, manner: Manner::Take, members: 1, real: 1, change: Box::new(|_| ()) }
+    }
+}
+
 /// A sender that runs, and what it meets.
 pub struct Sender {
     tier: Tier,
--- a/fleet/src/scale/reload.rs
+++ b/fleet/src/scale/reload.rs
@@ -5,7 +5,7 @@
 use nix::sys::signal::Signal;
 use serde_json::{Value, json};
 
-use super::agent::{Manner, endpoints};
+use super::agent::endpoints;
 use super::figure::Figure;
 use super::process::{self, Sender, Wish};
 use super::record::Measured;
@@ -21,14 +21,7 @@
 /// Measures a point.
 pub fn measure(point: &Point) -> Result<Measured, Unmeasured> {
     process::run(async {
-        let wish = Wish {
-            destinations: point.size,
-            manner: Manner::Take,
-            members: 1,
-            real: 1,
-            change: Box::new(|_| ()),
-        };
-        let mut sender = Sender::place(point, &wish).await?;
+        let mut sender = Sender::place(point, &Wish::alone(point.size)).await?;
         let measured = measured(point, &mut sender).await;
         sender.end().await;
         measured
--- a/fleet/src/scale/traffic.rs
+++ b/fleet/src/scale/traffic.rs
@@ -100,7 +100,7 @@
 }
 
 async fn placed(point: &Point, destinations: u64) -> Result<Sender, Unmeasured> {
-    let wish = Wish { destinations, manner: Manner::Each, members: 1, real: 1, change: Box::new(|_| ()) };
+    let wish = Wish { manner: Manner::Each, ..Wish::alone(destinations) };
     Sender::place(point, &wish).await
 }
 
