--- a/fleet/src/scale/cover.rs
+++ b/fleet/src/scale/cover.rs
@@ -6,7 +6,6 @@
 
 use serde_json::{Value, json};
 
-use super::agent::Manner;
 use super::events::{CLIENTS, Count, DESTINATIONS, load};
 use super::figure::Figure;
 use super::members::quantile;
@@ -26,23 +25,13 @@
 
 /// Measures a point.
 pub fn measure(point: &Point) -> Result<Measured, Unmeasured> {
-    process::run(async {
-        let change = |config: &mut Value| {
-            config["membership"] = json!({});
-            config["takeover"] = json!({});
-        };
-        let wish = Wish {
-            destinations: DESTINATIONS,
-            manner: Manner::Take,
-            members: SENDERS,
-            real: SENDERS,
-            change: Box::new(change),
-        };
-        let mut sender = Sender::place(point, &wish).await?;
-        let measured = measured(point, &mut sender).await;
-        sender.end().await;
-        measured
-    })
+    let change = |config: &mut Value| {
+        config["membership"] = json!({});
+        config["takeover"] = json!({});
+    };
+    let alone = Wish::alone(DESTINATIONS);
+    let wish = Wish { members: SENDERS, real: SENDERS, change: Box::new(change), ..alone };
+    process::with_sender(point, &wish, async |sender| measured(point, sender).await)
 }
 
 /// Datagrams, bytes and covered messages of a sender.
--- a/fleet/src/scale/events.rs
+++ b/fleet/src/scale/events.rs
@@ -34,12 +34,7 @@
 
 /// Measures a point.
 pub fn measure(point: &Point) -> Result<Measured, Unmeasured> {
-    process::run(async {
-        let mut sender = Sender::place(point, &Wish::alone(DESTINATIONS)).await?;
-        let measured = measured(point, &mut sender).await;
-        sender.end().await;
-        measured
-    })
+    process::with_sender(point, &Wish::alone(DESTINATIONS), async |sender| measured(point, sender).await)
 }
 
 async fn measured(point: &Point, sender: &mut Sender) -> Result<Measured, Unmeasured> {
--- a/fleet/src/scale/hold.rs
+++ b/fleet/src/scale/hold.rs
@@ -39,24 +39,14 @@
 }
 
 fn held(point: &Point, disk_mb: u64, messages: u64) -> Result<Measured, Unmeasured> {
-    process::run(async {
-        let wish = Wish {
-            destinations: DESTINATIONS,
-            manner: Manner::Silent,
-            members: 1,
-            real: 1,
-            change: Box::new(move |config: &mut Value| {
-                config["limits"]["disk_mb"] = json!(disk_mb);
-                config["settings"]["limits"]["max_open"] = json!(MOST_OPEN);
-                config["settings"]["classes"][0]["hard_limit_us"] = json!(LASTS_US);
-                config["settings"]["classes"][0]["dedup_window_us"] = json!(LASTS_US);
-            }),
-        };
-        let mut sender = Sender::place(point, &wish).await?;
-        let measured = measured(point, &mut sender, messages).await;
-        sender.end().await;
-        measured
-    })
+    let change = move |config: &mut Value| {
+        config["limits"]["disk_mb"] = json!(disk_mb);
+        config["settings"]["limits"]["max_open"] = json!(MOST_OPEN);
+        config["settings"]["classes"][0]["hard_limit_us"] = json!(LASTS_US);
+        config["settings"]["classes"][0]["dedup_window_us"] = json!(LASTS_US);
+    };
+    let wish = Wish { manner: Manner::Silent, change: Box::new(change), ..Wish::alone(DESTINATIONS) };
+    process::with_sender(point, &wish, async |sender| measured(point, sender, messages).await)
 }
 
 async fn measured(point: &Point, sender: &mut Sender, messages: u64) -> Result<Measured, Unmeasured> {
--- a/fleet/src/scale/hollow.rs
+++ b/fleet/src/scale/hollow.rs
@@ -15,7 +15,6 @@
 use serde_json::{Value, json};
 use tokio::net::UdpSocket;
 
-use super::agent::Manner;
 use super::figure::Figure;
 use super::machine::Usage;
 use super::members::traffic;
@@ -43,21 +42,10 @@
     if point.size as usize > MOST_MEMBERS {
         return refused(point);
     }
-    process::run(async {
-        let members = point.size as usize;
-        let change = |config: &mut Value| config["membership"] = json!({"period_ms": PERIOD_MS});
-        let wish = Wish {
-            destinations: DESTINATIONS,
-            manner: Manner::Take,
-            members,
-            real: 1,
-            change: Box::new(change),
-        };
-        let mut sender = Sender::place(point, &wish).await?;
-        let measured = measured(point, &mut sender).await;
-        sender.end().await;
-        measured
-    })
+    let members = point.size as usize;
+    let change = |config: &mut Value| config["membership"] = json!({"period_ms": PERIOD_MS});
+    let wish = Wish { members, change: Box::new(change), ..Wish::alone(DESTINATIONS) };
+    process::with_sender(point, &wish, async |sender| measured(point, sender).await)
 }
 
 async fn measured(point: &Point, sender: &mut Sender) -> Result<Measured, Unmeasured> {
--- a/fleet/src/scale/list.rs
+++ b/fleet/src/scale/list.rs
@@ -23,12 +23,7 @@
 
 /// Measures a point.
 pub fn measure(point: &Point) -> Result<Measured, Unmeasured> {
-    process::run(async {
-        let mut sender = Sender::place(point, &Wish::alone(point.size)).await?;
-        let measured = measured(point, &mut sender).await;
-        sender.end().await;
-        measured
-    })
+    process::with_sender(point, &Wish::alone(point.size), async |sender| measured(point, sender).await)
 }
 
 async fn measured(point: &Point, sender: &mut Sender) -> Result<Measured, Unmeasured> {
--- a/fleet/src/scale/process.rs
+++ b/fleet/src/scale/process.rs
@@ -234,6 +234,23 @@
     }
 }
 
+/// Measures a point with a sender that is placed as wished, and ends it whatever came of that.
+///
+/// # Errors
+/// As the measurement, or when there can be no sender.
+pub fn with_sender<T>(
+    point: &Point,
+    wish: &Wish,
+    measured: impl AsyncFnOnce(&mut Sender) -> Result<T, Unmeasured>,
+) -> Result<T, Unmeasured> {
+    run(async {
+        let mut sender = Sender::place(point, wish).await?;
+        let measured = measured(&mut sender).await;
+        sender.end().await;
+        measured
+    })
+}
+
 /// Runs a point with its sender in a runtime of its own.
 ///
 /// # Errors
--- a/fleet/src/scale/reload.rs
+++ b/fleet/src/scale/reload.rs
@@ -20,12 +20,7 @@
 
 /// Measures a point.
 pub fn measure(point: &Point) -> Result<Measured, Unmeasured> {
-    process::run(async {
-        let mut sender = Sender::place(point, &Wish::alone(point.size)).await?;
-        let measured = measured(point, &mut sender).await;
-        sender.end().await;
-        measured
-    })
+    process::with_sender(point, &Wish::alone(point.size), async |sender| measured(point, sender).await)
 }
 
 async fn measured(point: &Point, sender: &mut Sender) -> Result<Measured, Unmeasured> {
--- a/src/net/intake/tests.rs
+++ b/src/net/intake/tests.rs
@@ -4,11 +4,7 @@
 
 /// What a peer is told that writes these pieces, half a second apart, and how long it is kept.
 async fn told(pieces: &[&str]) -> std::io::Result<(String, Duration)> {
-    let (inbound, _events) = tokio::sync::mpsc::unbounded_channel();
-    let names = Names { classes: vec!["order".into()], ..Names::default() };
-    let (_standing, standing) = watch::channel(Standing::InService);
-    let names = Rc::new(RefCell::new(names));
-    let intake = Rc::new(Intake::new(Clock::new(), names, inbound, standing));
+    let (intake, _events) = intake(Standing::InService);
     let listener = TcpListener::bind("127.0.0.1:0").await?;
     let address = listener.local_addr()?;
     let local = tokio::task::LocalSet::new();
--- a/tests/node/entering.rs
+++ b/tests/node/entering.rs
@@ -8,6 +8,13 @@
 use super::residing::*;
 use super::world::*;
 
+/// The next call is this message's, and it is delivered.
+fn delivered(endpoint: &Served, id: &str) {
+    let call = endpoint.next();
+    assert_eq!(call.http.headers["req-id"], id);
+    call.reply(status(200));
+}
+
 /// Guards the start: a configuration names few endpoints, so that messages wait for the first list.
 #[test]
 fn a_message_that_came_before_the_long_list_goes_when_that_comes() {
@@ -15,9 +22,7 @@
     let node = Node::start(&platform, &[], with_operators);
     assert_eq!(node.hand_in("early", "order", 7, 20_000).status(), 202);
     let _node = told(node, &platform, &many(rest.address, &[listing("e7", 7, "plain", seven.address)]));
-    let call = seven.next();
-    assert_eq!(call.http.headers["req-id"], "early");
-    call.reply(status(200));
+    delivered(&seven, "early");
 }
 
 /// Guards what was taken on through a restart, whose journal is read before the list comes.
@@ -29,9 +34,7 @@
     seven.next().reply(Reply::Answer(503, vec![("retry-after", "6".into())], String::new()));
     wait_until(|| node.call("GET", "/control/drain").json()["calls_out"] == 0);
     let node = node.kill_and_restart();
-    let call = seven.next();
-    assert_eq!(call.http.headers["req-id"], "held");
-    call.reply(status(200));
+    delivered(&seven, "held");
     drop(node);
 }
 
@@ -43,9 +46,7 @@
     assert_eq!(node.hand_in("later", "order", 4001, 25_000).status(), 202);
     let node = told(node, &platform, &many(rest.address, &[]));
     platform.change(&[listing("e4001", 4001, "plain", late.address)]);
-    let call = late.next();
-    assert_eq!(call.http.headers["req-id"], "later");
-    call.reply(status(200));
+    delivered(&late, "later");
     drop(node);
 }
 
