--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -2,7 +2,7 @@
 # Plays the case with the deploy file's program; see claim.txt. TROUBLE=0 leaves the disruption out.
 set -u
 cd "$(dirname "$0")" || exit 2
-world=../world/target/release/second_copy
+world=../world/target/release/effect
 ROOT=$(cd ../.. && pwd) || exit 2
 [ -x "$world" ] && [ -x "$ROOT/target/release/myrtleyard" ] || { echo "build first: the deploy file's build, review/build.sh" >&2; exit 2; }
 WORK=$(mktemp -d) || exit 2
