--- a/tests/node/main.rs
+++ b/tests/node/main.rs
@@ -3,13 +3,16 @@
 
 mod charging;
 mod configuration;
+mod departed;
 mod door;
 mod draining;
 mod entering;
 mod estimating;
+mod flood;
 mod handover;
 mod late;
 mod lists;
+mod memory;
 mod plans;
 mod residing;
 mod status;
--- a/tests/node/world.rs
+++ b/tests/node/world.rs
@@ -439,6 +439,14 @@
         std::fs::read_dir(format!("/proc/{}/fd", self.child.id())).unwrap().count()
     }
 
+    /// The peak of the process's resident memory, bytes.
+    pub fn peak_memory(&self) -> u64 {
+        let status = std::fs::read_to_string(format!("/proc/{}/status", self.child.id())).unwrap();
+        let line = status.lines().find(|line| line.starts_with("VmHWM:")).unwrap();
+        let kilobytes: u64 = line.split_whitespace().nth(1).unwrap().parse().unwrap();
+        kilobytes * 1024
+    }
+
     /// The names of the files in the state folder.
     pub fn files(&self) -> Vec<String> {
         let entries = std::fs::read_dir(self.state_folder()).unwrap();
@@ -568,6 +576,12 @@
         self.0.get_mut().write_all(text).unwrap();
     }
 
+    /// Sends the text, and closes the connection after `then` without having read an answer.
+    pub fn send_and_wait_to_leave(mut self, text: &[u8], then: impl FnOnce()) {
+        self.0.get_mut().write_all(text).unwrap();
+        then();
+    }
+
     /// Whether the server has closed the connection; waits until it does or the timeout is over.
     pub fn is_closed(&mut self) -> bool {
         matches!(self.0.read(&mut [0]), Ok(0))
