Bound what an endpoint's answer keeps in memory

What was seen: a process passed its limit within a second while endpoints wrote answers that never end (368 MB at a limit of 32 MB) or came bit by bit (218 MB).

Cause: three bounds were missing. Chunks of a body were collected as they were read, and each keeps the whole buffer of its read, so that a byte cost 8 KiB and more; bodies without meaning were collected up to 1 MiB each before they were dropped; and the connections that are read to their end after their calls were bounded by nothing, neither in memory nor in descriptors. The read buffer of a connection grew to 408 KiB.

Change: a body is copied into one buffer and bounded by the protocol's 64 KiB; one without meaning is discarded chunk by chunk; at most 32 connections are read to their end after their calls, further ones are closed; the read buffer is 8 KiB for calls and 64 KiB for discovery.

--- a/src/net/calls.rs
+++ b/src/net/calls.rs
@@ -16,9 +16,9 @@
 use base64::Engine;
 use base64::engine::general_purpose::STANDARD;
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full, Limited};
-use hyper::body::Incoming;
-use hyper::client::conn::http1::{Connection, SendRequest};
+use http_body_util::{BodyExt, Full};
+use hyper::body::{Body, Incoming};
+use hyper::client::conn::http1::{Builder, Connection, SendRequest};
 use hyper::header::{HeaderMap, RETRY_AFTER};
 use hyper::{Method, Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
@@ -30,10 +30,13 @@
 use tokio::time::{Instant, timeout, timeout_at};
 
 use super::counters::Counters;
-use super::{AttemptEnd, Inbound};
+use super::{AttemptEnd, BODY_LIMIT, Inbound};
 
-/// Response bodies longer than this are not read, in bytes.
-const MAX_RESPONSE_BYTES: usize = 1 << 20;
+/// Size of a connection's read buffer, which also bounds the head of a response. Bytes.
+const CALL_BUFFER: usize = 8 * 1024;
+/// Maximum number of connections whose responses are read to their end after their calls have ended. Further
+/// ones are closed.
+const MAX_DRAINED_CONNECTIONS: usize = 32;
 /// Time for reading a response body without meaning, so that the connection can be reused; after that the
 /// connection is closed.
 const DRAIN_TIMEOUT: Duration = Duration::from_secs(1);
@@ -170,16 +173,25 @@
 }
 
 impl Conn {
-    /// Opens a connection.
+    /// Opens a connection to an endpoint.
     ///
     /// # Errors
     /// Fails when none is made.
     pub async fn open(address: SocketAddr) -> io::Result<Self> {
+        Self::open_with_buffer(address, CALL_BUFFER).await
+    }
+
+    /// Opens a connection with a read buffer of this size, which also bounds the head of a response. Bytes.
+    ///
+    /// # Errors
+    /// Fails when none is made.
+    pub async fn open_with_buffer(address: SocketAddr, buffer: usize) -> io::Result<Self> {
         let stream = TcpStream::connect(address).await?;
         stream.set_nodelay(true)?;
         let traffic = Rc::new(Traffic::default());
         let io = TokioIo::new(CountedStream { stream, traffic: traffic.clone() });
-        let (sender, driver) = hyper::client::conn::http1::handshake(io).await.map_err(io::Error::other)?;
+        let handshake = Builder::new().read_buf_exact_size(Some(buffer)).handshake(io).await;
+        let (sender, driver) = handshake.map_err(io::Error::other)?;
         Ok(Self { sender, driver: Some(Box::pin(driver)), traffic })
     }
 
@@ -241,13 +253,35 @@
         }
     }
 
-    /// Reads the rest of a response body.
+    /// Reads the rest of a response body. The chunks are copied, since each of them keeps the whole buffer
+    /// that it was read into.
     ///
     /// # Errors
-    /// Fails when it breaks off or is too long.
-    pub async fn body(&mut self, body: Incoming) -> Result<Bytes, ()> {
-        let whole = Limited::new(body, MAX_RESPONSE_BYTES).collect();
-        Self::drive(&mut self.driver, whole).await.map(|b| b.to_bytes()).map_err(|_| ())
+    /// Fails when it breaks off or is longer than the limit for bodies.
+    pub async fn body(&mut self, mut body: Incoming) -> Result<Bytes, ()> {
+        let mut whole = Vec::new();
+        while let Some(chunk) = self.next_chunk(&mut body).await? {
+            if whole.len() + chunk.len() > BODY_LIMIT {
+                return Err(());
+            }
+            whole.extend_from_slice(&chunk);
+        }
+        Ok(whole.into())
+    }
+
+    /// Reads the rest of a response body and discards it.
+    ///
+    /// # Errors
+    /// Fails when it breaks off or is longer than the limit for bodies.
+    async fn discard(&mut self, mut body: Incoming) -> Result<(), ()> {
+        let mut discarded = 0;
+        while let Some(chunk) = self.next_chunk(&mut body).await? {
+            discarded += chunk.len();
+            if discarded > BODY_LIMIT {
+                return Err(());
+            }
+        }
+        Ok(())
     }
 }
 
@@ -435,6 +469,8 @@
     idle: RefCell<HashMap<Target, Vec<Idle>>>,
     /// Number of connections in use.
     busy: Cell<usize>,
+    /// Number of connections whose responses are read to their end after their calls have ended.
+    drained: Cell<usize>,
     /// Requested waits by route, until when. They are checked again before writing, since a connection may
     /// come up long after its call was decided.
     waits: RefCell<HashMap<RouteId, Instant>>,
@@ -464,9 +500,9 @@
     /// Creates an empty set of calls, and a task that closes idle connections in time.
     pub fn new(limits: Limits, counters: Rc<Counters>, inbound: UnboundedSender<Inbound>) -> Self {
         let limits = RefCell::new(limits);
-        let (idle, busy, out) = (RefCell::default(), Cell::new(0), RefCell::default());
-        let waits = RefCell::default();
-        let calls = Self(Rc::new(Shared { limits, counters, inbound, idle, busy, waits, out }));
+        let (idle, busy, drained) = (RefCell::default(), Cell::new(0), Cell::new(0));
+        let (waits, out) = (RefCell::default(), RefCell::default());
+        let calls = Self(Rc::new(Shared { limits, counters, inbound, idle, busy, drained, waits, out }));
         let sweeper = calls.clone();
         tokio::task::spawn_local(async move {
             let mut tick = tokio::time::interval(Duration::from_millis(250));
@@ -799,12 +835,19 @@
         let _ = self.inbound.send(Inbound::CallEnded(over));
     }
 
-    /// Reads the rest of a response, so that its connection can be reused.
+    /// Reads the rest of a response, so that its connection can be reused. A connection whose response does
+    /// not end in time, or for which there is no capacity, is closed.
     async fn finish(self: &Rc<Self>, target: Target, mut conn: Busy, body: Option<Incoming>) {
-        if let Some(body) = body
-            && !matches!(timeout(DRAIN_TIMEOUT, conn.0.body(body)).await, Ok(Ok(_)))
-        {
-            return;
+        if let Some(body) = body.filter(|body| !body.is_end_stream()) {
+            if self.drained.get() >= MAX_DRAINED_CONNECTIONS {
+                return;
+            }
+            self.drained.set(self.drained.get() + 1);
+            let ended = timeout(DRAIN_TIMEOUT, conn.0.discard(body)).await;
+            self.drained.set(self.drained.get() - 1);
+            if !matches!(ended, Ok(Ok(()))) {
+                return;
+            }
         }
         self.keep_idle(target, conn).await;
     }
--- a/src/net/platform.rs
+++ b/src/net/platform.rs
@@ -61,6 +61,8 @@
 const MAX_PAUSE_AT_AGENT: Duration = Duration::from_secs(1);
 /// Maximum length of an error text in a log line, in characters.
 const MAX_ERROR_CHARS: usize = 200;
+/// Size of a connection's read buffer, which also bounds the head of a response: lists may be long. Bytes.
+const PLATFORM_BUFFER: usize = 64 * 1024;
 /// Timeout of a notice, after which it is sent again.
 const NOTICE_TIMEOUT: Duration = Duration::from_millis(500);
 
@@ -94,7 +96,7 @@
     match on_kept {
         Some(answered) => Ok(answered),
         None => {
-            let mut conn = Conn::open(address).await.map_err(|_| ())?;
+            let mut conn = Conn::open_with_buffer(address, PLATFORM_BUFFER).await.map_err(|_| ())?;
             let answer = conn.send(request).await?;
             Ok((conn, answer))
         }
--- a/src/net/platform/list_body.rs
+++ b/src/net/platform/list_body.rs
@@ -18,8 +18,8 @@
 pub const INLINE: usize = 256 << 10;
 /// The minimum rate of a body beyond [`INLINE`] after its call's timeout, in bytes per second.
 pub const MIN_RATE: u64 = 4_000_000;
-/// Maximum number of chunks queued for the thread. A chunk is the result of one read of the connection: some
-/// 400 KiB at most.
+/// Maximum number of chunks queued for the thread. A chunk is the result of one read of the connection:
+/// 64 KiB at most.
 const MAX_QUEUED: usize = 8;
 
 /// A body in transfer, with its connection.
