Bound what requests keep in memory by the configured limit

What was seen: with 460 clients a process with 32 MB in its settings took 129 to 350 MB while they wrote large requests slowly, and 56 MB while they stopped half way; the system kills it without a line in its log.

Cause: limits.memory_mb was never read; client connections and their bodies were bounded by descriptors alone. A body was kept as the chunks in which it came, each of which keeps the 8 KiB buffer of its read: 64 KiB written 40 bytes at a time kept megabytes. A small message in hand kept its buffer, too. The management address had the same fault.

Change: limits.memory_mb is read (192 if left out). Half of it bounds the client connections at 32 KiB each, an eighth the bodies over 4 KiB that are being read; such a request waits up to 250 ms for its memory and is then refused with 503. Bodies are copied into one buffer of their length, at the management address as well; the head is dropped before the body is read; a client that leaves its answers unread for 1 s is closed. The intake is divided into head, stream and the rest. Counters: clients (connected, invalid, late, no_memory) and memory (limit, resident); the log tells the limits in force at the start and that a shutdown is complete.

The test of the counters is as strict as before: the new figures are compared, too, but for resident memory and open connections, which are held to a range.

--- a/src/check.rs
+++ b/src/check.rs
@@ -280,7 +280,8 @@
     ("status", Object, Null),
     ("plans", Object, Null),
 ];
-const LIMITS: &[(&str, ValueKind, Presence)] = &[("sockets", ANY, Optional), ("disk_mb", Over0, Required)];
+const LIMITS: &[(&str, ValueKind, Presence)] =
+    &[("sockets", ANY, Optional), ("memory_mb", Over0, Optional), ("disk_mb", Over0, Required)];
 const SETTINGS: &[(&str, ValueKind, Presence)] = &[
     ("classes", Array, Required),
     ("realms", Array, Optional),
--- a/src/net/config.rs
+++ b/src/net/config.rs
@@ -26,6 +26,7 @@
 use serde_json::Value;
 
 use super::listing::{ListBody, list_version};
+use super::memory;
 use super::names::Names;
 
 /// The configuration of a sender.
@@ -43,6 +44,8 @@
     pub seed: u64,
     /// Maximum number of open file descriptors.
     pub sockets: usize,
+    /// Limit of the process's memory, bytes.
+    pub memory: u64,
     /// Maximum size of the state folder, bytes.
     pub disk: u64,
     /// The management address, if operators have one.
@@ -103,6 +106,7 @@
 struct RawLimits {
     #[serde(default = "plenty")]
     sockets: usize,
+    memory_mb: Option<f64>,
     disk_mb: f64,
 }
 
@@ -381,6 +385,7 @@
         state: PathBuf::new(),
         seed: u64::from_str_radix(&raw.seed, 16).map_err(|e| ("seed", e.to_string()))?,
         sockets: raw.limits.sockets,
+        memory: raw.limits.memory_mb.map_or(memory::DEFAULT_LIMIT, |megabytes| (megabytes * 1e6) as u64),
         disk,
         mgmt: raw.mgmt,
         peer_listen: raw.peer_listen,
--- a/src/net/counters.rs
+++ b/src/net/counters.rs
@@ -7,6 +7,7 @@
 use serde::Serialize;
 
 use super::journal::GivenUp;
+use super::memory;
 use super::names::Names;
 
 /// How a message ended at this sender.
@@ -66,6 +67,39 @@
     }
 }
 
+/// Something that happened with a client's request, apart from the message's end.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ClientEvent {
+    /// The request was no valid message.
+    Invalid,
+    /// Its body did not arrive in time.
+    Late,
+    /// It was refused for want of memory.
+    NoMemory,
+}
+
+/// Counts of client connections and requests.
+#[derive(Debug, Default, Clone, Copy, Serialize)]
+struct Clients {
+    /// Connections that are open now.
+    connected: usize,
+    /// Requests that were no valid messages.
+    invalid: u64,
+    /// Requests whose body did not arrive in time.
+    late: u64,
+    /// Requests refused for want of memory.
+    no_memory: u64,
+}
+
+/// Memory of the process, bytes.
+#[derive(Debug, Default, Clone, Copy, Serialize)]
+struct Memory {
+    /// The configured limit.
+    limit: u64,
+    /// What was resident when the counters were read; 0 if the system does not tell.
+    resident: u64,
+}
+
 #[derive(Debug, Default, Serialize)]
 struct Counts {
     answered: BTreeMap<String, u64>,
@@ -74,6 +108,8 @@
     sends: u64,
     conf_loaded: u64,
     conf_invalid: u64,
+    clients: Clients,
+    memory: Memory,
     #[serde(skip_serializing_if = "Lists::are_all_taken")]
     list: Lists,
     #[serde(flatten)]
@@ -115,6 +151,27 @@
         self.0.borrow_mut().sends += messages as u64;
     }
 
+    /// Counts an event of a client's request.
+    pub fn count_client(&self, event: ClientEvent) {
+        let clients = &mut self.0.borrow_mut().clients;
+        let count = match event {
+            ClientEvent::Invalid => &mut clients.invalid,
+            ClientEvent::Late => &mut clients.late,
+            ClientEvent::NoMemory => &mut clients.no_memory,
+        };
+        *count += 1;
+    }
+
+    /// Sets the number of open client connections.
+    pub fn set_client_connections(&self, connections: usize) {
+        self.0.borrow_mut().clients.connected = connections;
+    }
+
+    /// Sets the configured memory limit, bytes.
+    pub fn set_memory_limit(&self, limit: u64) {
+        self.0.borrow_mut().memory.limit = limit;
+    }
+
     /// Counts a configuration that was applied or rejected at SIGHUP.
     pub fn count_reload(&self, taken: bool) {
         let mut counts = self.0.borrow_mut();
@@ -150,6 +207,7 @@
 
     /// The current values as JSON.
     pub fn json(&self) -> Vec<u8> {
+        self.0.borrow_mut().memory.resident = memory::resident().unwrap_or_default();
         serde_json::to_vec(&*self.0.borrow()).unwrap_or_default()
     }
 }
--- a/src/net/driver.rs
+++ b/src/net/driver.rs
@@ -79,6 +79,10 @@
     settings: Settings,
     /// Maximum number of connections to endpoints.
     connections: usize,
+    /// Maximum number of client connections.
+    max_clients: usize,
+    /// Limit of the process's memory, bytes.
+    memory_limit: u64,
     policy: Policy,
     journal: Journal,
     counters: Rc<Counters>,
--- a/src/net/driver/service.rs
+++ b/src/net/driver/service.rs
@@ -26,6 +26,7 @@
 use super::super::intake::Intake;
 use super::super::journal::Journal;
 use super::super::listing::list_version;
+use super::super::memory::{BufferBudget, MemoryShares};
 use super::super::mgmt::{self, Mgmt};
 use super::super::parts::Parts;
 use super::super::peers::Peers;
@@ -71,6 +72,7 @@
     let mgmt_address = open_mgmt(&config, &state_watch, &counters, in_force, &inbound).await?;
     let own_sockets = RESERVED_DESCRIPTORS + mgmt_address.map_or(0, |_| mgmt::PLACES);
     let max_connections = (config.sockets.saturating_sub(own_sockets) / 2).max(1);
+    counters.set_memory_limit(config.memory);
     let (claim, predecessor) = claim(&config, inherited.is_some()).await?;
     let (name, folder, listen, seed) =
         (config.name.clone(), config.state.clone(), config.listen, config.seed);
@@ -100,22 +102,19 @@
         // One handover at a time: what the previous process still reports is passed on to this process alone.
         tasks.push(tokio::task::spawn_local(await_successor(folder.clone(), inbound, followed)));
     }
+    tracing::info!(
+        memory = driver.memory_limit,
+        client_connections = driver.max_clients,
+        endpoint_connections = driver.connections,
+        "limits in force"
+    );
     let in_hand = driver.journal.pending().len();
     let mgmt_address = mgmt_address.map_or_else(String::new, |at| format!(", operators call at {at}"));
     tracing::info!("{name} is ready on {address} with {in_hand} messages in hand{mgmt_address}");
     let own_listener = owns_listener.then_some(listener);
-    Service {
-        driver,
-        events,
-        tasks,
-        folder,
-        claim,
-        own_listener,
-        max_connections,
-        iteration_began: Instant::now(),
-    }
-    .serve()
-    .await;
+    Service { driver, events, tasks, folder, claim, own_listener, iteration_began: Instant::now() }
+        .serve()
+        .await;
     Ok(())
 }
 
@@ -190,6 +189,8 @@
         let disk = config.disk - Parts::room(&config);
         let failed = |why| StartError::Journal { folder: config.state.clone(), why };
         let journal = Journal::open(&config.state, disk).map_err(failed)?;
+        let memory = MemoryShares::of(config.memory);
+        let bodies = BufferBudget::new(memory.request_bodies);
         let peers = Peers::open(&config, inbound.clone()).await.map_err(StartError::Peers)?;
         let parts = Parts::open(&config, &config.state, clock.now());
         let names = Rc::new(RefCell::new(config.names));
@@ -200,7 +201,7 @@
             next_message: journal.pending().keys().next_back().map_or(0, |last| last.wrapping_add(1)),
             journal,
             calls: Calls::new(limits, counters.clone(), inbound.clone()),
-            counters,
+            counters: counters.clone(),
             peers,
             notices,
             list_requests: Rc::default(),
@@ -208,7 +209,16 @@
                 .start
                 .as_ref()
                 .is_some_and(|section| section.source == Source::Service),
-            intake: Rc::new(Intake::new(clock, names.clone(), inbound.clone(), state_watch)),
+            memory_limit: config.memory,
+            max_clients: max_connections.min(memory.client_connections),
+            intake: Rc::new(Intake::new(
+                clock,
+                names.clone(),
+                inbound.clone(),
+                state_watch,
+                counters.clone(),
+                bodies,
+            )),
             names,
             inbound,
             service_state,
@@ -252,7 +262,7 @@
         let (wanted, counters) = (self.list_requests.clone(), self.counters.clone());
         let inbound = self.inbound.clone();
         vec![
-            tokio::task::spawn_local(self.intake.clone().listen(listener.clone(), self.connections)),
+            tokio::task::spawn_local(self.intake.clone().listen(listener.clone(), self.max_clients)),
             tokio::task::spawn_local(platform::notices(discovery.clone(), queued_notices, inbound.clone())),
             tokio::task::spawn_local(platform::follow(discovery, following, pace, wanted, counters, inbound)),
         ]
@@ -307,8 +317,6 @@
     claim: Option<FolderLock>,
     /// The clients' listener, unless it is shared with other processes.
     own_listener: Option<Rc<TcpListener>>,
-    /// Maximum number of client connections.
-    max_connections: usize,
     /// When the last iteration began.
     iteration_began: Instant,
 }
@@ -321,6 +329,8 @@
             self.turn(first);
             if self.driver.may_end(self.driver.intake.open()) {
                 if self.end().await {
+                    let owed = self.driver.journal.pending().len();
+                    tracing::info!(owed, "shutdown complete: the next process continues with what is owed");
                     return;
                 }
                 continue;
@@ -373,7 +383,7 @@
     /// Whether the process ends now. Clients that still wait to be accepted are served first.
     async fn end(&mut self) -> bool {
         if let Some(listener) = &self.own_listener {
-            self.driver.intake.admit_backlog(listener, self.max_connections).await;
+            self.driver.intake.admit_backlog(listener, self.driver.max_clients).await;
         }
         let ends = self.driver.may_end(self.driver.intake.open());
         if ends {
--- a/src/net/intake.rs
+++ b/src/net/intake.rs
@@ -1,5 +1,8 @@
 //! The HTTP server for clients: submission of messages, and readiness.
 
+mod head;
+mod stream;
+
 use std::cell::{Cell, RefCell};
 use std::convert::Infallible;
 use std::rc::Rc;
@@ -7,23 +10,28 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full, Limited};
-use hyper::body::Incoming;
-use hyper::header::{CONNECTION, CONTENT_TYPE, HeaderMap, HeaderValue, RETRY_AFTER, TRANSFER_ENCODING};
+use http_body_util::Full;
+use hyper::body::{Body, Incoming};
+use hyper::header::{CONNECTION, CONTENT_TYPE, HeaderValue, RETRY_AFTER};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper::{Method, Request, Response, StatusCode};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use myrtleyard::interface::Micros;
 use serde::{Deserialize, Serialize};
-use tokio::io::{AsyncReadExt, AsyncWriteExt, copy, sink};
+use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt, copy, sink};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{OwnedSemaphorePermit, Semaphore, mpsc::UnboundedSender, oneshot, watch};
 use tokio::time::{Instant, timeout};
 
+use super::body;
+use super::counters::{ClientEvent, Counters};
 use super::journal::AcceptedMessage;
+use super::memory::{BufferBudget, Reservation};
 use super::names::Names;
 use super::{BODY_LIMIT, Clock, Inbound, STOP_WITHIN, ServiceState};
+use head::{HeadError, SubmissionHead};
+use stream::ClientStream;
 
 /// A connection that brings no complete request head within this time is closed, so that idle peers do not
 /// use up the connection limit. The platform drops idle connections after 2 s, and requires an answer or a
@@ -47,6 +55,11 @@
 /// Time limit for a request's body after its head: no client waits longer than 400 ms for its answer.
 const BODY_TIMEOUT: Duration = Duration::from_millis(500);
 
+/// A body up to this length is read without a reservation: it is part of what a connection may take. Bytes.
+const SHORT_BODY: usize = 4 * 1024;
+/// Time limit for reserving memory for a body. The client hears of a refusal before it gives up.
+const RESERVE_TIMEOUT: Duration = Duration::from_millis(250);
+
 /// Maximum size of a request's head, bytes; a longer one is rejected unread. This also bounds the buffer of a
 /// connection, because bodies are read in pieces.
 const MAX_HEAD: usize = 16 * 1024;
@@ -65,6 +78,17 @@
     pub answer: oneshot::Sender<Answer>,
 }
 
+/// Why a body is not read.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum BodyError {
+    /// It is truncated, or longer than [`BODY_LIMIT`].
+    Invalid,
+    /// It did not arrive within [`BODY_TIMEOUT`].
+    Late,
+    /// There was no memory for it within [`RESERVE_TIMEOUT`].
+    NoMemory,
+}
+
 /// The answer to a submission.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Answer {
@@ -84,6 +108,9 @@
     names: Rc<RefCell<Names>>,
     inbound: UnboundedSender<Inbound>,
     standing: watch::Receiver<ServiceState>,
+    counters: Rc<Counters>,
+    /// Memory for long bodies.
+    bodies: BufferBudget,
     /// When the process was asked to end.
     stopping: Cell<Option<Instant>>,
     open: Cell<usize>,
@@ -123,15 +150,58 @@
     response
 }
 
-/// The value of a header, if it is present, visible ASCII and not empty.
-fn header_text<'a>(headers: &'a HeaderMap, name: &str) -> Option<&'a str> {
-    headers.get(name)?.to_str().ok().map(str::trim).filter(|text| !text.is_empty())
+/// The answer to a request whose head is no valid submission.
+fn invalid_head(why: HeadError) -> Response<Full<Bytes>> {
+    let status = match why {
+        HeadError::TransferCoding => StatusCode::LENGTH_REQUIRED,
+        _ => StatusCode::BAD_REQUEST,
+    };
+    let mut response = plain(status, "");
+    *response.body_mut() = Full::new(Bytes::from(why.to_string()));
+    if why == HeadError::TransferCoding { closing(response) } else { response }
+}
+
+/// The answer to a request whose body is not read.
+fn unread_body(why: BodyError) -> Response<Full<Bytes>> {
+    match why {
+        BodyError::Invalid => plain(StatusCode::BAD_REQUEST, "the body is truncated or longer than 64 KiB\n"),
+        BodyError::Late => plain(StatusCode::REQUEST_TIMEOUT, "the body did not arrive within 500 ms\n"),
+        BodyError::NoMemory => refused(0),
+    }
+}
+
+/// The answer that the message may be submitted again, preferably after this many microseconds.
+fn refused(again: Micros) -> Response<Full<Bytes>> {
+    let mut response = plain(StatusCode::SERVICE_UNAVAILABLE, "refused\n");
+    if again > 0 {
+        let seconds = format!("{:.3}", again as f64 / 1e6);
+        if let Ok(seconds) = HeaderValue::from_str(&seconds) {
+            response.headers_mut().insert(RETRY_AFTER, seconds);
+        }
+    }
+    response
+}
+
+/// The answer to a submission that the driver has decided on.
+fn decided(answer: Answer) -> Response<Full<Bytes>> {
+    match answer {
+        Answer::Taken => plain(StatusCode::ACCEPTED, ""),
+        Answer::TakenAt(token) => {
+            let mut response = plain(StatusCode::ACCEPTED, "");
+            if let Ok(token) = HeaderValue::from_str(&token) {
+                response.headers_mut().insert(SESSION_TOKEN, token);
+            }
+            response
+        }
+        Answer::Refused(again) => refused(again),
+        Answer::Failed => plain(StatusCode::INTERNAL_SERVER_ERROR, "failed\n"),
+    }
 }
 
 /// Closes a connection in a lingering way. Closing while received bytes are unread resets the connection, and
 /// the reset discards what the client has not read yet, which may be a 202. So the sending side is shut down
 /// first, and incoming bytes are read, but not parsed, until the client closes or `within` has passed.
-pub async fn linger(mut stream: TcpStream, limit: Duration) {
+pub async fn linger(mut stream: impl AsyncRead + AsyncWrite + Unpin, limit: Duration) {
     // Fails if the client is already gone; then nothing can be lost.
     if stream.shutdown().await.is_ok() {
         let mut rest = stream.take(MAX_LINGER_BYTES);
@@ -146,8 +216,11 @@
         names: Rc<RefCell<Names>>,
         inbound: UnboundedSender<Inbound>,
         standing: watch::Receiver<ServiceState>,
+        counters: Rc<Counters>,
+        bodies: BufferBudget,
     ) -> Self {
-        Self { clock, names, inbound, standing, stopping: Cell::default(), open: Cell::new(0) }
+        let (stopping, open) = (Cell::default(), Cell::new(0));
+        Self { clock, names, inbound, standing, counters, bodies, stopping, open }
     }
 
     /// Number of open client connections.
@@ -179,14 +252,19 @@
     /// Serves a connection in a task of its own. It counts as open from here on, not only once the task runs,
     /// because the process may check whether it can end before that.
     fn admit(self: Rc<Self>, stream: TcpStream, permit: Option<OwnedSemaphorePermit>) {
-        self.open.set(self.open.get() + 1);
+        self.set_open(self.open.get() + 1);
         tokio::task::spawn_local(async move {
-            self.serve(stream).await;
-            self.open.set(self.open.get() - 1);
+            self.serve(ClientStream::new(stream)).await;
+            self.set_open(self.open.get() - 1);
             drop(permit);
         });
     }
 
+    fn set_open(&self, connections: usize) {
+        self.open.set(connections);
+        self.counters.set_client_connections(connections);
+    }
+
     /// Serves up to `max_connections` connections that are still in the listen backlog. Closing the listener
     /// would reset them, together with the requests that their clients have already written.
     pub async fn admit_backlog(self: &Rc<Self>, listener: &TcpListener, max_connections: usize) {
@@ -199,8 +277,7 @@
         }
     }
 
-    async fn serve(&self, mut stream: TcpStream) {
-        let _ = stream.set_nodelay(true);
+    async fn serve(&self, mut stream: ClientStream) {
         let service = service_fn(|request| self.answer(request));
         let connection = http1::Builder::new()
             .timer(TokioTimer::new())
@@ -234,88 +311,70 @@
         Ok(if self.keeps_alive() { response } else { closing(response) })
     }
 
-    /// Handles a submission. Whatever a client may write, a request that is no valid message gets 400.
+    /// Handles a submission. Whatever a client may write, a request that is no valid message gets 4xx.
     async fn submit(&self, request: Request<Incoming>) -> Response<Full<Bytes>> {
         let received_at = self.clock.now();
         let (head, body) = request.into_parts();
-        let bad = |what| plain(StatusCode::BAD_REQUEST, what);
-        // Guards against request smuggling: hyper hides the length when there is a transfer coding, so it
-        // cannot be checked that the two agree, and what follows on the connection cannot be trusted.
-        if head.headers.contains_key(TRANSFER_ENCODING) {
-            return closing(plain(StatusCode::LENGTH_REQUIRED, "Content-Length is required\n"));
-        }
-        let Some(id) = header_text(&head.headers, "req-id") else { return bad("Req-Id is missing\n") };
-        let path = head.uri.path_and_query().map_or("", |path| path.as_str()).trim_start_matches('/');
-        let kind = header_text(&head.headers, "req-kind").unwrap_or(path);
-        let class = self.names.borrow().class(kind).filter(|_| kind == path);
-        let Some(class) = class else {
-            return bad("Req-Kind or the path does not name a class\n");
+        let read = SubmissionHead::read(&head, &self.names.borrow());
+        // It may be large, and the body may be long in coming.
+        drop(head);
+        let head = match read {
+            Ok(head) => head,
+            Err(why) => {
+                self.counters.count_client(ClientEvent::Invalid);
+                return invalid_head(why);
+            }
         };
-        let owner = header_text(&head.headers, "req-owner").map(str::to_owned);
-        if !self.names.borrow().accepts_tenant(owner.as_deref()) {
-            return bad("Req-Owner does not name a tenant\n");
-        }
-        let destination = header_text(&head.headers, "x-consignee").and_then(|pairs| {
-            let mut pairs = pairs.split([',', ';']).filter_map(|pair| pair.split_once('='));
-            pairs.find(|(name, _)| name.trim() == "dest")?.1.trim().parse().ok()
-        });
-        let Some(destination) = destination else { return bad("X-Consignee has no valid dest\n") };
-        let left = header_text(&head.headers, "req-deadline-ms").and_then(|ms| ms.parse::<u32>().ok());
-        let Some(left) = left else { return bad("Req-Deadline-Ms is not a number of milliseconds\n") };
-        let key = match head.headers.get("idempotency-key") {
-            Some(_) => match header_text(&head.headers, "idempotency-key") {
-                Some(key) => Some(key.to_owned()),
-                None => return bad("Idempotency-Key is empty or not visible ASCII\n"),
-            },
-            None => None,
+        let (body, _reservation) = match self.read_body(body).await {
+            Ok(read) => read,
+            Err(why) => {
+                tracing::debug!(id = head.id, ?why, "request body not read");
+                self.counters.count_client(ClientEvent::from(why));
+                return unread_body(why);
+            }
         };
-        let id = id.to_owned();
-        let body = match timeout(BODY_TIMEOUT, Limited::new(body, BODY_LIMIT).collect()).await {
-            Ok(Ok(body)) => body,
-            Ok(Err(_)) => return bad("the body is truncated or longer than 64 KiB\n"),
-            Err(_) => return plain(StatusCode::REQUEST_TIMEOUT, "the body did not arrive within 500 ms\n"),
+        self.hand_in(head, body, received_at).await
+    }
+
+    /// Reads a body into a buffer of its own: a chunk keeps the whole buffer that it was read into.
+    async fn read_body(&self, body: Incoming) -> Result<(Bytes, Option<Reservation>), BodyError> {
+        let length = body.size_hint().exact().and_then(|length| usize::try_from(length).ok());
+        let length = length.filter(|length| *length <= BODY_LIMIT).ok_or(BodyError::Invalid)?;
+        let reservation = match length {
+            0..=SHORT_BODY => None,
+            _ => {
+                let reserved = timeout(RESERVE_TIMEOUT, self.bodies.reserve(length)).await;
+                Some(reserved.ok().flatten().ok_or(BodyError::NoMemory)?)
+            }
         };
-        let deadline = received_at + Micros::from(left) * 1000;
-        let class_name = kind.to_owned();
-        let body = body.to_bytes();
-        let message_id = id.clone();
+        let read = timeout(BODY_TIMEOUT, body::copy(body, BODY_LIMIT)).await;
+        let body = read.map_err(|_| BodyError::Late)?.map_err(|_| BodyError::Invalid)?;
+        Ok((body, reservation))
+    }
+
+    /// Passes a message to the driver and waits for its decision.
+    async fn hand_in(&self, head: SubmissionHead, body: Bytes, received_at: Micros) -> Response<Full<Bytes>> {
+        let SubmissionHead { id, key, class, class_name, owner, destination, time_left_ms } = head;
+        let mut withdrawal = Withdrawal { id: Some(id.clone()), inbound: &self.inbound };
+        let deadline = received_at + Micros::from(time_left_ms) * 1000;
         // The driver sets the effect from the settings that are in force when it accepts the message.
         let effect = None;
-        let taken = AcceptedMessage {
-            id: message_id,
-            key,
-            class: class_name,
-            owner,
-            effect,
-            destination,
-            deadline,
-            body,
-        };
-        let mut withdrawal = Withdrawal { id: Some(id), inbound: &self.inbound };
+        let taken =
+            AcceptedMessage { id, key, class: class_name, owner, effect, destination, deadline, body };
         let (answer, answered) = oneshot::channel();
         let _ = self.inbound.send(Inbound::Submitted(Submission { taken, class, answer }));
         let answered = answered.await;
         withdrawal.id = None;
-        match answered {
-            Ok(Answer::Taken) => plain(StatusCode::ACCEPTED, ""),
-            Ok(Answer::TakenAt(token)) => {
-                let mut response = plain(StatusCode::ACCEPTED, "");
-                if let Ok(token) = HeaderValue::from_str(&token) {
-                    response.headers_mut().insert(SESSION_TOKEN, token);
-                }
-                response
-            }
-            Ok(Answer::Refused(again)) => {
-                let mut response = plain(StatusCode::SERVICE_UNAVAILABLE, "refused\n");
-                if again > 0 {
-                    let seconds = format!("{:.3}", again as f64 / 1e6);
-                    if let Ok(seconds) = HeaderValue::from_str(&seconds) {
-                        response.headers_mut().insert(RETRY_AFTER, seconds);
-                    }
-                }
-                response
-            }
-            Ok(Answer::Failed) | Err(_) => plain(StatusCode::INTERNAL_SERVER_ERROR, "failed\n"),
+        decided(answered.unwrap_or(Answer::Failed))
+    }
+}
+
+impl From<BodyError> for ClientEvent {
+    fn from(why: BodyError) -> Self {
+        match why {
+            BodyError::Invalid => Self::Invalid,
+            BodyError::Late => Self::Late,
+            BodyError::NoMemory => Self::NoMemory,
         }
     }
 }
--- /dev/null
+++ b/src/net/intake/stream.rs
@@ -0,0 +1,75 @@
+//! A client's connection, which is closed if the client does not read its answers.
+
+use std::io;
+use std::net::Shutdown;
+use std::pin::Pin;
+use std::task::{Context, Poll, ready};
+use std::time::Duration;
+
+use socket2::SockRef;
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::net::TcpStream;
+use tokio::time::{Sleep, sleep};
+
+/// A connection whose client leaves its answers unread for this long is closed. No client waits longer than
+/// 400 ms for its answer.
+const WRITE_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// A client's connection.
+pub struct ClientStream {
+    socket: TcpStream,
+    /// Runs while a write waits for the client to read.
+    write_timeout: Option<Pin<Box<Sleep>>>,
+}
+
+impl ClientStream {
+    /// Wraps an accepted connection.
+    pub fn new(socket: TcpStream) -> Self {
+        // Without it small answers wait for the client's acknowledgements; the connection serves either way.
+        let _ = socket.set_nodelay(true);
+        Self { socket, write_timeout: None }
+    }
+
+    fn try_write(&self, cx: &mut Context, bytes: &[u8]) -> Poll<io::Result<usize>> {
+        loop {
+            ready!(self.socket.poll_write_ready(cx))?;
+            match self.socket.try_write(bytes) {
+                Err(why) if why.kind() == io::ErrorKind::WouldBlock => {}
+                written => return Poll::Ready(written),
+            }
+        }
+    }
+}
+
+impl AsyncRead for ClientStream {
+    fn poll_read(self: Pin<&mut Self>, cx: &mut Context, buf: &mut ReadBuf) -> Poll<io::Result<()>> {
+        loop {
+            ready!(self.socket.poll_read_ready(cx))?;
+            match self.socket.try_read_buf(buf) {
+                Ok(_) => return Poll::Ready(Ok(())),
+                Err(why) if why.kind() == io::ErrorKind::WouldBlock => {}
+                Err(why) => return Poll::Ready(Err(why)),
+            }
+        }
+    }
+}
+
+impl AsyncWrite for ClientStream {
+    fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context, bytes: &[u8]) -> Poll<io::Result<usize>> {
+        if let Poll::Ready(written) = self.try_write(cx, bytes) {
+            self.write_timeout = None;
+            return Poll::Ready(written);
+        }
+        let timeout = self.write_timeout.get_or_insert_with(|| Box::pin(sleep(WRITE_TIMEOUT)));
+        ready!(timeout.as_mut().poll(cx));
+        Poll::Ready(Err(io::ErrorKind::TimedOut.into()))
+    }
+
+    fn poll_flush(self: Pin<&mut Self>, _cx: &mut Context) -> Poll<io::Result<()>> {
+        Poll::Ready(Ok(()))
+    }
+
+    fn poll_shutdown(self: Pin<&mut Self>, _cx: &mut Context) -> Poll<io::Result<()>> {
+        Poll::Ready(SockRef::from(&self.socket).shutdown(Shutdown::Write))
+    }
+}
--- a/src/net/intake/tests.rs
+++ b/src/net/intake/tests.rs
@@ -80,7 +80,9 @@
     let (inbound, events) = tokio::sync::mpsc::unbounded_channel();
     let names = Names { classes: vec!["order".into()], ..Names::default() };
     let (_, standing) = watch::channel(standing);
-    (Rc::new(Intake::new(Clock::new(), Rc::new(RefCell::new(names)), inbound, standing)), events)
+    let (counters, bodies) = (Rc::default(), BufferBudget::new(BODY_LIMIT));
+    let names = Rc::new(RefCell::new(names));
+    (Rc::new(Intake::new(Clock::new(), names, inbound, standing, counters, bodies)), events)
 }
 
 fn handing_in(id: &str, length: usize) -> Vec<u8> {
--- a/src/net/mgmt.rs
+++ b/src/net/mgmt.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
+use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::header::{ALLOW, CONTENT_TYPE, HeaderValue};
 use hyper::server::conn::http1;
@@ -25,6 +25,7 @@
 use tokio::sync::{Semaphore, mpsc::UnboundedSender, oneshot, watch};
 use tokio::time::{Instant, timeout};
 
+use super::body::{self, CopyError};
 use super::config::{self, InForce};
 use super::control::{ControlRequest, Reply, StatusCall};
 use super::counters::Counters;
@@ -282,12 +283,14 @@
 
 /// Reads the body of a call. Fails if it is truncated, late, or longer than `max_bytes` bytes.
 async fn read_body(request: Request<Incoming>, max_bytes: usize) -> Result<Bytes, Reply> {
-    match timeout(BODY_TIMEOUT, Limited::new(request.into_body(), max_bytes).collect()).await {
-        Ok(Ok(body)) => Ok(body.to_bytes()),
-        Err(_) => Err(Reply::call_error(&CallError::BodyLate)),
-        Ok(Err(e)) if e.is::<LengthLimitError>() => Err(Reply::call_error(&CallError::BodyLong(max_bytes))),
-        Ok(Err(_)) => Err(Reply::call_error(&CallError::BodyCut)),
-    }
+    let read = timeout(BODY_TIMEOUT, body::copy(request.into_body(), max_bytes)).await;
+    let failed = match read {
+        Ok(Ok(body)) => return Ok(body),
+        Ok(Err(CopyError::TooLong)) => CallError::BodyLong(max_bytes),
+        Ok(Err(CopyError::Truncated)) => CallError::BodyCut,
+        Err(_) => CallError::BodyLate,
+    };
+    Err(Reply::call_error(&failed))
 }
 
 /// Parses the time limit of a drain: absent, or a whole number of milliseconds over 0.
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -1,6 +1,7 @@
 //! The I/O around the decision module: sockets, clocks and the journal. What is sent where and when is
 //! decided in `myrtleyard::policy`, not here.
 
+pub mod body;
 pub mod calls;
 pub mod config;
 pub mod control;
@@ -12,6 +13,7 @@
 pub mod journal;
 pub mod listing;
 pub mod log;
+pub mod memory;
 pub mod mgmt;
 pub mod names;
 pub mod parts;
--- a/tests/node/main.rs
+++ b/tests/node/main.rs
@@ -429,6 +429,16 @@
     ["c", "d"].map(|id| client.request(&submission(id, "order", 7, 20_000)).status())
 }
 
+/// Takes out, and checks, what differs from one process to the next: the memory that it uses, and connections
+/// of clients that it has not seen closed yet.
+fn without_gauges_of_the_process(mut counters: serde_json::Value) -> serde_json::Value {
+    let resident = counters["memory"]["resident"].take().as_u64().unwrap();
+    assert!((1_000_000..192_000_000).contains(&resident), "{resident}");
+    let connected = counters["clients"]["connected"].take().as_u64().unwrap();
+    assert!(connected < 4, "{connected}");
+    counters
+}
+
 /// Messages are counted by outcome, sends when they are written; the gauges show the current state.
 #[test]
 fn the_counters_show_outcomes_sends_and_gauges() {
@@ -438,9 +448,11 @@
     let counters = || node.call("GET", "/control/counters").json();
     let none = json!({"note": 0, "order": 0});
     assert_eq!(
-        counters(),
+        without_gauges_of_the_process(counters()),
         json!({"answered": none, "deferred": none, "errored": none, "sends": 0, "current": 0,
                "cluster_size": 2, "cluster_unhealthy": 0, "resident": 2, "forgotten": 0,
+               "clients": {"connected": null, "invalid": 0, "late": 0, "no_memory": 0},
+               "memory": {"limit": 192_000_000, "resident": null},
                "conf_loaded": 0, "conf_invalid": 0})
     );
     assert_eq!(node.submit("delivered", "note", 7, 20_000).status(), 202);
@@ -459,11 +471,14 @@
     wait_until(|| counters()["conf_invalid"] == 1 && counters()["cluster_size"] == 1);
     node.reload(|config| config["settings"]["limits"]["try_limit"] = json!(5));
     wait_until(|| counters()["conf_loaded"] == 1);
+    assert_eq!(node.request(b"POST /order HTTP/1.1\r\n\r\n").status(), 400);
     assert_eq!(
-        counters(),
+        without_gauges_of_the_process(counters()),
         json!({"answered": {"note": 1, "order": 0}, "deferred": {"note": 0, "order": 1},
                "errored": {"note": 0, "order": 1}, "sends": 2, "current": 0, "cluster_size": 1,
                "cluster_unhealthy": 0, "resident": 1, "forgotten": 0,
+               "clients": {"connected": null, "invalid": 1, "late": 0, "no_memory": 0},
+               "memory": {"limit": 192_000_000, "resident": null},
                "conf_loaded": 1, "conf_invalid": 1})
     );
 }
