Accept no request whose client has left

Cause: the end of a client's stream shows only once all that it wrote has been read. hyper parses what is in its buffer first, so requests of a client that had left were handed in one by one until a write failed.

Change: the connection's socket is shared with the intake and the driver, which look at the readiness that the runtime has for it (the system reports a closed reading side before the unread bytes): before a request is handed in, when the driver accepts it, and at an old process before it is forwarded. Such a request is counted (clients.departed), logged with its id at debug, and ends its connection.

--- a/src/net/counters.rs
+++ b/src/net/counters.rs
@@ -76,6 +76,8 @@
     Late,
     /// It was refused for want of memory.
     NoMemory,
+    /// Its client left before it was accepted.
+    Departed,
 }
 
 /// Counts of client connections and requests.
@@ -89,6 +91,8 @@
     late: u64,
     /// Requests refused for want of memory.
     no_memory: u64,
+    /// Requests whose client left before they were accepted.
+    departed: u64,
 }
 
 /// Memory of the process, bytes.
@@ -158,6 +162,7 @@
             ClientEvent::Invalid => &mut clients.invalid,
             ClientEvent::Late => &mut clients.late,
             ClientEvent::NoMemory => &mut clients.no_memory,
+            ClientEvent::Departed => &mut clients.departed,
         };
         *count += 1;
     }
--- a/src/net/driver.rs
+++ b/src/net/driver.rs
@@ -28,7 +28,7 @@
 use tokio::task::JoinHandle;
 
 use super::calls::{Calls, Limits};
-use super::counters::{Counters, MessageEnd};
+use super::counters::{ClientEvent, Counters, MessageEnd};
 use super::handover::{self, FolderLock, Predecessor, Relay, SuccessorCommand};
 use super::intake::{Answer, Intake, Submission};
 use super::journal::{AcceptedMessage, GivenUp, Journal, PendingMessage, Record};
@@ -488,7 +488,12 @@
     }
 
     fn accept_message(&mut self, message: Submission, events: &mut Vec<Event>) {
-        let Submission { taken, answer, .. } = message;
+        let Submission { taken, answer, presence, .. } = message;
+        if presence.is_some_and(|presence| presence.has_left()) {
+            tracing::debug!(id = taken.id, "the client left before its message was accepted");
+            self.counters.count_client(ClientEvent::Departed);
+            return;
+        }
         if let Some(number) = self.held.get(&taken.id) {
             // The client did not receive the answer and submits the message again.
             match self.new_messages.get_mut(number) {
--- a/src/net/handover.rs
+++ b/src/net/handover.rs
@@ -258,7 +258,7 @@
                         }
                     }),
                 );
-                Inbound::Submitted(Submission { taken, class, answer })
+                Inbound::Submitted(Submission { taken, class, answer, presence: None })
             }
             ForwardedEvent::Withdrawn(id) => {
                 // The client is gone. The driver must find the answer channel closed when it handles the
@@ -398,7 +398,10 @@
             };
             let Some(inbound) = inbound else { return };
             let event = match inbound {
-                Inbound::Submitted(Submission { taken, class, answer }) => {
+                Inbound::Submitted(Submission { taken, class, answer, presence }) => {
+                    if presence.is_some_and(|presence| presence.has_left()) {
+                        continue;
+                    }
                     submissions += 1;
                     waiting.insert(submissions, answer);
                     let owner = taken.owner.clone();
--- a/src/net/intake.rs
+++ b/src/net/intake.rs
@@ -31,6 +31,7 @@
 use super::names::Names;
 use super::{BODY_LIMIT, Clock, Inbound, STOP_WITHIN, ServiceState};
 use head::{HeadError, SubmissionHead};
+pub use stream::ClientPresence;
 use stream::ClientStream;
 
 /// A connection that brings no complete request head within this time is closed, so that idle peers do not
@@ -76,6 +77,8 @@
     pub class: usize,
     /// Receives the answer.
     pub answer: oneshot::Sender<Answer>,
+    /// Whether the client is still there; `None` for a message that was handed in to another process.
+    pub presence: Option<ClientPresence>,
 }
 
 /// Why a body is not read.
@@ -278,7 +281,8 @@
     }
 
     async fn serve(&self, mut stream: ClientStream) {
-        let service = service_fn(|request| self.answer(request));
+        let presence = stream.presence();
+        let service = service_fn(|request| self.answer(request, &presence));
         let connection = http1::Builder::new()
             .timer(TokioTimer::new())
             .header_read_timeout(HEAD_TIMEOUT)
@@ -301,18 +305,22 @@
         }
     }
 
-    async fn answer(&self, request: Request<Incoming>) -> Result<Response<Full<Bytes>>, Infallible> {
+    async fn answer(
+        &self,
+        request: Request<Incoming>,
+        presence: &ClientPresence,
+    ) -> Result<Response<Full<Bytes>>, Infallible> {
         let response = match (request.method(), request.uri().path()) {
             // A readiness check does not keep a connection that a submitting client could use.
             (&Method::GET, "/ready") => closing(readiness(*self.standing.borrow())),
-            (&Method::POST, _) => self.submit(request).await,
+            (&Method::POST, _) => self.submit(request, presence).await,
             _ => plain(StatusCode::NOT_FOUND, "not found\n"),
         };
         Ok(if self.keeps_alive() { response } else { closing(response) })
     }
 
     /// Handles a submission. Whatever a client may write, a request that is no valid message gets 4xx.
-    async fn submit(&self, request: Request<Incoming>) -> Response<Full<Bytes>> {
+    async fn submit(&self, request: Request<Incoming>, presence: &ClientPresence) -> Response<Full<Bytes>> {
         let received_at = self.clock.now();
         let (head, body) = request.into_parts();
         let read = SubmissionHead::read(&head, &self.names.borrow());
@@ -333,7 +341,13 @@
                 return unread_body(why);
             }
         };
-        self.hand_in(head, body, received_at).await
+        // Nobody would read the answer: its client hands the message in again, if at all.
+        if presence.has_left() {
+            tracing::debug!(id = head.id, "the client left before its message was accepted");
+            self.counters.count_client(ClientEvent::Departed);
+            return closing(refused(0));
+        }
+        self.hand_in(head, body, received_at, presence).await
     }
 
     /// Reads a body into a buffer of its own: a chunk keeps the whole buffer that it was read into.
@@ -353,7 +367,13 @@
     }
 
     /// Passes a message to the driver and waits for its decision.
-    async fn hand_in(&self, head: SubmissionHead, body: Bytes, received_at: Micros) -> Response<Full<Bytes>> {
+    async fn hand_in(
+        &self,
+        head: SubmissionHead,
+        body: Bytes,
+        received_at: Micros,
+        presence: &ClientPresence,
+    ) -> Response<Full<Bytes>> {
         let SubmissionHead { id, key, class, class_name, owner, destination, time_left_ms } = head;
         let mut withdrawal = Withdrawal { id: Some(id.clone()), inbound: &self.inbound };
         let deadline = received_at + Micros::from(time_left_ms) * 1000;
@@ -362,7 +382,8 @@
         let taken =
             AcceptedMessage { id, key, class: class_name, owner, effect, destination, deadline, body };
         let (answer, answered) = oneshot::channel();
-        let _ = self.inbound.send(Inbound::Submitted(Submission { taken, class, answer }));
+        let presence = Some(presence.clone());
+        let _ = self.inbound.send(Inbound::Submitted(Submission { taken, class, answer, presence }));
         let answered = answered.await;
         withdrawal.id = None;
         decided(answered.unwrap_or(Answer::Failed))
