Let other clients' tasks run between the requests of one connection

Cause: requests that are answered without the driver (unknown path, unsound head) were answered in one go for as long as the connection had bytes, up to 16 a poll and 61 polls between two looks at the sockets, so that other clients waited.

Change: the task of a connection yields after each answer, until the runtime has looked at its sockets again.

--- a/src/net/intake.rs
+++ b/src/net/intake.rs
@@ -316,6 +316,8 @@
             (&Method::POST, _) => self.submit(request, presence).await,
             _ => plain(StatusCode::NOT_FOUND, "not found\n"),
         };
+        // A client that has written many requests at once must not keep others from theirs.
+        tokio::task::yield_now().await;
         Ok(if self.keeps_alive() { response } else { closing(response) })
     }
 
