Do not run a message again whose id comes after its end

Cause: ids were known only while their messages were in hand.

It keeps them through restarts, compactions and upgrades (records Finished and FinishedIds), up to a twentieth of disk_mb: 8,823 ids at 3 MB, the oldest go first. Time plays no part, so a stepped clock does not matter. Such an id is answered by what became of it: 202 or 500; so is one whose notice is still on its way, which was told 202. Counted as clients.repeated, logged at debug.

--- a/src/net/counters.rs
+++ b/src/net/counters.rs
@@ -78,6 +78,8 @@
     NoMemory,
     /// Its client left before it was accepted.
     Departed,
+    /// Its id is that of a message in hand or of one that ended recently.
+    Repeated,
 }
 
 /// Counts of client connections and requests.
@@ -93,6 +95,8 @@
     no_memory: u64,
     /// Requests whose client left before they were accepted.
     departed: u64,
+    /// Requests with the id of a message in hand or of one that ended recently.
+    repeated: u64,
 }
 
 /// Memory of the process, bytes.
@@ -163,6 +167,7 @@
             ClientEvent::Late => &mut clients.late,
             ClientEvent::NoMemory => &mut clients.no_memory,
             ClientEvent::Departed => &mut clients.departed,
+            ClientEvent::Repeated => &mut clients.repeated,
         };
         *count += 1;
     }
--- a/src/net/driver.rs
+++ b/src/net/driver.rs
@@ -31,7 +31,7 @@
 use super::counters::{ClientEvent, Counters, MessageEnd};
 use super::handover::{self, FolderLock, Predecessor, Relay, SuccessorCommand};
 use super::intake::{Answer, Intake, Submission};
-use super::journal::{AcceptedMessage, GivenUp, Journal, PendingMessage, Record};
+use super::journal::{AcceptedMessage, Finish, GivenUp, Journal, PendingMessage, Record};
 use super::listing::{EndpointAttributes, KnownEndpoint, ListBody};
 use super::names::{Names, align_positions};
 use super::parts::status::final_state;
@@ -412,11 +412,14 @@
             }
             Inbound::NoticesAcknowledged(messages) => {
                 for MessageId(number) in messages {
-                    if let Some(id) = self.journal.pending().get(&number).map(|l| l.accepted.id.clone()) {
-                        self.update_backups(number, Update::Over);
-                        self.pending_records.push(Record::Closed(number));
-                        self.release(number, &id);
+                    let Some(live) = self.journal.pending().get(&number) else { continue };
+                    let (id, given_up) = (live.accepted.id.clone(), live.given_up);
+                    if given_up == Some(GivenUp::Undeliverable) {
+                        self.journal.remember_finished(&id, Finish::Failed);
                     }
+                    self.update_backups(number, Update::Over);
+                    self.pending_records.push(Record::Closed(number));
+                    self.release(number, &id);
                 }
             }
             Inbound::Successor(stream) => self.successor = Some(stream),
@@ -496,16 +499,22 @@
         }
         if let Some(number) = self.held.get(&taken.id) {
             // The client did not receive the answer and submits the message again.
+            self.counters.count_client(ClientEvent::Repeated);
             match self.new_messages.get_mut(number) {
                 Some(fresh) => fresh.answers.push(answer),
-                None => {
-                    // The log number of a message granted since the last iteration may not be on disk yet.
-                    self.store_index();
-                    drop(answer.send(self.accepted_answer(&taken)));
-                }
+                None => drop(answer.send(self.held_answer(*number, &taken))),
             }
             return;
         }
+        if let Some(finish) = self.journal.finished(&taken.id) {
+            tracing::debug!(id = taken.id, ?finish, "message submitted again after its end");
+            self.counters.count_client(ClientEvent::Repeated);
+            let _ = answer.send(match finish {
+                Finish::Accepted => self.accepted_answer(&taken),
+                Finish::Failed => Answer::Failed,
+            });
+            return;
+        }
         // Settings may have changed since the request head was read, here or in the previous process: the
         // current ones decide.
         let class = self.names.borrow().class(&taken.class);
@@ -530,6 +539,20 @@
         self.new_messages.insert(number, NewMessage { message: taken, answers: vec![answer] });
     }
 
+    /// The answer to a message that is in hand and submitted again.
+    fn held_answer(&mut self, number: u32, taken: &AcceptedMessage) -> Answer {
+        match self.journal.pending().get(&number).and_then(|live| live.given_up) {
+            Some(GivenUp::Undeliverable) => Answer::Failed,
+            // It may be accepted again once the platform has acknowledged its notice.
+            Some(GivenUp::Deferred(again)) => Answer::Refused(again),
+            None => {
+                // The log number of a message granted since the last iteration may not be on disk yet.
+                self.store_index();
+                self.accepted_answer(taken)
+            }
+        }
+    }
+
     fn attempt_ended(&mut self, end: AttemptEnd) -> Event {
         let number = end.message.0;
         let live = self.journal.pending().get(&number);
@@ -545,22 +568,24 @@
             } else if never_ran {
                 self.update_backups(number, Update::NeverRan(end.attempt));
             }
+            let delivered = end.outcome == Outcome::Delivered;
+            // The endpoint may know that the message is over, but not with which outcome.
+            let finish = if delivered { Finish::Accepted } else { Finish::Failed };
             if terminal {
-                // The endpoint knows that the message is over, but not with which outcome.
-                let delivered = end.outcome == Outcome::Delivered;
                 self.index_ended(number, if delivered { State::Delivered } else { State::Unknown });
             }
             self.pending_records.push(if terminal {
-                Record::Closed(number)
+                Record::Finished(number, finish)
             } else {
                 Record::AttemptEnded { message: number, attempt: end.attempt, never_ran }
             });
             let took_ms = end.took / 1000;
             tracing::debug!(id, attempt = end.attempt, outcome = ?end.outcome, took_ms, "attempt ended");
-            if end.outcome == Outcome::Delivered {
+            if delivered {
                 self.counters.count_ended(&class, MessageEnd::Answered);
             }
             if terminal {
+                self.journal.remember_finished(&id, finish);
                 self.release(number, &id);
             }
         }
--- a/src/net/driver/takeover.rs
+++ b/src/net/driver/takeover.rs
@@ -13,7 +13,9 @@
 
 use super::super::control::Reply;
 use super::super::errors::CallError;
-use super::super::journal::{self, AcceptedMessage, GivenUp, PendingMessage, Record, acceptance_records};
+use super::super::journal::{
+    self, AcceptedMessage, Finish, GivenUp, PendingMessage, Record, acceptance_records,
+};
 use super::super::parts::Part;
 use super::turn::PlannedCall;
 use super::{Driver, MessageEnd, RETRY_WHEN_FULL};
@@ -402,7 +404,8 @@
         let id = live.accepted.id.clone();
         tracing::debug!(id, lot = place.0.number, "message is owned by another sender now, or over");
         events.push(Event::Withdrawn(MessageId(number)));
-        self.pending_records.push(Record::Closed(number));
+        self.journal.remember_finished(&id, Finish::Accepted);
+        self.pending_records.push(Record::Finished(number, Finish::Accepted));
         self.release(number, &id);
     }
 
--- a/src/net/journal.rs
+++ b/src/net/journal.rs
@@ -1,6 +1,8 @@
 //! The journal: a file that survives the process and holds the messages that the sender has accepted. Records
 //! are appended once per turn, read back at startup, and compacted when the file has grown. Each record is
-//! framed by its length and checksum.
+//! framed by its length and checksum. The ids of messages that ended recently are kept, too.
+
+mod finished;
 
 use std::collections::BTreeMap;
 use std::fs::{self, File, OpenOptions};
@@ -8,6 +10,8 @@
 use std::path::{Path, PathBuf};
 
 use bytes::Bytes;
+use finished::FinishedIds;
+pub use finished::{Finish, FinishedList};
 use myrtleyard::interface::{Effect, Micros};
 use myrtleyard::takeover::ReplicaTag;
 pub use myrtleyard::takeover::groups::GivenUp;
@@ -52,8 +56,12 @@
     #[serde(rename = "Covered")]
     Replicated(u32, ReplicaTag, Micros),
     /// The effect of repeating the message by the settings in force when it was accepted. A record of its own
-    /// and the last variant, for the same reason as `Owner`.
+    /// and after the older ones, for the same reason as `Owner`.
     Effect(u32, Effect),
+    /// The message has ended without a notice, in this way, and nothing about it is outstanding.
+    Finished(u32, Finish),
+    /// The ids of messages that ended before the journal was compacted.
+    FinishedIds(FinishedList),
 }
 
 /// A message as it was submitted.
@@ -133,6 +141,13 @@
     reserved: u64,
     /// The file may end in a torn record that could not be truncated.
     torn: bool,
+    /// The ids of messages that ended recently.
+    finished: FinishedIds,
+}
+
+/// Space for the ids of finished messages in a journal of at most `limit` bytes: a twentieth.
+fn finished_bytes(limit: u64) -> u64 {
+    limit / 20
 }
 
 fn frame(record: &Record, into: &mut Vec<u8>) -> io::Result<()> {
@@ -183,8 +198,17 @@
             Err(e) => return Err(e),
         };
         let file = OpenOptions::new().create(true).append(true).open(&path)?;
-        let mut journal =
-            Self { path, file, length: 0, limit, pending: BTreeMap::new(), reserved: 0, torn: false };
+        let finished = FinishedIds::within(finished_bytes(limit));
+        let mut journal = Self {
+            path,
+            file,
+            length: 0,
+            limit,
+            pending: BTreeMap::new(),
+            reserved: 0,
+            torn: false,
+            finished,
+        };
         let mut at = 0;
         while let Some((record, size)) = text.get(at..).and_then(unframe) {
             journal.apply(record);
@@ -202,10 +226,22 @@
         &self.pending
     }
 
+    /// How the message with this id ended, if it was accepted and ended recently. A message that surely never
+    /// ran is not remembered: it may be accepted again.
+    pub fn finished(&self, id: &str) -> Option<Finish> {
+        self.finished.get(id)
+    }
+
+    /// Remembers the end of a message whose record is yet to be appended.
+    pub fn remember_finished(&mut self, id: &str, finish: Finish) {
+        self.finished.insert(id, finish);
+    }
+
     /// Whether there is space to store another message until it ends. During a compaction the old and the new
-    /// file exist side by side, so pending messages may use less than half of the limit.
+    /// file exist side by side, so pending messages and finished ids may use less than half of the limit.
     pub fn has_capacity(&self, accepted: &AcceptedMessage, unwritten: u64) -> bool {
-        self.reserved + unwritten + reserved_bytes(accepted) <= self.limit / 5 * 2
+        let space = self.limit / 5 * 2 - finished_bytes(self.limit);
+        self.reserved + unwritten + reserved_bytes(accepted) <= space
     }
 
     /// The space that the message would reserve, bytes; see [`Journal::has_capacity`].
@@ -266,11 +302,18 @@
                 }
             }
             Record::Closed(message) => {
-                if let Some(pending) = self.pending.remove(&message) {
-                    self.reserved -= reserved_bytes(&pending.accepted)
-                        + pending.replicated.map_or(0, |_| MAX_REPLICATED_RECORD);
+                if let Some(pending) = self.remove_pending(message)
+                    && pending.given_up == Some(GivenUp::Undeliverable)
+                {
+                    self.finished.insert(&pending.accepted.id, Finish::Failed);
+                }
+            }
+            Record::Finished(message, finish) => {
+                if let Some(pending) = self.remove_pending(message) {
+                    self.finished.insert(&pending.accepted.id, finish);
                 }
             }
+            Record::FinishedIds(ids) => self.finished.extend(ids),
             Record::Owner(message, owner) => {
                 if let Some(pending) = self.pending.get_mut(&message) {
                     self.reserved -= reserved_bytes(&pending.accepted);
@@ -293,9 +336,17 @@
         }
     }
 
+    fn remove_pending(&mut self, message: u32) -> Option<PendingMessage> {
+        let pending = self.pending.remove(&message)?;
+        self.reserved -= reserved_bytes(&pending.accepted);
+        self.reserved -= pending.replicated.as_ref().map_or(0, |_| MAX_REPLICATED_RECORD);
+        Some(pending)
+    }
+
     /// Writes the pending messages to a new file, which then replaces the old one.
     fn compact(&mut self) -> io::Result<()> {
         let mut bytes = Vec::new();
+        frame(&Record::FinishedIds(self.finished.list()), &mut bytes)?;
         for (message, pending) in &self.pending {
             for record in acceptance_records(*message, &pending.accepted) {
                 frame(&record, &mut bytes)?;
--- a/src/net/journal/tests.rs
+++ b/src/net/journal/tests.rs
@@ -111,3 +111,42 @@
     assert_eq!(again.pending().keys().copied().collect::<Vec<_>>(), live);
     Ok(())
 }
+
+/// A message that ended must be known by its id after a restart and after compactions; the number of ids is
+/// bounded, and with it the file.
+#[test]
+fn finished_ids_survive_restart_and_compaction_within_the_limit() -> io::Result<()> {
+    let folder = tempfile::tempdir()?;
+    let limit = 100_000;
+    let mut journal = Journal::open(folder.path(), limit)?;
+    let message = |id: String| AcceptedMessage { id, ..taken(3) };
+    let end = |number: u32| match number % 4 {
+        0 => vec![Record::Finished(number, Finish::Accepted)],
+        1 => vec![Record::Finished(number, Finish::Failed)],
+        2 => vec![Record::GivenUp(number, GivenUp::Undeliverable), Record::Closed(number)],
+        _ => vec![Record::GivenUp(number, GivenUp::Deferred(0)), Record::Closed(number)],
+    };
+    let expected = |number: u32| match number % 4 {
+        0 => Some(Finish::Accepted),
+        1 | 2 => Some(Finish::Failed),
+        _ => None,
+    };
+    let count = 4_000;
+    for number in 0..count {
+        journal.append(&acceptance_records(number, &message(format!("id {number}"))).collect::<Vec<_>>())?;
+        journal.append(&end(number))?;
+        assert!(folder_size(folder.path())? <= limit);
+    }
+    let remembered = u32::try_from(finished_bytes(limit) / 17).expect("a small number");
+    for journal in [journal, Journal::open(folder.path(), limit)?] {
+        for number in count - remembered..count {
+            assert_eq!(journal.finished(&format!("id {number}")), expected(number), "{number}");
+        }
+        assert_eq!(journal.finished("id 0"), None, "the oldest are dropped");
+    }
+    Ok(())
+}
+
+fn folder_size(folder: &Path) -> io::Result<u64> {
+    fs::read_dir(folder)?.map(|entry| Ok(entry?.metadata()?.len())).sum()
+}
--- a/tests/node/main.rs
+++ b/tests/node/main.rs
@@ -451,7 +451,8 @@
         without_gauges_of_the_process(counters()),
         json!({"answered": none, "deferred": none, "errored": none, "sends": 0, "current": 0,
                "cluster_size": 2, "cluster_unhealthy": 0, "resident": 2, "forgotten": 0,
-               "clients": {"connected": null, "invalid": 0, "late": 0, "no_memory": 0, "departed": 0},
+               "clients": {"connected": null, "invalid": 0, "late": 0, "no_memory": 0, "departed": 0,
+                           "repeated": 0},
                "memory": {"limit": 192_000_000, "resident": null},
                "conf_loaded": 0, "conf_invalid": 0})
     );
@@ -477,7 +478,8 @@
         json!({"answered": {"note": 1, "order": 0}, "deferred": {"note": 0, "order": 1},
                "errored": {"note": 0, "order": 1}, "sends": 2, "current": 0, "cluster_size": 1,
                "cluster_unhealthy": 0, "resident": 1, "forgotten": 0,
-               "clients": {"connected": null, "invalid": 1, "late": 0, "no_memory": 0, "departed": 0},
+               "clients": {"connected": null, "invalid": 1, "late": 0, "no_memory": 0, "departed": 0,
+                           "repeated": 0},
                "memory": {"limit": 192_000_000, "resident": null},
                "conf_loaded": 1, "conf_invalid": 1})
     );
