Keep figures of the settings from ending the process

What callers saw: the process ended ("attempt to subtract with overflow") at the first message that had to be shed, where a class had a deadline shorter than its aim; and with a figure of 1e20 us anywhere among ten of the settings, at the first message that used it.

Cause: figures were converted to u64 up to its maximum and then added to Unix times, and an aim beyond the deadline was subtracted from it. Release builds check overflows.

Change: spans of the settings are at most 30 years, an aim beyond its deadline means the deadline, and the span between the two in Policy::worth_at does not underflow with state handed over by an older process.

Measured: both tests of tests/node/survival.rs failed before ("an answer arrives": the connection closed) and pass.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -1093,7 +1093,7 @@
     fn worth_at(&self, held: &Held, at: Micros) -> f64 {
         let class = &self.settings.classes[held.message.class];
         let late = at.saturating_sub(held.aim) as f64;
-        let span = (held.deadline - held.aim).max(1) as f64;
+        let span = held.deadline.saturating_sub(held.aim).max(1) as f64;
         let factor = match self.settings.decay {
             _ if at >= held.deadline => 0.0,
             Decay::Exponential => 0.5f64.powf(late / class.aim.max(1) as f64).max(class.late_worth),
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -481,9 +481,13 @@
     1.0
 }
 
-/// Converts to whole microseconds; a negative value or NaN becomes 0.
+/// Longest span of time that the settings may name, microseconds: some 30 years. Added to a Unix time it does
+/// not overflow.
+const MAX_SPAN: Micros = 1_000_000_000_000_000;
+
+/// Converts to whole microseconds, [`MAX_SPAN`] at most; a negative value or NaN becomes 0.
 fn micros(figure: f64) -> Micros {
-    figure as Micros
+    (figure as Micros).min(MAX_SPAN)
 }
 
 /// Reads the settings from their JSON. Unknown keys are ignored.
@@ -568,10 +572,12 @@
         },
         other => return error(format!("settings: unknown effect {other:?}")),
     };
+    let deadline = micros(raw.hard_limit_us);
     Ok(Class {
         effect,
-        aim: micros(raw.on_time_us),
-        deadline: micros(raw.hard_limit_us),
+        // A message is worth nothing after its deadline, so an aim beyond it means the deadline.
+        aim: micros(raw.on_time_us).min(deadline),
+        deadline,
         worth: raw.importance,
         late_worth: raw.late_worth.unwrap_or(0.0),
         in_order: raw.in_order.unwrap_or(false),
--- a/tests/node/main.rs
+++ b/tests/node/main.rs
@@ -16,6 +16,7 @@
 mod plans;
 mod residing;
 mod status;
+mod survival;
 mod world;
 
 use std::collections::BTreeSet;
