Keep a status query with an empty time range from ending the process

What callers saw: POST /control/status/query with from equal to to, or beyond it, between two messages of one summary, ended the sender that had accepted them ("attempt to subtract with overflow").

Cause: the cost is predicted before the query is checked, and Summary::part took the start of the range from its end.

Change: a summary has no part in an empty range.

Measured: the test failed before (the connection closed without an answer) and passes; tests/estimate passes.

--- a/src/estimate/summary.rs
+++ b/src/estimate/summary.rs
@@ -272,7 +272,8 @@
     /// they may still change, in this log or another.
     pub fn part(&self, query: &Query) -> Option<Part> {
         let from = query.after.as_ref().map_or(query.from, |after| query.from.max(after.0));
-        if self.times.0 >= query.to || self.times.1 < from {
+        let is_empty = from >= query.to;
+        if is_empty || self.times.0 >= query.to || self.times.1 < from {
             return None;
         }
         let all = (self.times.1 - self.times.0).saturating_add(1) as f64;
--- a/tests/node/survival.rs
+++ b/tests/node/survival.rs
@@ -4,6 +4,9 @@
 
 use super::world::*;
 
+/// How often a sender summarizes its part of the status index.
+const SUMMARY_PERIOD: std::time::Duration = std::time::Duration::from_secs(2);
+
 /// Hands in more messages than may be held, some of which are called and fail, and looks whether the process
 /// still serves.
 fn serves_on_with(change: impl FnOnce(&mut Value), within_ms: u32) {
@@ -58,3 +61,31 @@
         serves_on_with(|config| *config.pointer_mut(pointer).unwrap() = huge.clone(), u32::MAX);
     }
 }
+
+/// Guards against an overflow that ends the process where a query's time range is empty.
+#[test]
+fn a_status_query_with_an_empty_range_does_not_end_the_process() {
+    let platform = Platform::new();
+    let nodes = super::status::tier_with(&platform, &[], |_| {});
+    let submit = |id: &str| {
+        let text = String::from_utf8(submission(id, "order", 9, 20_000)).unwrap();
+        let text = text.replace("Req-Kind", "Req-Owner: water\r\nReq-Kind");
+        assert_eq!(nodes[0].request(text.as_bytes()).status(), 202);
+    };
+    submit("before");
+    std::thread::sleep(std::time::Duration::from_millis(20));
+    let now = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH).unwrap();
+    let between = u64::try_from(now.as_micros()).unwrap();
+    std::thread::sleep(std::time::Duration::from_millis(20));
+    submit("after");
+    // The sender summarizes its part of the index now and then.
+    std::thread::sleep(SUMMARY_PERIOD + SUMMARY_PERIOD / 2);
+    for (from, to) in [(between, between), (between, between - 1), (between, 0), (u64::MAX, u64::MAX)] {
+        let query = json!({"tenant": "water", "from": from, "to": to}).to_string();
+        let answer = nodes[0].post("/control/status/query?estimate=1", &query);
+        assert!([200, 400].contains(&answer.status()), "{}", answer.first_line);
+        let rows = answer.json()["rows"].as_array().map_or(0, Vec::len);
+        assert_eq!(rows, 0, "{from} to {to}");
+    }
+    assert_eq!(nodes[0].call("GET", "/control/ready").status(), 200);
+}
