Reproduce failures of a sender whose system calls fail

Cause: not mended here.

Change: a small library, built by the tests and loaded into a real sender, has calls fail by the error numbers that Linux documents.

--- a/tests/node/main.rs
+++ b/tests/node/main.rs
@@ -8,6 +8,7 @@
 mod draining;
 mod entering;
 mod estimating;
+mod faults;
 mod flood;
 mod handover;
 mod late;
--- a/tests/node/world.rs
+++ b/tests/node/world.rs
@@ -285,6 +285,8 @@
     folder: Arc<tempfile::TempDir>,
     /// Its log since it was ready.
     log: Arc<Mutex<String>>,
+    /// Environment variables of its later processes.
+    environment: Vec<(&'static str, std::path::PathBuf)>,
 }
 
 pub fn command(folder: &std::path::Path) -> Command {
@@ -311,6 +313,21 @@
         Self::spawn(folder, command)
     }
 
+    /// Starts a sender with these environment variables, which its later processes have, too.
+    pub fn start_with_environment(
+        platform: &Platform,
+        endpoints: &[Value],
+        environment: &[(&'static str, std::path::PathBuf)],
+        change: impl FnOnce(&mut Value),
+    ) -> Self {
+        let folder = Self::configure(platform, endpoints, change);
+        let mut command = command(folder.path());
+        command.envs(environment.iter().cloned());
+        let mut node = Self::spawn(folder, command);
+        node.environment = environment.to_vec();
+        node
+    }
+
     /// Starts a sender whose files can't grow beyond one block, so that writes to the journal fail.
     pub fn start_short_of_disk(platform: &Platform, endpoints: &[Value]) -> Self {
         let folder = Self::configure(platform, endpoints, |_| {});
@@ -408,20 +425,24 @@
             }
         });
         let mgmt = line.split("operators call at ").nth(1).map(|at| at.trim().parse().unwrap());
-        Self { child, address, mgmt, listener: None, folder, log: log_text }
+        let environment = Vec::new();
+        Self { child, address, mgmt, listener: None, folder, log: log_text, environment }
     }
 
     /// SIGKILL, then a new process on the same folder.
-    pub fn kill_and_restart(mut self) -> Self {
-        self.kill();
-        Self::spawn(self.folder.clone(), command(self.folder.path()))
+    pub fn kill_and_restart(self) -> Self {
+        self.kill_and_restart_after(|_| {})
     }
 
     /// SIGKILL, then a new process; `change` alters the state folder in between.
     pub fn kill_and_restart_after(mut self, change: impl FnOnce(&std::path::Path)) -> Self {
         self.kill();
         change(&self.state_folder());
-        Self::spawn(self.folder.clone(), command(self.folder.path()))
+        let mut command = command(self.folder.path());
+        command.envs(self.environment.iter().cloned());
+        let mut node = Self::spawn(self.folder.clone(), command);
+        node.environment = std::mem::take(&mut self.environment);
+        node
     }
 
     /// The state folder.
