Go on after interrupted calls and short transfers

What callers saw: with system calls that fail as Linux documents, a client's connection was closed with no answer at EINTR; and with transfers cut to 3 bytes a call to an endpoint stood still.

Cause: an interrupted read or write was passed to hyper as an error of the connection. The runtime's streams take a transfer that is shorter than asked for as the end of what the socket has, and wait for an event that does not come.

Change: src/net/socket.rs reads and writes by readiness alone, for clients, operators and endpoints: an interrupted call is made again, and only EWOULDBLOCK means that there is no more. The socket for datagrams rests for 10 ms after an error that is no refused connection, where it span.

Not covered: the Unix socket of a handover.

--- a/src/net/calls.rs
+++ b/src/net/calls.rs
@@ -30,7 +30,7 @@
 use tokio::time::{Instant, timeout, timeout_at};
 
 use super::counters::Counters;
-use super::{AttemptEnd, BODY_LIMIT, Inbound};
+use super::{AttemptEnd, BODY_LIMIT, Inbound, socket};
 
 /// Size of a connection's read buffer, which also bounds the head of a response. Bytes.
 const CALL_BUFFER: usize = 8 * 1024;
@@ -107,7 +107,13 @@
         // The duplicate shares the non-blocking socket. Without a free descriptor, the runtime's knowledge
         // has to do.
         let socket = std::net::TcpStream::from(self.stream.as_fd().try_clone_to_owned().ok()?);
-        match socket.peek(&mut [0]) {
+        let peeked = loop {
+            match socket.peek(&mut [0]) {
+                Err(why) if why.kind() == io::ErrorKind::Interrupted => {}
+                peeked => break peeked,
+            }
+        };
+        match peeked {
             Ok(0) => Some(Ok(())),
             Ok(_) => Some(Err(io::Error::other("unexpected bytes on an idle connection"))),
             Err(why) if why.kind() == io::ErrorKind::WouldBlock => None,
@@ -117,14 +123,14 @@
 }
 
 impl AsyncRead for CountedStream {
-    fn poll_read(mut self: Pin<&mut Self>, cx: &mut Context, buf: &mut ReadBuf) -> Poll<io::Result<()>> {
+    fn poll_read(self: Pin<&mut Self>, cx: &mut Context, buf: &mut ReadBuf) -> Poll<io::Result<()>> {
         if self.traffic.check_idle.take()
             && let Some(end) = self.peek_idle()
         {
             return Poll::Ready(end);
         }
         let before = buf.filled().len();
-        let poll = Pin::new(&mut self.stream).poll_read(cx, buf);
+        let poll = socket::poll_read(&self.stream, cx, buf);
         let mut answer = self.traffic.answer.borrow_mut();
         let wanted = STATUS_LINE_BYTES - answer.len();
         answer.extend(buf.filled()[before..].iter().take(wanted));
@@ -133,14 +139,14 @@
 }
 
 impl AsyncWrite for CountedStream {
-    fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context, buf: &[u8]) -> Poll<io::Result<usize>> {
+    fn poll_write(self: Pin<&mut Self>, cx: &mut Context, buf: &[u8]) -> Poll<io::Result<usize>> {
         let state = self.traffic.state.borrow().upgrade();
         if state.as_ref().is_some_and(|state| state.stale()) {
             return Poll::Ready(Err(io::Error::other(
                 "a message in the request was given up or is too late",
             )));
         }
-        let poll = Pin::new(&mut self.stream).poll_write(cx, buf);
+        let poll = socket::poll_write(&self.stream, cx, buf);
         if let Poll::Ready(Ok(n)) = &poll {
             let written = &self.traffic.written;
             written.set(written.get() + *n as u64);
--- a/src/net/intake.rs
+++ b/src/net/intake.rs
@@ -31,8 +31,7 @@
 use super::names::Names;
 use super::{BODY_LIMIT, Clock, Inbound, STOP_WITHIN, ServiceState};
 use head::{HeadError, SubmissionHead};
-pub use stream::ClientPresence;
-use stream::ClientStream;
+pub use stream::{ClientPresence, ClientStream};
 
 /// A connection that brings no complete request head within this time is closed, so that idle peers do not
 /// use up the connection limit. The platform drops idle connections after 2 s, and requires an answer or a
--- a/src/net/intake/stream.rs
+++ b/src/net/intake/stream.rs
@@ -13,6 +13,8 @@
 use tokio::net::TcpStream;
 use tokio::time::{Sleep, sleep};
 
+use super::super::socket;
+
 /// A connection whose client leaves its answers unread for this long is closed. No client waits longer than
 /// 400 ms for its answer.
 const WRITE_TIMEOUT: Duration = Duration::from_secs(1);
@@ -54,34 +56,17 @@
     pub fn presence(&self) -> ClientPresence {
         ClientPresence(Rc::downgrade(&self.socket))
     }
-
-    fn try_write(&self, cx: &mut Context, bytes: &[u8]) -> Poll<io::Result<usize>> {
-        loop {
-            ready!(self.socket.poll_write_ready(cx))?;
-            match self.socket.try_write(bytes) {
-                Err(why) if why.kind() == io::ErrorKind::WouldBlock => {}
-                written => return Poll::Ready(written),
-            }
-        }
-    }
 }
 
 impl AsyncRead for ClientStream {
     fn poll_read(self: Pin<&mut Self>, cx: &mut Context, buf: &mut ReadBuf) -> Poll<io::Result<()>> {
-        loop {
-            ready!(self.socket.poll_read_ready(cx))?;
-            match self.socket.try_read_buf(buf) {
-                Ok(_) => return Poll::Ready(Ok(())),
-                Err(why) if why.kind() == io::ErrorKind::WouldBlock => {}
-                Err(why) => return Poll::Ready(Err(why)),
-            }
-        }
+        socket::poll_read(&self.socket, cx, buf)
     }
 }
 
 impl AsyncWrite for ClientStream {
     fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context, bytes: &[u8]) -> Poll<io::Result<usize>> {
-        if let Poll::Ready(written) = self.try_write(cx, bytes) {
+        if let Poll::Ready(written) = socket::poll_write(&self.socket, cx, bytes) {
             self.write_timeout = None;
             return Poll::Ready(written);
         }
--- a/src/net/mgmt.rs
+++ b/src/net/mgmt.rs
@@ -30,7 +30,7 @@
 use super::control::{ControlRequest, Reply, StatusCall};
 use super::counters::Counters;
 use super::errors::CallError;
-use super::intake::{SESSION_TOKEN, closing, linger, plain, readiness};
+use super::intake::{ClientStream, SESSION_TOKEN, closing, linger, plain, readiness};
 use super::{Inbound, ServiceState};
 
 /// Maximum number of connections at a time.
@@ -94,8 +94,8 @@
         }
     }
 
-    async fn serve(&self, mut stream: TcpStream) {
-        let _ = stream.set_nodelay(true);
+    async fn serve(&self, stream: TcpStream) {
+        let mut stream = ClientStream::new(stream);
         let begun = Instant::now();
         let service = service_fn(|request| self.answer(request, begun));
         // An aborted call needs no handling here; it is up to the caller.
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -19,6 +19,7 @@
 pub mod parts;
 pub mod peers;
 pub mod platform;
+pub mod socket;
 pub mod state_file;
 pub mod working_set;
 
--- a/src/net/peers.rs
+++ b/src/net/peers.rs
@@ -4,6 +4,7 @@
 use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::time::Duration;
 
 use tokio::net::UdpSocket;
 use tokio::sync::mpsc::UnboundedSender;
@@ -15,6 +16,9 @@
 /// Maximum size of a datagram; longer ones are neither sent nor received. Bytes.
 const MAX_DATAGRAM: usize = 256;
 
+/// Pause after an error of the socket.
+const RETRY_PAUSE: Duration = Duration::from_millis(10);
+
 /// The socket for datagrams to and from the other senders.
 pub struct Peers {
     socket: Rc<UdpSocket>,
@@ -38,10 +42,18 @@
         let receiving = tokio::task::spawn_local(async move {
             let mut datagram = [0; MAX_DATAGRAM + 1];
             loop {
-                // An error here reports an earlier datagram that could not be delivered.
-                let Ok((size, from)) = from_peers.recv_from(&mut datagram).await else {
-                    tokio::task::yield_now().await;
-                    continue;
+                let (size, from) = match from_peers.recv_from(&mut datagram).await {
+                    Ok(received) => received,
+                    // It reports an earlier datagram that could not be delivered.
+                    Err(why) if why.kind() == io::ErrorKind::ConnectionRefused => {
+                        tokio::task::yield_now().await;
+                        continue;
+                    }
+                    // Out of buffers, for example. The pause keeps the loop from spinning.
+                    Err(_) => {
+                        tokio::time::sleep(RETRY_PAUSE).await;
+                        continue;
+                    }
                 };
                 let rank = addresses.borrow().iter().position(|peer| *peer == from);
                 let Some(rank) = rank.and_then(|rank| u16::try_from(rank).ok()) else {
