Bound the aim of a message, not the figure of its class

Change: settings are read as given, and the aim of each message is bounded by its own deadline in the decision module.

Measured: unit tests 69 passed, the three tests of tests/node/survival.rs pass.

--- a/src/policy.rs
+++ b/src/policy.rs
@@ -211,6 +211,11 @@
     (rate * decay + event * 1e6 / span, now)
 }
 
+/// When a message with this deadline should be delivered; a class's aim may lie beyond its deadline.
+fn aim_of(class: &Class, deadline: Micros) -> Micros {
+    (deadline + class.aim).saturating_sub(class.deadline).min(deadline)
+}
+
 /// Load that a message adds to a cold destination, depending on whether it joins a call or starts one.
 fn message_load(joins: bool) -> f64 {
     if joins { BATCHED_MESSAGE_LOAD } else { 1.0 }
@@ -824,7 +829,7 @@
         let held = Held {
             message: message.clone(),
             deadline,
-            aim: (deadline + class.aim).saturating_sub(class.deadline),
+            aim: aim_of(class, deadline),
             attempts: 0,
             outstanding: 0,
             may_have_run: Vec::new(),
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -572,12 +572,10 @@
         },
         other => return error(format!("settings: unknown effect {other:?}")),
     };
-    let deadline = micros(raw.hard_limit_us);
     Ok(Class {
         effect,
-        // A message is worth nothing after its deadline, so an aim beyond it means the deadline.
-        aim: micros(raw.on_time_us).min(deadline),
-        deadline,
+        aim: micros(raw.on_time_us),
+        deadline: micros(raw.hard_limit_us),
         worth: raw.importance,
         late_worth: raw.late_worth.unwrap_or(0.0),
         in_order: raw.in_order.unwrap_or(false),
