Keep what was accepted while the state folder can't be written

What callers saw, with EIO or ENOSPC from the folder for 1.5 to 3 s: a message whose time was over got no notice; other messages used up their attempts and were not called when the folder was back; a start with a torn record ended the process.

Cause: a failed write left the module to plan the same calls in each turn, and each was reported back as an attempt; each of these also became a record to be written later, so that memory grew for as long as it lasted. An end was told only after its record was written.

A message whose time is up is ended by its notice without a record: a next process could only tell it again. A torn record that can't be truncated is left out by the first compaction; a start waits up to 25 s for a folder without space or with EIO.

--- a/src/interface.rs
+++ b/src/interface.rs
@@ -335,6 +335,8 @@
 pub enum Event {
     /// A message was submitted.
     Accepted(Message),
+    /// The journal cannot be written (`true`), or can be written again: no attempt may begin without its record.
+    StorageFailing(bool),
     /// A message that an earlier process of this sender accepted is taken up again.
     Resumed {
         /// The message, with its remaining time.
--- a/src/net/driver.rs
+++ b/src/net/driver.rs
@@ -123,6 +123,8 @@
     pending_records: Vec<Record>,
     /// Notices whose records are not in the journal yet.
     pending_notices: Vec<(u32, GivenUp, String)>,
+    /// The last write of the journal failed.
+    storage_failing: bool,
     /// The process that this one took over from, while it still runs.
     predecessor: Option<UnboundedSender<SuccessorCommand>>,
     /// A new process that asks to take over from this one.
@@ -413,8 +415,8 @@
             Inbound::NoticesAcknowledged(messages) => {
                 for MessageId(number) in messages {
                     let Some(live) = self.journal.pending().get(&number) else { continue };
-                    let (id, given_up) = (live.accepted.id.clone(), live.given_up);
-                    if given_up == Some(GivenUp::Undeliverable) {
+                    let id = live.accepted.id.clone();
+                    if self.given_up(number) == Some(GivenUp::Undeliverable) {
                         self.journal.remember_finished(&id, Finish::Failed);
                     }
                     self.update_backups(number, Update::Over);
@@ -539,9 +541,21 @@
         self.new_messages.insert(number, NewMessage { message: taken, answers: vec![answer] });
     }
 
+    /// How the message was given up, whether or not its record is in the journal yet.
+    fn given_up(&self, number: u32) -> Option<GivenUp> {
+        let recorded = self.journal.pending().get(&number).and_then(|live| live.given_up);
+        let unwritten = || {
+            self.pending_records.iter().find_map(|record| match record {
+                Record::GivenUp(message, how) if *message == number => Some(*how),
+                _ => None,
+            })
+        };
+        recorded.or_else(unwritten)
+    }
+
     /// The answer to a message that is in hand and submitted again.
     fn held_answer(&mut self, number: u32, taken: &AcceptedMessage) -> Answer {
-        match self.journal.pending().get(&number).and_then(|live| live.given_up) {
+        match self.given_up(number) {
             Some(GivenUp::Undeliverable) => Answer::Failed,
             // It may be accepted again once the platform has acknowledged its notice.
             Some(GivenUp::Deferred(again)) => Answer::Refused(again),
--- a/src/net/driver/service.rs
+++ b/src/net/driver/service.rs
@@ -4,7 +4,7 @@
 use std::cell::RefCell;
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::net::SocketAddr;
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -24,7 +24,7 @@
 use super::super::errors::StartError;
 use super::super::handover::{self, FolderLock, Predecessor, PreparedHandover};
 use super::super::intake::Intake;
-use super::super::journal::Journal;
+use super::super::journal::{self, Journal};
 use super::super::listing::list_version;
 use super::super::memory::{BufferBudget, MemoryShares};
 use super::super::mgmt::{self, Mgmt};
@@ -38,6 +38,9 @@
 
 /// Pause after a failed takeover before the next one may ask, since sending the state is costly.
 const OFFER_RETRY_PAUSE: Duration = Duration::from_millis(500);
+/// How long a start waits for a folder that cannot be written, and the pause between two tries.
+const JOURNAL_OPEN_TIMEOUT: Duration = Duration::from_secs(25);
+const JOURNAL_OPEN_PAUSE: Duration = Duration::from_millis(50);
 /// File descriptors that are used for neither clients nor endpoints.
 const RESERVED_DESCRIPTORS: usize = 32;
 /// Interval of checks while the process is stopping or a journal write has failed, microseconds.
@@ -163,6 +166,21 @@
     Ok((Rc::new(listener), bound))
 }
 
+/// Opens the journal. A folder that cannot be written for a while delays the start.
+async fn open_journal(folder: &Path, limit: u64) -> Result<Journal, StartError> {
+    let begun = Instant::now();
+    loop {
+        match Journal::open(folder, limit) {
+            Ok(journal) => return Ok(journal),
+            Err(why) if journal::may_pass(&why) && begun.elapsed() < JOURNAL_OPEN_TIMEOUT => {
+                tracing::warn!("the journal can't be opened, trying again: {why}");
+                tokio::time::sleep(JOURNAL_OPEN_PAUSE).await;
+            }
+            Err(why) => return Err(StartError::Journal { folder: folder.to_owned(), why }),
+        }
+    }
+}
+
 /// Waits for the next process to ask for the state folder, once `first` has ended.
 async fn await_successor(folder: PathBuf, inbound: UnboundedSender<Inbound>, first: Option<JoinHandle<()>>) {
     if let Some(first) = first {
@@ -187,8 +205,7 @@
     ) -> Result<(Self, List), StartError> {
         let Channels { inbound, notices, service_state, state_watch, counters } = channels;
         let disk = config.disk - Parts::room(&config);
-        let failed = |why| StartError::Journal { folder: config.state.clone(), why };
-        let journal = Journal::open(&config.state, disk).map_err(failed)?;
+        let journal = open_journal(&config.state, disk).await?;
         let memory = MemoryShares::of(config.memory);
         let bodies = BufferBudget::new(memory.request_bodies);
         let peers = Peers::open(&config, inbound.clone()).await.map_err(StartError::Peers)?;
@@ -237,6 +254,7 @@
             new_messages: BTreeMap::new(),
             pending_records: Vec::new(),
             pending_notices: Vec::new(),
+            storage_failing: false,
             predecessor: None,
             successor: None,
             policy: Policy::new(config.settings.clone(), config.seed, clock.now()),
@@ -272,7 +290,7 @@
     fn due(&self) -> Micros {
         let now = self.clock.now();
         let timer = self.timers.first().map_or(Micros::MAX / 2, |timer| timer.0);
-        let watchful = self.stop_at.is_some() || !self.pending_records.is_empty();
+        let watchful = self.stop_at.is_some() || self.storage_failing || !self.pending_records.is_empty();
         let due = if watchful { timer.min(now + CHECK_INTERVAL) } else { timer };
         let due = due.min(self.parts.due().unwrap_or(due)).min(self.replicated.due().unwrap_or(due));
         due.min(self.working_set.due().unwrap_or(due)).min(now + MAX_IDLE)
@@ -374,7 +392,8 @@
             driver.handle_inbound(inbound, &mut events);
         }
         driver.collect_due(&mut events);
-        if !events.is_empty() || !driver.pending_records.is_empty() || !driver.pending_notices.is_empty() {
+        let unwritten = !driver.pending_records.is_empty() || !driver.pending_notices.is_empty();
+        if !events.is_empty() || unwritten || driver.storage_failing {
             driver.turn(events);
         }
         driver.evict_idle();
--- a/src/net/driver/turn.rs
+++ b/src/net/driver/turn.rs
@@ -9,11 +9,16 @@
 use super::super::counters::{Gauges, MessageEnd};
 use super::super::handover::SuccessorCommand;
 use super::super::intake::Answer;
-use super::super::journal::{AcceptedMessage, Attempt, GivenUp, PendingMessage, Record, acceptance_records};
+use super::super::journal::{
+    self, AcceptedMessage, Attempt, GivenUp, PendingMessage, Record, acceptance_records,
+};
 use super::super::parts::status::final_state;
 use super::super::{AttemptEnd, Inbound};
 use super::{Driver, NewMessage, RETRY_WHEN_FULL};
 
+/// The module gives a message up at most so many periods before its deadline.
+const OVERDUE_PERIODS: Micros = 2;
+
 /// A call that the decision module asks for, with one message.
 #[derive(Debug, Clone, Copy)]
 pub(super) struct PlannedCall {
@@ -35,7 +40,10 @@
 impl Driver {
     /// Runs one iteration: the module decides, the journal is written, then clients are answered and calls
     /// started.
-    pub(super) fn turn(&mut self, events: Vec<Event>) {
+    pub(super) fn turn(&mut self, mut events: Vec<Event>) {
+        if self.storage_failing {
+            events.extend(self.retry_storage());
+        }
         let now = self.clock.now();
         let mut actions = Vec::new();
         self.policy.handle(now, &events, &mut actions);
@@ -207,6 +215,10 @@
         calls: &[PlannedCall],
     ) {
         self.pending_records = records;
+        if !std::mem::replace(&mut self.storage_failing, true) {
+            let _ = self.inbound.send(Inbound::Event(Event::StorageFailing(true)));
+        }
+        self.send_overdue_notices();
         calls.iter().for_each(|call| self.report_not_made(*call));
         for (number, fresh) in fresh {
             self.release(number, &fresh.message.id);
@@ -216,6 +228,39 @@
         }
     }
 
+    /// Writes what an earlier turn could not write. Returns the event that writing works again.
+    fn retry_storage(&mut self) -> Option<Event> {
+        let mut records = std::mem::take(&mut self.pending_records);
+        let count = records.len();
+        if count == 0 {
+            records.push(journal::probe_record());
+        }
+        let failed = self.journal.append(&records).is_err();
+        if failed {
+            records.truncate(count);
+            self.pending_records = records;
+            return None;
+        }
+        tracing::info!(records = count, "the journal can be written again");
+        self.storage_failing = false;
+        Some(Event::StorageFailing(false))
+    }
+
+    /// Notifies the platform of messages whose time is up, although their ends are not in the journal: a next
+    /// process could only notify it again. All other notices wait, since a next process might call for these
+    /// messages.
+    fn send_overdue_notices(&mut self) {
+        let soon = self.clock.now() + OVERDUE_PERIODS * self.settings.period;
+        let pending = self.journal.pending();
+        let is_overdue = |notice: &mut (u32, GivenUp, String)| {
+            pending.get(&notice.0).is_some_and(|live| live.accepted.deadline <= soon)
+        };
+        let overdue: Vec<_> = self.pending_notices.extract_if(.., is_overdue).collect();
+        for (number, how, id) in overdue {
+            self.notify_when_granted(number, how, id);
+        }
+    }
+
     /// Ends calls that wait for a connection to an endpoint that is leaving or gone, so that their messages
     /// go elsewhere at once.
     fn withdraw_calls(&self, events: &[Event]) {
--- a/src/net/journal.rs
+++ b/src/net/journal.rs
@@ -150,6 +150,18 @@
     limit / 20
 }
 
+/// Whether an error of the folder may pass by itself: no space, or a device that fails.
+pub fn may_pass(why: &io::Error) -> bool {
+    const EIO: i32 = 5;
+    let kinds = [io::ErrorKind::StorageFull, io::ErrorKind::QuotaExceeded, io::ErrorKind::Interrupted];
+    kinds.contains(&why.kind()) || why.raw_os_error() == Some(EIO)
+}
+
+/// A record that changes nothing, to find out whether the journal can be written.
+pub fn probe_record() -> Record {
+    Record::FinishedIds(FinishedList::default())
+}
+
 fn frame(record: &Record, into: &mut Vec<u8>) -> io::Result<()> {
     let bytes = postcard::to_allocvec(record).map_err(io::Error::other)?;
     into.extend((bytes.len() as u32).to_le_bytes());
@@ -215,8 +227,10 @@
             at += size;
         }
         // A killed process may have left a torn record at the end. New records must not follow it: they could
-        // not be read back.
-        journal.file.set_len(at as u64)?;
+        // not be read back. If it can't be truncated now, the first append writes a new file.
+        if at < text.len() {
+            journal.torn = journal.file.set_len(at as u64).is_err();
+        }
         journal.length = at as u64;
         Ok(journal)
     }
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -589,6 +589,9 @@
     /// When this process will end, once that is known.
     #[serde(rename = "stop_at")]
     process_ends_at: Option<Micros>,
+    /// Attempts cannot be recorded, so none may begin.
+    #[serde(skip)]
+    storage_failing: bool,
     /// While out of service: when all held messages must have ended, if a time was given.
     #[serde(default, rename = "drain_by")]
     drain_deadline: Option<Micros>,
@@ -670,6 +673,7 @@
                 Event::Settings(settings) => self.apply_settings(settings),
                 // Held messages continue, and messages that still come on open connections are accepted:
                 // another sender would only get them later. They end by the drain's deadline, if it has one.
+                Event::StorageFailing(failing) => self.storage_failing = *failing,
                 Event::Service { wanted, until } => self.drain_deadline = until.filter(|_| !wanted),
                 Event::Note { content, .. } => self.apply_note(content),
                 Event::ReturnedCold { destination, ago, part } => self.mark_cold(*destination, *ago, *part),
@@ -691,7 +695,9 @@
         }
         self.answer_undeliverable(actions);
         self.shed_load(actions);
-        self.dispatch(actions);
+        if !self.storage_failing {
+            self.dispatch(actions);
+        }
         self.close_idle(events, actions);
         self.set_timer(actions);
         let notes = std::mem::take(&mut self.pending_notes);
