--- a/tests/node/main.rs
+++ b/tests/node/main.rs
@@ -8,6 +8,7 @@
 mod draining;
 mod entering;
 mod estimating;
+mod extra;
 mod faults;
 mod flood;
 mod handover;
