Count deadlines and windows as real time through restarts

What callers saw: with the wall clock stepped by an hour between two processes, messages were given up at the start (forward), or held for an hour beyond their time, and a keyed message was repeated after its window (back).

Change: the clock is a module of its own.

Not covered: since_ms of endpoints in the section start, and replicas at other senders, go by the clocks of several machines.

--- a/src/net/driver/service.rs
+++ b/src/net/driver/service.rs
@@ -24,7 +24,7 @@
 use super::super::errors::StartError;
 use super::super::handover::{self, FolderLock, Predecessor, PreparedHandover};
 use super::super::intake::Intake;
-use super::super::journal::{self, Journal};
+use super::super::journal::{self, Journal, Record};
 use super::super::listing::list_version;
 use super::super::memory::{BufferBudget, MemoryShares};
 use super::super::mgmt::{self, Mgmt};
@@ -79,13 +79,15 @@
     let (claim, predecessor) = claim(&config, inherited.is_some()).await?;
     let (name, folder, listen, seed) =
         (config.name.clone(), config.state.clone(), config.listen, config.seed);
-    let clock = match &predecessor {
-        Some(predecessor) => Clock::new().advanced_to(predecessor.state.now),
-        None => Clock::new(),
-    };
+    let journal = open_journal(&config.state, config.disk - Parts::room(&config)).await?;
+    // With nothing owed there is no time to continue, and the wall clock may have been put right.
+    let continues = predecessor.is_some() || !journal.pending().is_empty();
+    let clock = Clock::continuing(journal.clock().filter(|_| continues));
+    let clock = predecessor.as_ref().map_or(clock, |before| clock.advanced_to(before.state.now));
     let (notices, queued_notices) = unbounded_channel();
     let channels = Channels { inbound: inbound.clone(), notices, service_state, state_watch, counters };
-    let (mut driver, initial_list) = Driver::open(config, max_connections, clock, channels).await?;
+    let (mut driver, initial_list) = Driver::open(config, max_connections, clock, journal, channels).await?;
+    driver.pending_records.push(Record::Clock(clock.reference()));
     let (first, followed) = match predecessor {
         Some(predecessor) => {
             let (first, followed) = driver.take_over(predecessor, inbound.clone(), seed);
@@ -201,11 +203,10 @@
         config: Config,
         max_connections: usize,
         clock: Clock,
+        journal: Journal,
         channels: Channels,
     ) -> Result<(Self, List), StartError> {
         let Channels { inbound, notices, service_state, state_watch, counters } = channels;
-        let disk = config.disk - Parts::room(&config);
-        let journal = open_journal(&config.state, disk).await?;
         let memory = MemoryShares::of(config.memory);
         let bodies = BufferBudget::new(memory.request_bodies);
         let peers = Peers::open(&config, inbound.clone()).await.map_err(StartError::Peers)?;
--- a/src/net/intake/tests.rs
+++ b/src/net/intake/tests.rs
@@ -82,7 +82,7 @@
     let (_, standing) = watch::channel(standing);
     let (counters, bodies) = (Rc::default(), BufferBudget::new(BODY_LIMIT));
     let names = Rc::new(RefCell::new(names));
-    (Rc::new(Intake::new(Clock::new(), names, inbound, standing, counters, bodies)), events)
+    (Rc::new(Intake::new(Clock::continuing(None), names, inbound, standing, counters, bodies)), events)
 }
 
 fn handing_in(id: &str, length: usize) -> Vec<u8> {
--- a/src/net/journal.rs
+++ b/src/net/journal.rs
@@ -17,6 +17,8 @@
 pub use myrtleyard::takeover::groups::GivenUp;
 use serde::{Deserialize, Serialize};
 
+use super::clock::ClockReference;
+
 /// An update of a message's state. Times are Unix microseconds.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub enum Record {
@@ -62,6 +64,8 @@
     Finished(u32, Finish),
     /// The ids of messages that ended before the journal was compacted.
     FinishedIds(FinishedList),
+    /// A moment on the clock that the journal's times are of.
+    Clock(ClockReference),
 }
 
 /// A message as it was submitted.
@@ -143,6 +147,8 @@
     torn: bool,
     /// The ids of messages that ended recently.
     finished: FinishedIds,
+    /// A moment on the clock that the times are of.
+    clock: Option<ClockReference>,
 }
 
 /// Space for the ids of finished messages in a journal of at most `limit` bytes: a twentieth.
@@ -220,6 +226,7 @@
             reserved: 0,
             torn: false,
             finished,
+            clock: None,
         };
         let mut at = 0;
         while let Some((record, size)) = text.get(at..).and_then(unframe) {
@@ -235,6 +242,11 @@
         Ok(journal)
     }
 
+    /// A moment on the clock that the times in the journal are of, if it is known.
+    pub fn clock(&self) -> Option<&ClockReference> {
+        self.clock.as_ref()
+    }
+
     /// The messages that have not ended, by number.
     pub fn pending(&self) -> &BTreeMap<u32, PendingMessage> {
         &self.pending
@@ -328,6 +340,7 @@
                 }
             }
             Record::FinishedIds(ids) => self.finished.extend(ids),
+            Record::Clock(reference) => self.clock = Some(reference),
             Record::Owner(message, owner) => {
                 if let Some(pending) = self.pending.get_mut(&message) {
                     self.reserved -= reserved_bytes(&pending.accepted);
@@ -361,6 +374,9 @@
     fn compact(&mut self) -> io::Result<()> {
         let mut bytes = Vec::new();
         frame(&Record::FinishedIds(self.finished.list()), &mut bytes)?;
+        if let Some(reference) = &self.clock {
+            frame(&Record::Clock(reference.clone()), &mut bytes)?;
+        }
         for (message, pending) in &self.pending {
             for record in acceptance_records(*message, &pending.accepted) {
                 frame(&record, &mut bytes)?;
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -3,6 +3,7 @@
 
 pub mod body;
 pub mod calls;
+pub mod clock;
 pub mod config;
 pub mod control;
 pub mod counters;
@@ -23,14 +24,14 @@
 pub mod state_file;
 pub mod working_set;
 
-use std::time::{Instant, SystemTime, UNIX_EPOCH};
-
 use myrtleyard::endpoints::reader::List;
 use myrtleyard::interface::{EndpointId, Event, MessageId, Micros, Outcome};
 use serde::{Deserialize, Serialize};
 use tokio::net::UnixStream;
 use tokio::sync::oneshot;
 
+pub use clock::Clock;
+
 /// Time from SIGTERM until the process may be killed.
 pub const STOP_WITHIN: Micros = 3_700_000;
 /// Maximum size of a message body, bytes.
@@ -122,34 +123,3 @@
         Self { message, attempt, endpoint, outcome, gone: false, took: 0, report: vec![] }
     }
 }
-
-/// Unix time in microseconds that never goes backwards within a process.
-#[derive(Debug, Clone, Copy)]
-pub struct Clock {
-    base: Micros,
-    start: Instant,
-}
-
-impl Clock {
-    /// A clock set to the system time.
-    pub fn new() -> Self {
-        let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
-        Self { base: unix.as_micros() as Micros, start: Instant::now() }
-    }
-
-    /// Sets the clock ahead if it is behind `other`, the time of another process's clock.
-    pub fn advanced_to(self, other: Micros) -> Self {
-        Self { base: self.base + other.saturating_sub(self.now()), ..self }
-    }
-
-    /// The current time.
-    pub fn now(&self) -> Micros {
-        self.base + self.start.elapsed().as_micros() as Micros
-    }
-
-    /// Converts a time for the runtime's timers.
-    pub fn instant(&self, at: Micros) -> tokio::time::Instant {
-        let ahead = std::time::Duration::from_micros(at.saturating_sub(self.base));
-        tokio::time::Instant::from_std(self.start.checked_add(ahead).unwrap_or(self.start))
-    }
-}
--- a/tests/node/faults/mod.rs
+++ b/tests/node/faults/mod.rs
@@ -228,3 +228,74 @@
     assert_eq!(node.submit("failed", "order", 9, 300).status(), 202);
     assert_eq!(platform.notice(204), [json!({"id": "failed", "status": "deferred"})]);
 }
+
+/// A step of the wall clock, seconds.
+const HOUR: i32 = 3600;
+
+/// Guards against deadlines that move with the wall clock when it is stepped while the sender is down.
+#[test]
+fn deadlines_hold_when_the_clock_is_stepped_between_two_processes() {
+    for step in [HOUR, -HOUR] {
+        let (platform, endpoint, faults) = (Platform::new(), TestServer::new(), Faults::new());
+        let node = faults.start(&platform, &[]);
+        let accepted = Instant::now();
+        assert_eq!(node.submit("short", "order", 8, 1500).status(), 202);
+        assert_eq!(node.submit("long", "order", 7, 20_000).status(), 202);
+        faults.set("step", step);
+        let node = node.kill_and_restart();
+        platform.publish(&[listing("e1", 7, "plain", endpoint.address)]);
+        let call = endpoint.next();
+        assert_eq!(call.http.headers["req-id"], "long", "a step of {step} s");
+        let left: u64 = call.http.headers["req-deadline-ms"].parse().unwrap();
+        assert!(left <= 20_000, "{left}");
+        call.reply(status(200));
+        assert_eq!(platform.notice(204), [json!({"id": "short", "status": "deferred"})]);
+        let ended = accepted.elapsed();
+        assert!(ended < Duration::from_millis(1500) + END_SLACK, "a step of {step} s: after {ended:?}");
+        drop(node);
+    }
+}
+
+/// Guards against a keyed message that is repeated after its window because the wall clock was stepped back.
+#[test]
+fn a_window_holds_when_the_clock_is_stepped_between_two_processes() {
+    for step in [HOUR, -HOUR] {
+        let (platform, endpoint, faults) = (Platform::new(), TestServer::new(), Faults::new());
+        let known = [listing("e1", 7, "plain", endpoint.address)];
+        let node = Node::start_with_environment(&platform, &known, &faults.environment(), |config| {
+            config["settings"]["classes"][0]["dedup_window_us"] = json!(2_000_000);
+        });
+        assert_eq!(node.submit("keyed", "note", 7, 20_000).status(), 202);
+        let first = endpoint.next();
+        std::thread::sleep(Duration::from_millis(2100));
+        faults.set("step", step);
+        let node = node.kill_and_restart();
+        assert_eq!(platform.notice(204), [json!({"id": "keyed", "status": "undeliverable"})], "{step}");
+        assert!(endpoint.try_next(Duration::from_millis(300)).is_none(), "a step of {step} s");
+        drop((node, first));
+    }
+}
+
+/// Guards against deadlines and answers that move when the wall clock is stepped at a running sender, and at an
+/// upgrade.
+#[test]
+fn deadlines_hold_when_the_clock_is_stepped_at_a_running_process() {
+    for step in [HOUR, -HOUR] {
+        let (platform, endpoint, faults) = (Platform::new(), TestServer::new(), Faults::new());
+        let node = faults.start(&platform, &[]);
+        let accepted = Instant::now();
+        assert_eq!(node.submit("short", "order", 8, 1000).status(), 202);
+        assert_eq!(node.submit("long", "order", 7, 20_000).status(), 202);
+        faults.set("step", step);
+        platform.publish(&[listing("e1", 7, "plain", endpoint.address)]);
+        let call = endpoint.next();
+        assert_eq!(call.http.headers["req-id"], "long", "a step of {step} s");
+        call.reply(status(200));
+        assert_eq!(node.submit("after", "order", 7, 20_000).status(), 202);
+        endpoint.next().reply(status(200));
+        assert_eq!(platform.notice(204), [json!({"id": "short", "status": "deferred"})]);
+        let ended = accepted.elapsed();
+        assert!(ended < Duration::from_millis(1000) + END_SLACK, "a step of {step} s: after {ended:?}");
+        assert!(ended > Duration::from_millis(800), "a step of {step} s: after {ended:?}");
+    }
+}
--- a/tests/node/faults/shim.c
+++ b/tests/node/faults/shim.c
@@ -13,6 +13,7 @@
 #include <sys/syscall.h>
 #include <sys/types.h>
 #include <sys/uio.h>
+#include <time.h>
 #include <unistd.h>
 
 #define NEXT(name) ((__typeof__(&name))dlsym(RTLD_NEXT, #name))
@@ -127,3 +128,12 @@
 ssize_t writev(int fd, const struct iovec *parts, int count) {
     return interrupted() ? -1 : NEXT(writev)(fd, parts, count);
 }
+
+/* The wall clock is stepped by the seconds in the file "step". */
+int clock_gettime(clockid_t clock, struct timespec *now) {
+    int done = NEXT(clock_gettime)(clock, now);
+    if (done == 0 && clock == CLOCK_REALTIME) {
+        now->tv_sec += fault("step");
+    }
+    return done;
+}
