Give endpoints that have left their zone's new position

Cause: the module keeps an endpoint's zone as a position in the settings. At SIGHUP, and at a handover, only listed endpoints were passed to it again; one that had left kept its old position, which was another zone's then.

Change: all known endpoints are passed on again, those that have left first and as gone.

--- a/src/net/driver.rs
+++ b/src/net/driver.rs
@@ -285,7 +285,7 @@
         let (orders, followed) = predecessor.link.follow(inbound, out);
         self.predecessor = Some(orders);
         // The new process may have draining switched on or off, or other zones and kinds.
-        let relisted = self.relist(|_| true);
+        let relisted = self.relist_all();
         let mut first = vec![Event::Settings(Box::new(settings)), relisted];
         if self.working_set.long_list {
             self.load_for_held(&mut first);
@@ -457,7 +457,7 @@
                 self.discard_changed_limits(&self.settings.clone(), &settings);
                 self.apply_settings(settings.clone(), names, &before);
                 events.push(Event::Settings(Box::new(settings)));
-                events.push(self.relist(|_| true));
+                events.push(self.relist_all());
             }
             Inbound::Reloaded(Err(e)) => {
                 self.counters.count_reload(false);
--- a/src/net/driver/draining.rs
+++ b/src/net/driver/draining.rs
@@ -174,6 +174,23 @@
         Event::Changes(known.filter_map(entry).collect())
     }
 
+    /// All endpoints, to be passed to the module again because zones and kinds may have other positions now. A
+    /// message may still depend on the zone of an endpoint that has left.
+    pub(super) fn relist_all(&self) -> Event {
+        let left = self.endpoints.iter().filter(|(_, known)| !known.listed);
+        let gone = left.filter_map(|(endpoint, known)| {
+            let EndpointAttributes { zone, kind, weight, .. } = known.shape?;
+            let destination = DestinationId(known.group);
+            Some(Entry { endpoint: *endpoint, destination, zone, kind, weight, listing: Listing::Gone })
+        });
+        let mut entries: Vec<Entry> = gone.collect();
+        // A destination's weight is that of its last entry: listed endpoints come last.
+        if let Event::Changes(listed) = self.relist(|_| true) {
+            entries.extend(listed);
+        }
+        Event::Changes(entries)
+    }
+
     /// Number of messages in flight, by endpoint.
     fn out_by_endpoint(&self) -> HashMap<EndpointId, usize> {
         let mut out = HashMap::new();
--- a/tests/node/configuration.rs
+++ b/tests/node/configuration.rs
@@ -206,3 +206,28 @@
     }
     drop(call);
 }
+
+/// Guards against a keyed message that runs in a second zone: its endpoint has left, and a new configuration gives its
+/// zone another position.
+#[test]
+fn a_keyed_message_stays_in_the_zone_of_an_endpoint_that_left_when_zones_move() {
+    let (platform, first, other) = (Platform::new(), TestServer::new(), TestServer::new());
+    let in_zone = |name: &str, zone: &str, server: &TestServer| {
+        let mut entry = listing(name, 7, "plain", server.address);
+        entry["zone"] = json!(zone);
+        entry
+    };
+    let node = Node::start(&platform, &[in_zone("e1", "b", &first)], |config| {
+        config["mgmt"] = json!("127.0.0.1:0");
+        config["settings"]["azs"] = json!(["a", "b"]);
+        config["settings"]["classes"][0]["group"] = json!("zone");
+        config["settings"]["classes"][0]["on_time_us"] = json!(500_000);
+    });
+    assert_eq!(node.submit("keyed", "note", 7, 5000).status(), 202);
+    let call = first.next();
+    platform.publish(&[in_zone("e2", "a", &other)]);
+    call.closed.recv_timeout(TIMEOUT).expect("the sender stops waiting");
+    node.reload_and_wait(|config| config["settings"]["azs"] = json!(["c", "a", "b"]));
+    assert_eq!(platform.notice(204), [json!({"id": "keyed", "status": "undeliverable"})]);
+    assert!(!other.has_unread_request(), "it runs in another zone");
+}
