Take over only the messages whose records have arrived

Cause: a message that is replicated again comes attempts first, record last. A backup that took the group over in between adopted only messages with a record, but named all that it knew of; the first owner took the others for adopted and closed them.

Change: the new owner names the messages that have a record or are over. Of any other the first owner is told nothing, keeps it and ends it, as Op::TakenOver says.

--- a/src/takeover/groups.rs
+++ b/src/takeover/groups.rs
@@ -315,6 +315,15 @@
     items: BTreeMap<Item, MessageState>,
 }
 
+impl HeldGroup {
+    /// The messages that this sender answers for once it owns the group. Of one that is being replicated again
+    /// the attempts come before the record: without it nobody but its owner can end the message.
+    fn known_messages(&self) -> Vec<Item> {
+        let known = self.items.iter().filter(|(_, known)| known.over || known.record.is_some());
+        known.map(|(item, _)| *item).collect()
+    }
+}
+
 #[derive(Debug, Clone, PartialEq, Eq, Hash)]
 struct Backup {
     rank: Rank,
@@ -625,7 +634,7 @@
         let granting = backups.iter().filter_map(|backup| Some((backup.rank, backup.state_id?))).collect();
         let owned = OwnedGroup { epoch, backups, updates: 0, sole_owner, open, sealed: true };
         self.owned.insert(group, owned);
-        let taken = Op::TakenOver { group, epoch, items: held.items.keys().copied().collect() };
+        let taken = Op::TakenOver { group, epoch, items: held.known_messages() };
         let other = held.other;
         for owner in [Some(group.owner), Some(other).filter(|_| sole_owner)].into_iter().flatten() {
             out.op(owner, taken.clone());
@@ -913,7 +922,7 @@
             Role::Promised => from == held.other,
             Role::Candidate => false,
             Role::Owner => {
-                let items = held.items.keys().copied().collect();
+                let items = held.known_messages();
                 out.op(from, Op::TakenOver { group, epoch: held.promised, items });
                 return;
             }
