Hand the effect of a message to the senders that may adopt it

Cause: the replicated record left out with which effect the message was accepted. The adopter took the effect of its own settings, by which the first owner would have called only with a grant, and counted no call of that owner.

Change: the record carries the effect; the adopter uses the stricter of the two, as a restart does, and counts an unknown call of the first owner unless the message was accepted as one that must not be repeated. Records of older versions are read as before.

--- a/src/net/driver/takeover.rs
+++ b/src/net/driver/takeover.rs
@@ -35,6 +35,16 @@
     owner: Option<String>,
     /// When it was accepted.
     since: Micros,
+    /// Effect of repeating it by the settings that it was accepted with.
+    effect: Option<Effect>,
+}
+
+/// The record as versions write it that do not replicate the effect.
+#[derive(Deserialize)]
+struct OlderMessageRecord {
+    taken: AcceptedMessage,
+    owner: Option<String>,
+    since: Micros,
 }
 
 /// A call that waits for its grant.
@@ -93,7 +103,16 @@
 impl MessageRecord {
     /// The record of a message accepted at `since`.
     fn of(taken: &AcceptedMessage, since: Micros) -> Self {
-        Self { taken: taken.clone(), owner: taken.owner.clone(), since }
+        Self { taken: taken.clone(), owner: taken.owner.clone(), since, effect: taken.effect }
+    }
+
+    /// Decodes a record, also of an older version.
+    fn decode(bytes: &[u8]) -> Option<Self> {
+        let older = || {
+            let OlderMessageRecord { taken, owner, since } = postcard::from_bytes(bytes).ok()?;
+            Some(Self { taken, owner, since, effect: None })
+        };
+        postcard::from_bytes(bytes).ok().or_else(older)
     }
 }
 
@@ -151,8 +170,11 @@
         class: usize,
     ) -> Option<(Micros, EndpointId)> {
         let since = live.replicated.as_ref()?.1;
-        let keyed = matches!(self.settings.classes.get(class)?.effect, Effect::Keyed { .. });
-        keyed.then(|| (self.clock.now().saturating_sub(since), self.endpoint_id("")))
+        let effect = self.settings.classes.get(class)?.effect;
+        // Its owner calls for a message without a grant unless that must not be repeated.
+        let granted_only = live.accepted.effect.unwrap_or(effect) == Effect::Once;
+        let unknown = effect != Effect::Repeatable && !granted_only;
+        unknown.then(|| (self.clock.now().saturating_sub(since), self.endpoint_id("")))
     }
 
     /// Whether an attempt may start only with a grant: always if it must not happen twice; for a keyed
@@ -271,7 +293,7 @@
                     for (item, known) in items {
                         let record = known.record.as_deref().unwrap_or_default();
                         let tag = ReplicaTag { group, epoch, item, backups: backups.clone() };
-                        let Ok(record) = postcard::from_bytes::<MessageRecord>(record) else {
+                        let Some(record) = MessageRecord::decode(record) else {
                             tracing::error!(
                                 lot = group.number,
                                 item,
@@ -413,8 +435,10 @@
     fn adopt(&mut self, from: Adoption, now: Micros, events: &mut Vec<Event>) -> Result<(), Box<Adoption>> {
         let Adoption { record, tag, heard, known } = &from;
         let class = self.names.borrow().class(&record.taken.class);
-        let effect = class.and_then(|class| Some(self.settings.classes.get(class)?.effect));
+        let own_effect = class.and_then(|class| Some(self.settings.classes.get(class)?.effect));
+        let effect = record.effect.or(own_effect);
         let taken = AcceptedMessage { owner: record.owner.clone(), effect, ..record.taken.clone() };
+        let class = class.map(|class| self.class_when_accepted(class, &taken, events));
         if self.held.contains_key(&taken.id) {
             // This sender has the message already by another way, which provides its outcome.
             let tag = tag.clone();
--- a/tests/takeover_groups.rs
+++ b/tests/takeover_groups.rs
@@ -61,7 +61,7 @@
     tier.cut_off = Some(0);
     tier.replicate(WITHOUT_RECORD, Update::Record(vec![2]));
     for backup in [1, 2] {
-        tier.act(backup, |groups, out| drop(groups.lease_expired(0, out)));
+        tier.act(backup, |groups, out| assert!(groups.lease_expired(0, out)));
     }
     let adopted = tier.events.iter().find_map(|(rank, event)| match event {
         GroupEvent::Adopt { items, .. } => Some((*rank, items.clone())),
