--- a/tests/node/memory.rs
+++ b/tests/node/memory.rs
@@ -238,3 +238,14 @@
     assert!(taken > 1000, "{taken}");
     assert_within_limit(peak);
 }
+
+/// Guards against bounds that hold one by one, and not together.
+#[test]
+fn all_kinds_of_slow_clients_together_stay_within_the_memory_limit() {
+    let mixed = |number: usize| match number % 3 {
+        0 => large_submission(number),
+        1 => head_of_short_fields(number, 90),
+        _ => head_of_short_fields(number, 1300),
+    };
+    assert_within_limit(flood(mixed, 700, LARGE_BODY - 1000));
+}
