--- a/tests/node/faults/mod.rs
+++ b/tests/node/faults/mod.rs
@@ -40,21 +40,21 @@
 }
 
 /// Calls that fail in the processes of one sender.
-struct Faults(tempfile::TempDir);
+pub struct Faults(tempfile::TempDir);
 
 impl Faults {
-    fn new() -> Self {
+    pub fn new() -> Self {
         Self(tempfile::tempdir().unwrap())
     }
 
     /// From now on the call fails with this error number.
-    fn set(&self, call: &str, error: i32) {
+    pub fn set(&self, call: &str, error: i32) {
         let new = self.0.path().join("new");
         std::fs::write(&new, error.to_string()).unwrap();
         std::fs::rename(new, self.0.path().join(call)).unwrap();
     }
 
-    fn clear(&self, call: &str) {
+    pub fn clear(&self, call: &str) {
         let _ = std::fs::remove_file(self.0.path().join(call));
     }
 
@@ -62,7 +62,7 @@
         [("LD_PRELOAD", shim().to_owned()), ("FAULT_FOLDER", self.0.path().to_owned())]
     }
 
-    fn start(&self, platform: &Platform, endpoints: &[Value]) -> Node {
+    pub fn start(&self, platform: &Platform, endpoints: &[Value]) -> Node {
         Node::start_with_environment(platform, endpoints, &self.environment(), with_mgmt)
     }
 }
