Judge by its calls whether a seed of the soak shows anything

What was seen: of seeds 4 to 45, started by hand four at a time beside the check and four busy loops, 41 kept both rules; seed 45 failed, four times of four, at the check that over 30 messages are delivered. None was lost and none ran twice.

Traced (a trial on a scratch copy, with each call and its answer printed): the endpoint's random answers refused or failed 34 of 56 calls, after one restart 5 of 6. So the bound, which is there so that a play shows something, judged the draw of answers and not the sender.

Change: a play has to have over 50 messages accepted, over 30 calls and a delivery. Both rules are as they were.

--- a/tests/node/soak.rs
+++ b/tests/node/soak.rs
@@ -23,6 +23,8 @@
 /// What the endpoint and the platform saw.
 #[derive(Default)]
 struct Seen {
+    /// Number of calls.
+    calls: usize,
     /// Calls that may have run, by id.
     ran: BTreeMap<String, usize>,
     delivered: BTreeSet<String>,
@@ -37,6 +39,7 @@
         let id = call.http.headers["req-id"].clone();
         let choice = random.u32(0..10);
         let mut seen = seen.lock().unwrap();
+        seen.calls += 1;
         if !(6..8).contains(&choice) {
             *seen.ran.entry(id.clone()).or_default() += 1;
         }
@@ -135,7 +138,8 @@
         let ended = |id: &&String| seen.delivered.contains(*id) || seen.noticed.contains(*id);
         let lost: Vec<_> = accepted.iter().filter(|id| !ended(id)).collect();
         assert!(lost.is_empty(), "seed {seed}: no end: {lost:?}");
-        assert!(accepted.len() > 50 && seen.delivered.len() > 30, "seed {seed}: {}", accepted.len());
-        println!("seed {seed}: {} accepted, {} delivered", accepted.len(), seen.delivered.len());
+        let (accepted, delivered) = (accepted.len(), seen.delivered.len());
+        println!("seed {seed}: {accepted} accepted, {} calls, {delivered} delivered", seen.calls);
+        assert!(accepted > 50 && seen.calls > 30 && delivered > 0, "seed {seed} shows too little");
     }
 }
