--- a/review/stand-ins-2/play.sh
+++ b/review/stand-ins-2/play.sh
@@ -6,20 +6,18 @@
 program=$root/target/review-2/release/review-2
 [ -x "$program" ] || { echo "run review/build-2.sh first" >&2; exit 2; }
 [ -x "$root/target/release/myrtleyard" ] || { echo "run the build of the deploy file first" >&2; exit 2; }
-REVIEW_PIDS=$(mktemp) || exit 2
+REVIEW_PIDS=${TMPDIR:-/tmp}/linenwing-review-2-pids.$$
+: > "$REVIEW_PIDS" || exit 2
 export REVIEW_PIDS
-played=
 end() {
-    [ -z "$played" ] || kill -KILL "$played" 2>/dev/null
     while read -r pid; do kill -KILL "$pid" 2>/dev/null; done < "$REVIEW_PIDS"
-    rm -f "$REVIEW_PIDS"
+    rm -rf "$REVIEW_PIDS" "${TMPDIR:-/tmp}/linenwing-review-2-$played"
 }
-trap 'end; exit 2' HUP INT TERM
+trap 'kill -KILL "$played" 2>/dev/null; end; exit 2' HUP INT TERM
 "$program" "$1" "$root" "$folder" &
 played=$!
 wait "$played"
 code=$?
-played=
 case $code in
     0 | 1 | 2) rm -f "$REVIEW_PIDS"; exit "$code" ;;
     *) end; exit 2 ;;
