Count a call that no backup knew of after a second takeover

Cause: an owner calls for a keyed message without a grant, so that it may have called after its backups last heard from it. When it replicated the message again and was lost as well, the next owner counted from the time it last heard of *that* sender: a new window. Callers saw a second call, and an effect, after the destination had forgotten the key.

Change: who adopts a message that its owner could call for without a grant records an attempt for all calls that the backups did not know of, at the time from which they may have begun. No record or operation has a new form.

The other new test, of an owner that is back after its messages were taken over and called, passed before too: a guard for what follows. `free_addresses` of two test files is one function now.

--- a/src/net/driver/takeover.rs
+++ b/src/net/driver/takeover.rs
@@ -7,7 +7,9 @@
 
 use myrtleyard::interface::*;
 use myrtleyard::takeover::ReplicaTag;
-use myrtleyard::takeover::groups::{Attempt, GroupEvent, Item, MessageState, ReplicaGroupId, Update};
+use myrtleyard::takeover::groups::{
+    Attempt, GroupEvent, Item, MessageState, ReplicaGroupId, Update, next_attempt,
+};
 use serde::{Deserialize, Serialize};
 use serde_json::json;
 
@@ -434,10 +436,15 @@
     /// Adopts a message of another sender. Returns it as the error if the journal can't be written.
     fn adopt(&mut self, from: Adoption, now: Micros, events: &mut Vec<Event>) -> Result<(), Box<Adoption>> {
         let Adoption { record, tag, heard, known } = &from;
+        let mut known = known.clone();
         let class = self.names.borrow().class(&record.taken.class);
         let own_effect = class.and_then(|class| Some(self.settings.classes.get(class)?.effect));
         let effect = record.effect.or(own_effect);
         let taken = AcceptedMessage { owner: record.owner.clone(), effect, ..record.taken.clone() };
+        // Its owner called for it without a grant, unless it must not be repeated.
+        if effect != Some(Effect::Once) {
+            known.count_unknown_attempts(*heard);
+        }
         let class = class.map(|class| self.class_when_accepted(class, &taken, events));
         if self.held.contains_key(&taken.id) {
             // This sender has the message already by another way, which provides its outcome.
@@ -479,7 +486,7 @@
             self.replicated.unreplicated.insert(number);
         }
         self.index_adopted(&taken, record.since, tag.epoch, how);
-        let attempts = known.attempts.last_key_value().map_or(0, |(last, _)| last + 1);
+        let attempts = next_attempt(known.attempts.keys().copied());
         let (from, destination) = (tag.group.owner, taken.destination);
         tracing::debug!(id, from, destination, attempts, ?how, "message adopted");
         if let Some(how) = how {
@@ -510,7 +517,7 @@
             .map(|attempt| (now.saturating_sub(attempt.at), self.endpoint_id(&attempt.endpoint)))
             .collect();
         may_have_run.extend(self.first_attempt_elsewhere(live, class));
-        let attempts = live.attempts.last().map_or(0, |last| last.number + 1);
+        let attempts = next_attempt(live.attempts.iter().map(|attempt| attempt.number));
         self.attempts.insert(number, attempts);
         let message = self.message(number, class, &live.accepted, now);
         events.push(Event::Resumed { message, attempts: attempts.into(), may_have_run });
--- a/src/net/journal.rs
+++ b/src/net/journal.rs
@@ -128,8 +128,8 @@
 
 /// Maximum size of a message's later records: its attempts, their ends and its own end. Bytes.
 const MAX_LATER_RECORDS: u64 = 672;
-/// Maximum size of the record of its backups, bytes.
-const MAX_REPLICATED_RECORD: u64 = 96;
+/// Maximum size of the records of its backups and of the attempts unknown to them, bytes.
+const MAX_REPLICATED_RECORDS: u64 = 128;
 /// Size of a frame's header: length and checksum, bytes.
 const FRAME_HEADER: usize = 8;
 
@@ -357,7 +357,7 @@
                 if let Some(pending) = self.pending.get_mut(&message)
                     && pending.replicated.replace((tag, since)).is_none()
                 {
-                    self.reserved += MAX_REPLICATED_RECORD;
+                    self.reserved += MAX_REPLICATED_RECORDS;
                 }
             }
         }
@@ -366,7 +366,7 @@
     fn remove_pending(&mut self, message: u32) -> Option<PendingMessage> {
         let pending = self.pending.remove(&message)?;
         self.reserved -= reserved_bytes(&pending.accepted);
-        self.reserved -= pending.replicated.as_ref().map_or(0, |_| MAX_REPLICATED_RECORD);
+        self.reserved -= pending.replicated.as_ref().map_or(0, |_| MAX_REPLICATED_RECORDS);
         Some(pending)
     }
 
--- a/src/takeover/groups.rs
+++ b/src/takeover/groups.rs
@@ -38,6 +38,15 @@
 /// Maximum number of stored promises; see [`DurableState`].
 pub const MAX_PROMISES: usize = 4_096;
 
+/// Number of the attempt that stands for all that a lost owner may have begun unknown to its backups. No other
+/// attempt has it.
+pub const UNKNOWN_ATTEMPT: u16 = u16::MAX - 1;
+
+/// Number of the attempt that follows those with these numbers.
+pub fn next_attempt(numbers: impl Iterator<Item = u16>) -> u16 {
+    numbers.filter(|number| *number != UNKNOWN_ATTEMPT).max().map_or(0, |last| last + 1)
+}
+
 /// Identifies a replica group; never reused.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct ReplicaGroupId {
@@ -124,6 +133,13 @@
         self.given_up = self.given_up.max(other.given_up);
     }
 
+    /// Counts the attempts that its lost owner may have begun from `since` on, unknown to the backups.
+    pub fn count_unknown_attempts(&mut self, since: Micros) {
+        let unknown = self.attempts.entry(UNKNOWN_ATTEMPT);
+        // An earlier owner may have been lost, too; its attempts came first.
+        unknown.or_insert(Attempt { at: since, never_ran: false });
+    }
+
     /// Whether any attempt may have run.
     pub fn may_have_run(&self) -> bool {
         self.attempts.values().any(|attempt| !attempt.never_ran)
--- a/tests/node/estimating.rs
+++ b/tests/node/estimating.rs
@@ -1,18 +1,9 @@
 //! Estimates of the cost of queries and of planned runs, at running senders.
 
-use std::net::UdpSocket;
-
 use serde_json::{Value, json};
 
 use super::world::*;
 
-/// Addresses on different hosts, each free when it was chosen.
-fn free_addresses(number: u8) -> Vec<String> {
-    let sockets: Vec<_> =
-        (0..number).map(|n| UdpSocket::bind(format!("127.0.0.{}:0", n + 2)).unwrap()).collect();
-    sockets.iter().map(|socket| socket.local_addr().unwrap().to_string()).collect()
-}
-
 fn with_status(config: &mut Value, peers: &[String], own: usize) {
     config["mgmt"] = json!("127.0.0.1:0");
     config["peers"] = json!(peers);
--- a/tests/node/main.rs
+++ b/tests/node/main.rs
@@ -17,6 +17,7 @@
 mod memory;
 mod plans;
 mod residing;
+mod restored;
 mod soak;
 mod status;
 mod survival;
--- /dev/null
+++ b/tests/node/restored.rs
@@ -0,0 +1,178 @@
+//! Replicated messages of real senders that are lost or restarted: what another sender may have called is not
+//! repeated past its window.
+
+use std::collections::BTreeMap;
+use std::thread;
+use std::time::{Duration, Instant};
+
+use serde_json::{Value, json};
+
+use super::world::*;
+
+/// Classes, each with its effect, the endpoints that drop repeats of a key, and for how long they do,
+/// milliseconds.
+const CLASSES: [(&str, &str, &str, u64); 6] = [
+    ("keyed", "by_key", "all", SHORT_WINDOW_MS),
+    ("keyed-long", "by_key", "all", LONG_WINDOW_MS),
+    ("keyed-zone", "by_key", "zone", SHORT_WINDOW_MS),
+    ("keyed-endpoint", "by_key", "endpoint", LONG_WINDOW_MS),
+    ("once", "once", "", 0),
+    ("repeatable", "repeatable", "", 0),
+];
+const SHORT_WINDOW_MS: u64 = 6_000;
+const LONG_WINDOW_MS: u64 = 60_000;
+/// How long the messages may be delivered, milliseconds.
+const DEADLINE_MS: u32 = 28_000;
+/// Longer than a lease of the tier and the promises after it.
+const TAKEOVER_TIME: Duration = Duration::from_secs(3);
+const DESTINATION: u16 = 7;
+
+/// Senders that back each other up, each with a platform of its own.
+struct Tier {
+    platforms: Vec<Platform>,
+    nodes: Vec<Node>,
+    peers: Vec<String>,
+    endpoint: TestServer,
+}
+
+impl Tier {
+    /// Starts a tier and waits until its first sender has backups. No endpoint is listed yet.
+    fn start(size: u8) -> Self {
+        let peers = free_addresses(size);
+        let platforms: Vec<Platform> = (0..size).map(|_| Platform::new()).collect();
+        let start = |(own, platform): (&String, &Platform)| {
+            Node::start(platform, &[], |config| {
+                config["mgmt"] = json!("127.0.0.1:0");
+                config["peers"] = json!(peers);
+                config["peer_listen"] = json!(own);
+                config["takeover"] = json!({"lease_ms": 1000});
+                config["settings"]["balancers"] = json!(size);
+                config["settings"]["classes"] = classes();
+            })
+        };
+        let nodes = peers.iter().zip(&platforms).map(start).collect();
+        let tier = Self { platforms, nodes, peers, endpoint: TestServer::new() };
+        wait_until(|| tier.report(0)["covers"].as_array().is_some_and(|covers| covers.len() == 2));
+        tier
+    }
+
+    /// Hands one message of each class to the first sender; its id is the class's name.
+    fn submit_all(&self) {
+        for (class, ..) in CLASSES {
+            self.submit(class);
+        }
+        assert_eq!(self.report(0)["in_hand"]["covered"], json!(CLASSES.len()));
+    }
+
+    fn submit(&self, class: &str) {
+        let text = String::from_utf8(submission(class, class, DESTINATION, DEADLINE_MS)).unwrap();
+        let key = if class.starts_with("keyed") { "Idempotency-Key: key\r\n" } else { "" };
+        let text = text.replace("Req-Kind", &format!("{key}Req-Kind"));
+        assert_eq!(self.nodes[0].request(text.as_bytes()).status(), 202);
+    }
+
+    /// A sender's report on takeover.
+    fn report(&self, sender: usize) -> Value {
+        self.nodes[sender].call("GET", "/control/takeover").json()
+    }
+
+    /// Lists the endpoint at a sender.
+    fn list_at(&self, sender: usize) {
+        self.platforms[sender].publish(&[listing("e1", DESTINATION, "plain", self.endpoint.address)]);
+    }
+
+    /// Cuts a sender off from the others: from its next process on, or at once with `reload`.
+    fn cut_off(&self, sender: usize, reload: bool) {
+        let peers = free_addresses(self.peers.len() as u8);
+        let change = |config: &mut Value| {
+            config["peers"] = json!(peers);
+            config["peers"][sender] = json!(self.peers[sender]);
+        };
+        match reload {
+            true => self.nodes[sender].reload_and_wait(change),
+            false => self.nodes[sender].rewrite_config(change),
+        }
+    }
+
+    /// Connects a sender to the others again.
+    fn reconnect(&self, sender: usize) {
+        self.nodes[sender].reload_and_wait(|config| config["peers"] = json!(self.peers));
+    }
+
+    /// Answers all calls within this time with 200. Returns the number of calls for each message.
+    fn serve(&self, time: Duration) -> BTreeMap<String, usize> {
+        let begun = Instant::now();
+        let mut calls = BTreeMap::new();
+        while let Some(call) = self.endpoint.try_next(time.saturating_sub(begun.elapsed())) {
+            *calls.entry(call.http.headers["req-id"].clone()).or_default() += 1;
+            call.reply(status(200));
+        }
+        calls
+    }
+
+    /// The sender, other than these, that has taken over a message.
+    fn adopter(&self, except: &[usize]) -> usize {
+        let others = || (0..self.nodes.len()).filter(|sender| !except.contains(sender));
+        let adopted = |sender: &usize| self.report(*sender)["adopted"].as_u64() > Some(0);
+        wait_until(|| others().any(|sender| adopted(&sender)));
+        others().find(adopted).unwrap()
+    }
+}
+
+fn classes() -> Value {
+    let class = |(name, effect, group, window_ms): &(&str, &str, &str, u64)| {
+        json!({"name": name, "effect": effect, "group": group, "dedup_window_us": window_ms * 1000,
+               "on_time_us": 4_000_000, "hard_limit_us": 28_000_000, "importance": 1.0})
+    };
+    CLASSES.iter().map(class).collect()
+}
+
+fn sleep_past_the_short_window() {
+    thread::sleep(Duration::from_millis(SHORT_WINDOW_MS));
+}
+
+/// Guards against a second effect: the messages were taken over and called before their first owner was back, which heard of it only later.
+#[test]
+fn messages_that_were_taken_over_are_not_called_past_their_window_by_an_owner_that_is_back() {
+    let mut tier = Tier::start(3);
+    tier.submit_all();
+    tier.nodes[0].kill();
+    tier.list_at(1);
+    tier.list_at(2);
+    let delivered = tier.serve(TAKEOVER_TIME);
+    for class in ["keyed", "keyed-long", "once", "repeatable"] {
+        assert_eq!(delivered.get(class), Some(&1), "{delivered:?}");
+    }
+    tier.cut_off(0, false);
+    sleep_past_the_short_window();
+    tier.nodes[0].restart();
+    tier.list_at(0);
+    let repeated = tier.serve(TAKEOVER_TIME);
+    assert!(repeated.keys().all(|id| ["keyed-long", "repeatable"].contains(&id.as_str())), "{repeated:?}");
+    tier.reconnect(0);
+    wait_until(|| tier.report(0)["in_hand"]["all"] == 0);
+    assert_eq!(tier.serve(Duration::from_secs(1)), BTreeMap::new());
+}
+
+/// Guards against a second effect: a call that no backup knew of was forgotten when the message was taken over a second time.
+#[test]
+fn a_call_that_no_backup_knew_of_counts_after_a_second_takeover() {
+    let mut tier = Tier::start(4);
+    tier.submit("keyed");
+    wait_until(|| tier.report(0)["covered"] == 1);
+    tier.cut_off(0, true);
+    tier.list_at(0);
+    let unanswered = tier.endpoint.next();
+    let called = Instant::now();
+    tier.nodes[0].kill();
+    let first = tier.adopter(&[0]);
+    wait_until(|| tier.report(first)["covered_anew"] == 1);
+    thread::sleep(Duration::from_millis(500));
+    tier.nodes[first].kill();
+    let second = tier.adopter(&[0, first]);
+    let window = Duration::from_millis(SHORT_WINDOW_MS);
+    thread::sleep((window + Duration::from_millis(200)).saturating_sub(called.elapsed()));
+    tier.list_at(second);
+    assert_eq!(tier.serve(TAKEOVER_TIME), BTreeMap::new(), "the key is no longer remembered");
+    drop(unanswered);
+}
--- a/tests/node/status.rs
+++ b/tests/node/status.rs
@@ -1,19 +1,10 @@
 //! The status index at running senders: queries at one sender for messages of another, which runs, is killed
 //! or is back.
 
-use std::net::UdpSocket;
-
 use serde_json::{Value, json};
 
 use super::world::*;
 
-/// Addresses for datagrams on different hosts, each free when it was chosen.
-fn free_addresses(count: u8) -> Vec<String> {
-    let sockets: Vec<UdpSocket> =
-        (0..count).map(|n| UdpSocket::bind(format!("127.0.0.{}:0", n + 2)).unwrap()).collect();
-    sockets.iter().map(|socket| socket.local_addr().unwrap().to_string()).collect()
-}
-
 /// Starts three senders with the index enabled.
 fn tier(platform: &Platform, endpoints: &[Value]) -> Vec<Node> {
     tier_with(platform, endpoints, |_| {})
--- a/tests/node/world.rs
+++ b/tests/node/world.rs
@@ -3,7 +3,7 @@
 
 use std::collections::HashMap;
 use std::io::{BufRead, BufReader, Read, Write};
-use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::net::{SocketAddr, TcpListener, TcpStream, UdpSocket};
 use std::os::fd::OwnedFd;
 use std::process::{Child, Command, Stdio};
 use std::sync::mpsc::{Receiver, Sender, channel};
@@ -274,6 +274,13 @@
            "status": "active", "weight": 50.0, "since_ms": 0})
 }
 
+/// Addresses for datagrams on different hosts, each free when it was chosen.
+pub fn free_addresses(count: u8) -> Vec<String> {
+    let sockets: Vec<UdpSocket> =
+        (0..count).map(|n| UdpSocket::bind(format!("127.0.0.{}:0", n + 2)).unwrap()).collect();
+    sockets.iter().map(|socket| socket.local_addr().unwrap().to_string()).collect()
+}
+
 /// A sender process, with its state folder, which outlives it.
 pub struct Node {
     child: Child,
@@ -438,11 +445,17 @@
     pub fn kill_and_restart_after(mut self, change: impl FnOnce(&std::path::Path)) -> Self {
         self.kill();
         change(&self.state_folder());
+        self.restart();
+        self
+    }
+
+    /// Starts a new process on the same folder, once the one before it was killed.
+    pub fn restart(&mut self) {
         let mut command = command(self.folder.path());
         command.envs(self.environment.iter().cloned());
         let mut node = Self::spawn(self.folder.clone(), command);
         node.environment = std::mem::take(&mut self.environment);
-        node
+        *self = node;
     }
 
     /// The state folder.
