Let restored messages wait for the word of a backup instead of ending them

Cause: an earlier process's message may have been taken over meanwhile. `Driver::resume` told the module so by an attempt at an unknown endpoint since the taking on. The module can't tell it from an attempt that was made: past the window, or outside the group, no call is allowed ever, so it gives the message up in its first turn. A backup's word that nobody owned the message came 138 ms later in the traced run, and changed nothing.

Evidence: two log lines were added first. A restored untried message was passed on with attempts=0 and may_have_run=[(6.04 s, unknown endpoint)], and given up 0.08 ms later, before any datagram; messages of the effects once and repeatable were passed on without.

Change: that another sender may own a message is a state of its own (`unconfirmed`), which holds calls back where they could do harm, ends nothing, and is cleared when a backup has closed the replica group. It holds for all effects.

Why this is safe: past the window nothing is called before `Closed` or `TakenOver`, as it was for the effect once; within it the calls are those that were allowed before.

The report has `in_hand.unconfirmed`.

--- a/src/interface.rs
+++ b/src/interface.rs
@@ -345,7 +345,12 @@
         attempts: u32,
         /// The attempts that may have run: how long ago each began, and its endpoint.
         may_have_run: Vec<(Micros, EndpointId)>,
+        /// Set if another sender may have come to own the message: how long ago its first attempt may have
+        /// begun. [`Event::OwnershipConfirmed`] rules that out.
+        unconfirmed: Option<Micros>,
     },
+    /// No other sender owns the message, has attempted it since it was resumed as unconfirmed, or will.
+    OwnershipConfirmed(MessageId),
     /// This process ends at that time; the next one takes up the remaining messages.
     Stopping(Micros),
     /// New settings that apply from now on. The position of a class never changes, so that held messages keep
--- a/src/net/driver/takeover.rs
+++ b/src/net/driver/takeover.rs
@@ -81,6 +81,8 @@
 #[derive(Default)]
 pub(super) struct ReplicationState {
     numbers: BTreeMap<(ReplicaGroupId, Item), u32>,
+    /// Messages of earlier processes that another sender may own, until a backup denies it.
+    unconfirmed: BTreeSet<u32>,
     calls: Vec<HeldCall>,
     notices: Vec<HeldNotice>,
     /// Sorted by deadline, the latest first.
@@ -158,6 +160,7 @@
 
     fn drop_held(&mut self, number: u32) {
         self.replicated.unreplicated.remove(&number);
+        self.replicated.unconfirmed.remove(&number);
         let over = |held: &mut HeldCall| held.call.message.0 == number;
         let over: Vec<HeldCall> = self.replicated.calls.extract_if(.., over).collect();
         // The module counts them as in flight until it is told otherwise.
@@ -165,20 +168,6 @@
         self.replicated.notices.retain(|held| held.message != number);
     }
 
-    /// The earliest time at which other senders may have attempted the message, if they may repeat it.
-    pub(super) fn first_attempt_elsewhere(
-        &mut self,
-        live: &PendingMessage,
-        class: usize,
-    ) -> Option<(Micros, EndpointId)> {
-        let since = live.replicated.as_ref()?.1;
-        let effect = self.settings.classes.get(class)?.effect;
-        // Its owner calls for a message without a grant unless that must not be repeated.
-        let granted_only = live.accepted.effect.unwrap_or(effect) == Effect::Once;
-        let unknown = effect != Effect::Repeatable && !granted_only;
-        unknown.then(|| (self.clock.now().saturating_sub(since), self.endpoint_id("")))
-    }
-
     /// Whether an attempt may start only with a grant: always if it must not happen twice; for a keyed
     /// message once the endpoint may have forgotten another sender's first attempt.
     fn needs_grant(&self, message: MessageId, live: &PendingMessage, since: Micros, now: Micros) -> bool {
@@ -270,10 +259,12 @@
         let tags: Vec<(u32, ReplicaTag)> =
             live.filter_map(|(number, live)| Some((*number, live.replicated.clone()?.0))).collect();
         let now = self.clock.now();
+        let (alone, backed_up): (Vec<_>, Vec<_>) = tags.iter().partition(|(_, tag)| tag.backups.is_empty());
+        self.replicated.unconfirmed.extend(backed_up.iter().map(|(number, _)| *number));
+        // Without the section nobody can be asked, and the messages stay unconfirmed.
         let Some(takeover) = self.parts.takeover.as_mut() else { return };
         takeover.core.resume(now, tags.iter().map(|(_, tag)| tag.clone()));
-        let alone = tags.iter().filter(|(_, tag)| tag.backups.is_empty());
-        self.replicated.unreplicated.extend(alone.map(|(number, _)| *number));
+        self.replicated.unreplicated.extend(alone.iter().map(|(number, _)| *number));
         let numbers = tags.into_iter().map(|(number, tag)| ((tag.group, tag.item), number));
         self.replicated.numbers.extend(numbers);
     }
@@ -309,12 +300,7 @@
                     }
                     self.replicated.adoptions.sort_by_key(|a| std::cmp::Reverse(a.record.taken.deadline));
                 }
-                GroupEvent::SoleOwner(group) => {
-                    let (from, to) = ((group, Item::MIN), (group, Item::MAX));
-                    self.replicated
-                        .unreplicated
-                        .extend(self.replicated.numbers.range(from..=to).map(|(_, number)| *number));
-                }
+                GroupEvent::SoleOwner(group) => self.sole_owner(group, events),
                 GroupEvent::Lost { group, items } => {
                     self.replicated
                         .adoptions
@@ -356,6 +342,25 @@
         }
     }
 
+    /// No other sender owns the group or can come to own it: its messages may be called for and replicated
+    /// again.
+    fn sole_owner(&mut self, group: ReplicaGroupId, events: &mut Vec<Event>) {
+        let (from, to) = ((group, Item::MIN), (group, Item::MAX));
+        let numbers: Vec<u32> = self.replicated.numbers.range(from..=to).map(|(_, number)| *number).collect();
+        let messages = numbers.len();
+        tracing::debug!(
+            owner = group.owner,
+            lot = group.number,
+            messages,
+            "no other sender can own the group"
+        );
+        for number in &numbers {
+            self.replicated.unconfirmed.remove(number);
+            events.push(Event::OwnershipConfirmed(MessageId(*number)));
+        }
+        self.replicated.unreplicated.extend(numbers);
+    }
+
     /// Moves a message whose replica group no other sender can come to own into a new group. Returns false if
     /// that is not possible now.
     fn replicate_again(&mut self, number: u32, now: Micros) -> bool {
@@ -510,17 +515,26 @@
         events: &mut Vec<Event>,
     ) {
         self.load(live.accepted.destination, events);
-        let mut may_have_run: Vec<_> = live
+        let may_have_run: Vec<_> = live
             .attempts
             .iter()
             .filter(|attempt| !attempt.never_ran)
             .map(|attempt| (now.saturating_sub(attempt.at), self.endpoint_id(&attempt.endpoint)))
             .collect();
-        may_have_run.extend(self.first_attempt_elsewhere(live, class));
         let attempts = next_attempt(live.attempts.iter().map(|attempt| attempt.number));
+        let since = live.replicated.as_ref().map(|(_, since)| *since);
+        let since = since.filter(|_| self.replicated.unconfirmed.contains(&number));
+        let unconfirmed = since.map(|since| now.saturating_sub(since));
+        tracing::debug!(
+            id = live.accepted.id,
+            attempts,
+            ?may_have_run,
+            ?unconfirmed,
+            "message passed to the module"
+        );
         self.attempts.insert(number, attempts);
         let message = self.message(number, class, &live.accepted, now);
-        events.push(Event::Resumed { message, attempts: attempts.into(), may_have_run });
+        events.push(Event::Resumed { message, attempts: attempts.into(), may_have_run, unconfirmed });
     }
 
     /// The report on replication, for operators.
@@ -533,6 +547,7 @@
         report["in_hand"] = json!({"covered": replicated, "all": self.journal.pending().len(),
                                    "calls_waiting": self.replicated.calls.len(),
                                    "notices_waiting": self.replicated.notices.len(),
+                                   "unconfirmed": self.replicated.unconfirmed.len(),
                                    "adoptions_waiting": self.replicated.adoptions.len()});
         report["covered_anew"] = json!(self.replicated.replicated_again);
         report["beyond_reach"] = json!(self.replicated.beyond_reach);
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -523,6 +523,10 @@
     outstanding: u32,
     /// Attempts that may have run or are outstanding: number, time of sending, endpoint.
     may_have_run: Vec<(u16, Micros, EndpointId)>,
+    /// Set until it is confirmed that no other sender owns the message: when the first attempt of that sender
+    /// may have begun, at an endpoint that is not known.
+    #[serde(default)]
+    unconfirmed_since: Option<Micros>,
 }
 
 /// A call in progress. It holds a slot until all its messages have their outcomes.
@@ -642,8 +646,13 @@
         for event in events {
             match event {
                 Event::Accepted(message) => self.hold(message),
-                Event::Resumed { message, attempts, may_have_run } => {
-                    self.resume(message, *attempts, may_have_run);
+                Event::Resumed { message, attempts, may_have_run, unconfirmed } => {
+                    self.resume(message, *attempts, may_have_run, *unconfirmed);
+                }
+                Event::OwnershipConfirmed(message) => {
+                    if let Some(held) = self.held.get_mut(message) {
+                        held.unconfirmed_since = None;
+                    }
                 }
                 Event::Stopping(at) => self.process_ends_at = Some(*at),
                 Event::RetryAfter { endpoint, wait } => {
@@ -810,11 +819,18 @@
     }
 
     /// Takes up a message that an earlier process had accepted; its attempts that may have run still count.
-    fn resume(&mut self, message: &Message, attempts: u32, may_have_run: &[(Micros, EndpointId)]) {
+    fn resume(
+        &mut self,
+        message: &Message,
+        attempts: u32,
+        may_have_run: &[(Micros, EndpointId)],
+        unconfirmed: Option<Micros>,
+    ) {
         self.hold(message);
         let Some(held) = self.held.get_mut(&message.id) else { return };
         held.attempts = attempts;
         held.message.time_left += 1; // It was accepted before this batch.
+        held.unconfirmed_since = unconfirmed.map(|ago| self.now.saturating_sub(ago));
         // No attempt of this process has this number, so that none of their outcomes removes one of these.
         for (ago, endpoint) in may_have_run {
             held.may_have_run.push((u16::MAX, self.now.saturating_sub(*ago), *endpoint));
@@ -839,6 +855,7 @@
             attempts: 0,
             outstanding: 0,
             may_have_run: Vec::new(),
+            unconfirmed_since: None,
         };
         self.held.insert(message.id, held);
     }
@@ -1005,6 +1022,24 @@
 
     /// Enforces the rule on effects: whether a further attempt at this endpoint is harmless.
     fn repeat_allowed(&self, held: &Held, endpoint: EndpointId) -> bool {
+        self.other_owner_allows(held) && self.known_attempts_allow(held, endpoint)
+    }
+
+    /// Whether an attempt is harmless even if another sender owns the message and has attempted it.
+    fn other_owner_allows(&self, held: &Held) -> bool {
+        let Some(since) = held.unconfirmed_since else { return true };
+        match self.settings.classes[held.message.class].effect {
+            Effect::Repeatable => true,
+            Effect::Keyed { group: DedupScope::All, window } => {
+                self.now + self.settings.repeat_margin(window) < since + window
+            }
+            // The endpoint that the other sender would have chosen is not known.
+            Effect::Keyed { .. } | Effect::Once => false,
+        }
+    }
+
+    /// Whether an attempt at this endpoint is harmless after those that are known.
+    fn known_attempts_allow(&self, held: &Held, endpoint: EndpointId) -> bool {
         let Some(first) = held.may_have_run.iter().min_by_key(|a| a.1) else { return true };
         match self.settings.classes[held.message.class].effect {
             Effect::Repeatable => true,
@@ -1045,6 +1080,7 @@
                 // A client whose message a drain cuts short can go to another sender at once.
                 undeliverable.push((*id, self.drain_deadline.map_or(0, |_| self.settings.period)));
             } else if held.outstanding == 0 {
+                // A message that only waits for the confirmation of its ownership is not stuck.
                 let stuck = match self.settings.classes[held.message.class].effect {
                     Effect::Once => !held.may_have_run.is_empty(),
                     Effect::Keyed { .. } if !held.may_have_run.is_empty() => {
@@ -1055,7 +1091,7 @@
                             .endpoints_of(held)
                             .map(|e| e.0)
                             .chain(unlisted)
-                            .any(|e| self.repeat_allowed(held, e))
+                            .any(|e| self.known_attempts_allow(held, e))
                     }
                     _ => false,
                 };
--- a/tests/node/restored.rs
+++ b/tests/node/restored.rs
@@ -1,5 +1,5 @@
-//! Replicated messages of real senders that are lost or restarted: what another sender may have called is not
-//! repeated past its window.
+//! Replicated messages after restarts of real senders: what no sender has called is still called, and what
+//! another sender may have called is not repeated past its window.
 
 use std::collections::BTreeMap;
 use std::thread;
@@ -38,6 +38,11 @@
 impl Tier {
     /// Starts a tier and waits until its first sender has backups. No endpoint is listed yet.
     fn start(size: u8) -> Self {
+        Self::start_with(size, |_| {})
+    }
+
+    /// The same; `change` alters the senders' configuration.
+    fn start_with(size: u8, change: impl Fn(&mut Value)) -> Self {
         let peers = free_addresses(size);
         let platforms: Vec<Platform> = (0..size).map(|_| Platform::new()).collect();
         let start = |(own, platform): (&String, &Platform)| {
@@ -48,6 +53,7 @@
                 config["takeover"] = json!({"lease_ms": 1000});
                 config["settings"]["balancers"] = json!(size);
                 config["settings"]["classes"] = classes();
+                change(config);
             })
         };
         let nodes = peers.iter().zip(&platforms).map(start).collect();
@@ -81,6 +87,10 @@
         self.platforms[sender].publish(&[listing("e1", DESTINATION, "plain", self.endpoint.address)]);
     }
 
+    fn list_everywhere(&self) {
+        (0..self.platforms.len()).for_each(|sender| self.list_at(sender));
+    }
+
     /// Cuts a sender off from the others: from its next process on, or at once with `reload`.
     fn cut_off(&self, sender: usize, reload: bool) {
         let peers = free_addresses(self.peers.len() as u8);
@@ -110,6 +120,12 @@
         calls
     }
 
+    /// Notices that have come to any sender's platform.
+    fn notices(&self) -> Vec<String> {
+        let notices = self.platforms.iter().flat_map(|platform| platform.notices.try_iter());
+        notices.map(|notice| String::from_utf8(notice.http.body).unwrap()).collect()
+    }
+
     /// The sender, other than these, that has taken over a message.
     fn adopter(&self, except: &[usize]) -> usize {
         let others = || (0..self.nodes.len()).filter(|sender| !except.contains(sender));
@@ -127,10 +143,101 @@
     CLASSES.iter().map(class).collect()
 }
 
+/// One call for each of these messages.
+fn once_each<'a>(ids: impl IntoIterator<Item = &'a str>) -> BTreeMap<String, usize> {
+    ids.into_iter().map(|id| (id.to_owned(), 1)).collect()
+}
+
+fn one_call_for_each_class() -> BTreeMap<String, usize> {
+    once_each(CLASSES.map(|class| class.0))
+}
+
 fn sleep_past_the_short_window() {
     thread::sleep(Duration::from_millis(SHORT_WINDOW_MS));
 }
 
+/// Guards against a restart that ends untried messages with no call, because their backups might have called them long ago.
+#[test]
+fn untried_messages_are_called_after_a_restart_past_their_window() {
+    restart_with_untried_messages(Tier::start(3));
+}
+
+/// Guards the same where messages of earlier processes are passed to the module bit by bit.
+#[test]
+fn untried_messages_are_called_after_a_paced_restart_past_their_window() {
+    restart_with_untried_messages(Tier::start_with(3, |config| {
+        config["limits"]["disk_mb"] = json!(20);
+        config["membership"] = json!({"period_ms": 100});
+        config["start"] = json!({});
+    }));
+}
+
+fn restart_with_untried_messages(mut tier: Tier) {
+    tier.submit_all();
+    sleep_past_the_short_window();
+    tier.nodes[0].kill();
+    tier.nodes[0].restart();
+    assert_eq!(tier.serve(Duration::from_secs(1)), BTreeMap::new(), "no endpoint is listed");
+    assert_eq!(tier.notices(), Vec::<String>::new());
+    tier.list_everywhere();
+    assert_eq!(tier.serve(TAKEOVER_TIME), one_call_for_each_class());
+    assert_eq!(tier.notices(), Vec::<String>::new());
+}
+
+/// Guards the same where the backups have restarted, too, and know nothing of the messages but their own promises.
+#[test]
+fn untried_messages_are_called_after_a_restart_of_all_senders() {
+    let mut tier = Tier::start(3);
+    tier.submit_all();
+    sleep_past_the_short_window();
+    tier.nodes.iter_mut().for_each(Node::kill);
+    tier.nodes.iter_mut().for_each(Node::restart);
+    tier.list_everywhere();
+    assert_eq!(tier.serve(TAKEOVER_TIME), one_call_for_each_class());
+    assert_eq!(tier.notices(), Vec::<String>::new());
+}
+
+/// Guards untried messages while no backup answers: they are neither called past their window nor ended, and called once one answers.
+#[test]
+fn untried_messages_wait_for_the_word_of_a_backup_that_does_not_answer() {
+    let mut tier = Tier::start(3);
+    tier.submit_all();
+    sleep_past_the_short_window();
+    tier.nodes[1..].iter().for_each(|backup| backup.signal("STOP"));
+    tier.nodes[0].kill();
+    tier.nodes[0].restart();
+    tier.list_everywhere();
+    let early = ["keyed-long", "repeatable"];
+    assert_eq!(tier.serve(TAKEOVER_TIME), once_each(early), "a repeat of the others might do harm");
+    assert_eq!(tier.notices(), Vec::<String>::new());
+    tier.nodes[1..].iter().for_each(|backup| backup.signal("CONT"));
+    let mut expected = one_call_for_each_class();
+    expected.retain(|id, _| !early.contains(&id.as_str()));
+    assert_eq!(tier.serve(TAKEOVER_TIME), expected);
+    assert_eq!(tier.notices(), Vec::<String>::new());
+}
+
+/// Guards the same over several restarts, between which messages move to other replica groups.
+#[test]
+fn untried_messages_are_called_after_restarts_in_series() {
+    let mut tier = Tier::start(3);
+    tier.submit_all();
+    for (planned, pause_ms) in [(false, 0), (true, 1_500), (false, 2_000), (false, 0), (true, 0)] {
+        if planned {
+            tier.nodes[0].terminate();
+            assert_eq!(tier.nodes[0].exit_code(), Some(0));
+        }
+        tier.nodes[0].kill();
+        tier.nodes[0].restart();
+        thread::sleep(Duration::from_millis(pause_ms));
+        let moved = tier.report(0)["covered_anew"].as_u64();
+        assert!(pause_ms == 0 || moved > Some(0), "{}", tier.report(0));
+    }
+    tier.list_everywhere();
+    assert_eq!(tier.serve(TAKEOVER_TIME), one_call_for_each_class());
+    assert_eq!(tier.notices(), Vec::<String>::new());
+}
+
 /// Guards against a second effect: the messages were taken over and called before their first owner was back, which heard of it only later.
 #[test]
 fn messages_that_were_taken_over_are_not_called_past_their_window_by_an_owner_that_is_back() {
@@ -176,3 +283,17 @@
     assert_eq!(tier.serve(TAKEOVER_TIME), BTreeMap::new(), "the key is no longer remembered");
     drop(unanswered);
 }
+
+/// Guards against a second effect: a restart without the section `takeover` called what its backups took over.
+#[test]
+fn a_restart_without_takeover_calls_nothing_that_its_backups_may_call() {
+    let mut tier = Tier::start(3);
+    tier.submit_all();
+    tier.nodes[0].kill();
+    tier.nodes[0].rewrite_config(|config| drop(config.as_object_mut().unwrap().remove("takeover")));
+    tier.nodes[0].restart();
+    tier.list_everywhere();
+    let calls = tier.serve(TAKEOVER_TIME);
+    assert_eq!(calls.get("once"), Some(&1), "{calls:?}");
+    assert_eq!(tier.notices(), Vec::<String>::new());
+}
--- a/tests/policy.rs
+++ b/tests/policy.rs
@@ -630,7 +630,7 @@
     let message = s.message(class, None, 20 * SECOND);
     let id = message.id;
     let may_have_run = ran.iter().map(|age| (*age, endpoint(1))).collect();
-    s.handle(vec![Event::Resumed { message, attempts, may_have_run }]);
+    s.handle(vec![Event::Resumed { message, attempts, may_have_run, unconfirmed: None }]);
     id
 }
 
--- a/tests/restart.rs
+++ b/tests/restart.rs
@@ -14,7 +14,14 @@
 ) -> (MessageId, Event) {
     let message = s.message(class, None, time_left);
     let attempts = ran.len() as u32;
-    (message.id, Event::Resumed { message, attempts, may_have_run: ran.to_vec() })
+    (message.id, Event::Resumed { message, attempts, may_have_run: ran.to_vec(), unconfirmed: None })
+}
+
+/// An untried message that another sender may have attempted since a second ago.
+fn unconfirmed(s: &mut Sender, class: usize, time_left: Micros) -> (MessageId, Event) {
+    let message = s.message(class, None, time_left);
+    let may_have_run = Vec::new();
+    (message.id, Event::Resumed { message, attempts: 0, may_have_run, unconfirmed: Some(SECOND) })
 }
 
 fn keyed(group: DedupScope, window: Micros) -> Settings {
@@ -101,3 +108,58 @@
     s.advance(SECOND);
     assert_eq!(s.refused.iter().map(|refused| refused.0).collect::<Vec<_>>(), [id], "it ends in time");
 }
+
+/// Guards untried messages whose ownership is not confirmed: they are held past their window, and sent once it is confirmed.
+#[test]
+fn an_untried_message_waits_past_its_window_for_the_confirmation_of_its_ownership() {
+    for group in [DedupScope::All, DedupScope::Zone, DedupScope::Endpoint] {
+        let mut s = Sender::new(keyed(group, SECOND), &[entry(1, 0)]);
+        let (keyed_id, keyed_event) = unconfirmed(&mut s, KEYED, 20 * SECOND);
+        let (once_id, once_event) = unconfirmed(&mut s, ONCE, 20 * SECOND);
+        s.handle(vec![keyed_event, once_event]);
+        s.advance(10 * SECOND);
+        assert_eq!((s.sent.len(), s.failed.len(), s.refused.len()), (0, 0, 0), "{group:?}: held");
+        for id in [keyed_id, once_id] {
+            s.handle(vec![Event::OwnershipConfirmed(id)]);
+        }
+        let sent: Vec<MessageId> = s.sent.iter().map(|out| out.message).collect();
+        assert_eq!(sent, [keyed_id, once_id], "{group:?}");
+    }
+}
+
+/// Guards the delivery while no confirmation comes: what another sender may have attempted is repeated where that does no harm.
+#[test]
+fn an_unconfirmed_message_is_sent_at_once_where_a_repeat_does_no_harm() {
+    for (group, sent) in [(DedupScope::All, 2), (DedupScope::Zone, 1), (DedupScope::Endpoint, 1)] {
+        let mut s = Sender::new(keyed(group, 6 * SECOND), &[entry(1, 0)]);
+        for class in [SAFE, KEYED, ONCE] {
+            let event = unconfirmed(&mut s, class, 20 * SECOND).1;
+            s.handle(vec![event]);
+        }
+        assert_eq!(s.sent.len(), sent, "{group:?}");
+    }
+}
+
+/// Guards against messages without an end: one whose ownership is never confirmed ends with its time.
+#[test]
+fn an_unconfirmed_message_ends_with_its_time() {
+    let mut s = Sender::new(keyed(DedupScope::All, SECOND), &[entry(1, 0)]);
+    let (id, event) = unconfirmed(&mut s, KEYED, 5 * SECOND);
+    s.handle(vec![event]);
+    s.advance(4 * SECOND);
+    assert_eq!((s.sent.len(), s.failed.len(), s.refused.len()), (0, 0, 0), "held");
+    s.advance(SECOND);
+    assert_eq!(s.refused.iter().map(|refused| refused.0).collect::<Vec<_>>(), [id]);
+    assert!(s.sent.is_empty());
+}
+
+/// Guards attempts of the earlier process itself: they count whoever owned the message since.
+#[test]
+fn a_confirmation_of_ownership_does_not_clear_known_attempts() {
+    let mut s = Sender::new(keyed(DedupScope::All, 2 * SECOND), &[entry(1, 0)]);
+    let message = s.message(KEYED, None, 20 * SECOND);
+    let (id, may_have_run) = (message.id, vec![(3 * SECOND, endpoint(1))]);
+    s.handle(vec![Event::Resumed { message, attempts: 1, may_have_run, unconfirmed: Some(4 * SECOND) }]);
+    s.handle(vec![Event::OwnershipConfirmed(id)]);
+    assert_eq!((s.sent.len(), &s.failed[..]), (0, &[id][..]), "its window is over");
+}
