Don't claim that a message never ran where its backups can't be asked

Its backups take such a message over and may have called for it; the client, told that it surely had not run, hands it in again under a new id: a second effect. With the section such a notice waits for a backup's grant, and is 'undeliverable' without one.

Change: `Driver::provable_outcome`, at the three places where an outcome is recorded or told again: given up by the module, ended at the start, owed at a handover. What may be repeated freely keeps 'deferred'.

Result: restored::a_restart_without_takeover_does_not_claim_that_a_message_never_ran failed before ('deferred') and passes now.

--- a/src/net/driver.rs
+++ b/src/net/driver.rs
@@ -188,7 +188,7 @@
                     self.resume(number, class, &live, now, &mut events);
                     continue;
                 }
-                (Some(how), _) => how,
+                (Some(how), _) => self.provable_outcome(&live, how),
                 (None, None) => live.outcome_without_class(),
             };
             self.end_recovered(number, given_up, live.accepted);
@@ -275,10 +275,12 @@
         self.held = previous.held;
         self.attempts = previous.attempts;
         // Notices are sent again if the journal has no record that the platform received them.
-        let owed = self.journal.pending().iter();
-        let owed =
-            owed.filter_map(|(number, live)| Some((*number, live.given_up?, live.accepted.id.clone())));
-        self.pending_notices.extend(owed.collect::<Vec<_>>());
+        let notice = |(number, live): (&u32, &PendingMessage)| {
+            let how = self.provable_outcome(live, live.given_up?);
+            Some((*number, how, live.accepted.id.clone()))
+        };
+        let owed: Vec<_> = self.journal.pending().iter().filter_map(notice).collect();
+        self.pending_notices.extend(owed);
         let reset =
             |(message, attempt, endpoint)| AttemptEnd::unanswered(message, attempt, endpoint, Outcome::Reset);
         let out = self.policy.outstanding_attempts().map(reset).collect();
--- a/src/net/driver/takeover.rs
+++ b/src/net/driver/takeover.rs
@@ -231,6 +231,17 @@
         }
     }
 
+    /// The outcome as far as this sender can prove it: without the section it can't ask the backups of a
+    /// replicated message whether one of them has attempted it.
+    pub(super) fn provable_outcome(&self, live: &PendingMessage, how: GivenUp) -> GivenUp {
+        let harmless = live.accepted.effect == Some(Effect::Repeatable);
+        let unknown = live.replicated.is_some() && self.parts.takeover.is_none() && !harmless;
+        match how {
+            GivenUp::Deferred(_) if unknown => GivenUp::Undeliverable,
+            how => how,
+        }
+    }
+
     /// Notifies the platform of an outcome, once the backups know of it, too. A notice that is not granted by
     /// the message's deadline is sent all the same, with the outcome that is certain by then: nobody can
     /// deliver the message any more.
--- a/src/net/driver/turn.rs
+++ b/src/net/driver/turn.rs
@@ -151,7 +151,7 @@
         let none_ran = live.replicated.is_none() && live.attempts.iter().all(never_ran);
         let how = match how {
             GivenUp::Undeliverable if none_ran => GivenUp::Deferred(0),
-            how => how,
+            how => self.provable_outcome(live, how),
         };
         let id = live.accepted.id.clone();
         let (destination, attempts) = (live.accepted.destination, live.attempts.len());
--- a/tests/node/restored.rs
+++ b/tests/node/restored.rs
@@ -71,7 +71,11 @@
     }
 
     fn submit(&self, class: &str) {
-        let text = String::from_utf8(submission(class, class, DESTINATION, DEADLINE_MS)).unwrap();
+        self.submit_within(class, DEADLINE_MS);
+    }
+
+    fn submit_within(&self, class: &str, deadline_ms: u32) {
+        let text = String::from_utf8(submission(class, class, DESTINATION, deadline_ms)).unwrap();
         let key = if class.starts_with("keyed") { "Idempotency-Key: key\r\n" } else { "" };
         let text = text.replace("Req-Kind", &format!("{key}Req-Kind"));
         assert_eq!(self.nodes[0].request(text.as_bytes()).status(), 202);
@@ -297,3 +301,15 @@
     assert_eq!(calls.get("once"), Some(&1), "{calls:?}");
     assert_eq!(tier.notices(), Vec::<String>::new());
 }
+
+/// Guards against a second effect: a restart without the section `takeover` told clients that a message had surely not run,
+/// so that they handed it in again, while a backup may have called for it.
+#[test]
+fn a_restart_without_takeover_does_not_claim_that_a_message_never_ran() {
+    let mut tier = Tier::start(3);
+    tier.submit_within("once", 3_000);
+    tier.nodes[0].kill();
+    tier.nodes[0].rewrite_config(|config| drop(config.as_object_mut().unwrap().remove("takeover")));
+    tier.nodes[0].restart();
+    assert_eq!(tier.platforms[0].notice(204), [json!({"id": "once", "status": "undeliverable"})]);
+}
