Hold the estimates against logs that the index can hold

Cause: the test, not the prediction. It made up each owner's entries as a plain list; the index keeps a log in `Table`, by id and tenant, where a second entry of a message is joined with the first. A message that is handed in again after it was deferred is such a second entry. So the bound 'one entry for each id that the filter finds' holds for every log there can be.

Change: the test puts the drawn entries into the index's own table and takes the logs from there. The strategies, the bounds and all assertions are as before; what is checked now includes the join.

--- a/tests/estimate/main.rs
+++ b/tests/estimate/main.rs
@@ -18,6 +18,7 @@
 use myrtleyard::membership::{MemberView, MembershipView, Rank, State as Held};
 use myrtleyard::plans::Plan;
 use myrtleyard::status::query::Touched as Link;
+use myrtleyard::status::shards::Table;
 use myrtleyard::status::{Entry, Generation, LogId, Query, ShardId, State, States};
 use proptest::prelude::*;
 
@@ -63,6 +64,16 @@
 /// Each owner's entries.
 type Index = BTreeMap<Rank, Vec<Entry>>;
 
+/// Each owner's entries as its log holds them: one for each id of a tenant.
+fn indexed(owners: Rank, entries: Vec<(Rank, Entry)>) -> Index {
+    let mut tables: BTreeMap<Rank, Table> = (0..owners).map(|owner| (owner, Table::default())).collect();
+    for (number, (owner, entry)) in (1..).zip(entries) {
+        tables.entry(owner).or_default().put(number, entry);
+    }
+    let rows = |table: &Table| table.rows().map(|row| row.entry.clone()).collect();
+    tables.iter().map(|(owner, table)| (*owner, rows(table))).collect()
+}
+
 fn log(owner: Rank) -> LogId {
     LogId { owner, generation: Generation(u64::from(owner) + 100) }
 }
@@ -176,8 +187,7 @@
         entries in prop::collection::vec((0..4u16, any_entry()), 0..600),
         queries in prop::collection::vec(any_query(), 1..12),
     ) {
-        let mut index: Index = (0..4).map(|owner| (owner, vec![])).collect();
-        entries.into_iter().for_each(|(owner, entry)| index.entry(owner).or_default().push(entry));
+        let index = indexed(4, entries);
         let known = settled_cache(&index);
         for query in queries {
             for held in known.all() {
