Split the long functions of adoption and of undeliverable messages

Change: moved code only. Group events, late grants, waiting replications and adoptions have functions of their own, as have the records of an adoption, the outcome of a message beyond reach, and Policy::is_stuck.

--- a/src/net/driver/takeover.rs
+++ b/src/net/driver/takeover.rs
@@ -120,6 +120,25 @@
     }
 }
 
+/// The records that are written when a message is adopted.
+fn adoption_records(
+    message: u32,
+    taken: &AcceptedMessage,
+    (tag, since): (ReplicaTag, Micros),
+    known: &MessageState,
+) -> Vec<Record> {
+    let mut records: Vec<Record> = acceptance_records(message, taken).collect();
+    records.push(Record::Replicated(message, tag, since));
+    for (attempt, intended) in &known.attempts {
+        let (attempt, endpoint) = (*attempt, String::new());
+        records.push(Record::AttemptBegun { message, attempt, endpoint, at: intended.at });
+        if intended.never_ran {
+            records.push(Record::AttemptEnded { message, attempt, never_ran: true });
+        }
+    }
+    records
+}
+
 impl Driver {
     /// Assigns an accepted message to a replica group, if it can be replicated.
     pub(super) fn assign_group(&mut self, taken: &AcceptedMessage, now: Micros) -> Option<ReplicaTag> {
@@ -284,50 +303,68 @@
     pub(super) fn handle_takeover(&mut self, events: &mut Vec<Event>) {
         let Some(takeover) = self.parts.takeover.as_mut() else { return };
         for event in takeover.core.take_events() {
-            match event {
-                GroupEvent::Granted { group, upto } => self.granted(group, upto),
-                GroupEvent::Adopt { group, epoch, backups, last_heard: heard, items } => {
-                    tracing::info!(
-                        owner = group.owner,
-                        lot = group.number,
-                        epoch,
-                        messages = items.len(),
-                        "replica group taken over"
-                    );
-                    for (item, known) in items {
-                        let record = known.record.as_deref().unwrap_or_default();
-                        let tag = ReplicaTag { group, epoch, item, backups: backups.clone() };
-                        let Some(record) = MessageRecord::decode(record) else {
-                            tracing::error!(
-                                lot = group.number,
-                                item,
-                                "the replicated record of a message can't be decoded; the message is dropped"
-                            );
-                            self.send_update(&tag, Update::Over, self.clock.now());
-                            continue;
-                        };
-                        let heard = heard.max(record.since);
-                        self.replicated.adoptions.push(Adoption { record, tag, heard, known });
-                    }
-                    self.replicated.adoptions.sort_by_key(|a| std::cmp::Reverse(a.record.taken.deadline));
-                }
-                GroupEvent::SoleOwner(group) => self.sole_owner(group, events),
-                GroupEvent::Lost { group, items } => {
-                    self.replicated
-                        .adoptions
-                        .retain(|a| a.tag.group != group || !items.contains(&a.tag.item));
-                    items.into_iter().for_each(|item| self.drop_lost((group, item), events));
+            self.handle_group_event(event, events);
+        }
+        let now = self.clock.now();
+        self.stop_waiting_for_grants(now);
+        self.replicate_waiting(now);
+        self.adopt_waiting(now, events);
+    }
+
+    fn handle_group_event(&mut self, event: GroupEvent, events: &mut Vec<Event>) {
+        match event {
+            GroupEvent::Granted { group, upto } => self.granted(group, upto),
+            GroupEvent::Adopt { group, epoch, backups, last_heard, items } => {
+                let messages = items.len();
+                tracing::info!(
+                    owner = group.owner,
+                    lot = group.number,
+                    epoch,
+                    messages,
+                    "replica group taken over"
+                );
+                for (item, known) in items {
+                    let tag = ReplicaTag { group, epoch, item, backups: backups.clone() };
+                    self.queue_adoption(tag, last_heard, known);
                 }
-                GroupEvent::Finished(group, item) => {
-                    self.replicated.adoptions.retain(|a| (a.tag.group, a.tag.item) != (group, item));
-                    if let Some(takeover) = &mut self.parts.takeover {
-                        takeover.core.replicate(self.clock.now(), group, item, Update::Over);
-                    }
-                    self.drop_lost((group, item), events);
+                self.replicated.adoptions.sort_by_key(|a| std::cmp::Reverse(a.record.taken.deadline));
+            }
+            GroupEvent::SoleOwner(group) => self.sole_owner(group, events),
+            GroupEvent::Lost { group, items } => {
+                self.replicated.adoptions.retain(|a| a.tag.group != group || !items.contains(&a.tag.item));
+                items.into_iter().for_each(|item| self.drop_lost((group, item), events));
+            }
+            GroupEvent::Finished(group, item) => {
+                self.replicated.adoptions.retain(|a| (a.tag.group, a.tag.item) != (group, item));
+                if let Some(takeover) = &mut self.parts.takeover {
+                    takeover.core.replicate(self.clock.now(), group, item, Update::Over);
                 }
+                self.drop_lost((group, item), events);
             }
         }
-        let now = self.clock.now();
+    }
+
+    fn queue_adoption(&mut self, tag: ReplicaTag, last_heard: Micros, known: MessageState) {
+        let record = known.record.as_deref().unwrap_or_default();
+        match MessageRecord::decode(record) {
+            Some(record) => {
+                let heard = last_heard.max(record.since);
+                self.replicated.adoptions.push(Adoption { record, tag, heard, known });
+            }
+            None => {
+                tracing::error!(
+                    lot = tag.group.number,
+                    item = tag.item,
+                    "the replicated record of a message can't be decoded; the message is dropped"
+                );
+                self.send_update(&tag, Update::Over, self.clock.now());
+            }
+        }
+    }
+
+    /// Reports calls as not made that have waited too long for their grants, and sends notices whose messages'
+    /// time is up.
+    fn stop_waiting_for_grants(&mut self, now: Micros) {
         let lease = self.parts.takeover.as_ref().map_or(0, |takeover| takeover.core.lease());
         let late = |held: &mut HeldCall| now > held.since + lease.min(MAX_GRANT_WAIT);
         let late: Vec<HeldCall> = self.replicated.calls.extract_if(.., late).collect();
@@ -337,18 +374,24 @@
         // Another sender may have attempted it or may be attempting it now, so it can't be claimed any more
         // that it never ran.
         due.into_iter().for_each(|held| self.send_notice(held.message, GivenUp::Undeliverable, held.id));
+    }
+
+    fn replicate_waiting(&mut self, now: Micros) {
         for _ in 0..MAX_ADOPTIONS {
-            let Some(number) = self.replicated.unreplicated.pop_first() else { break };
+            let Some(number) = self.replicated.unreplicated.pop_first() else { return };
             if !self.replicate_again(number, now) {
                 self.replicated.unreplicated.insert(number);
-                break;
+                return;
             }
         }
+    }
+
+    fn adopt_waiting(&mut self, now: Micros, events: &mut Vec<Event>) {
         for _ in 0..MAX_ADOPTIONS {
-            let Some(next) = self.replicated.adoptions.pop() else { break };
+            let Some(next) = self.replicated.adoptions.pop() else { return };
             if let Err(again) = self.adopt(next, now, events) {
                 self.replicated.adoptions.push(*again);
-                break;
+                return;
             }
         }
     }
@@ -470,26 +513,11 @@
         }
         let number = self.next_message;
         let (id, place) = (taken.id.clone(), (tag.group, tag.item));
-        let mut records: Vec<Record> = acceptance_records(number, &taken).collect();
-        records.push(Record::Replicated(number, tag.clone(), *heard));
-        for (attempt, intended) in &known.attempts {
-            let (message, attempt, endpoint) = (number, *attempt, String::new());
-            records.push(Record::AttemptBegun { message, attempt, endpoint, at: intended.at });
-            if intended.never_ran {
-                records.push(Record::AttemptEnded { message, attempt, never_ran: true });
-            }
-        }
         let reach = class.is_some()
             && self.journal.has_capacity(&taken, 0)
             && self.policy.held() < self.settings.max_open;
-        let once = class.is_some_and(|class| self.settings.classes[class].effect == Effect::Once);
-        let how = match known.given_up {
-            None if reach => None,
-            // No other sender attempts it any more, and none has.
-            None if once && !known.may_have_run() => Some(GivenUp::Deferred(RETRY_WHEN_FULL)),
-            None => Some(GivenUp::Undeliverable),
-            some => some,
-        };
+        let how = known.given_up.or_else(|| (!reach).then(|| self.outcome_beyond_reach(class, &known)));
+        let mut records = adoption_records(number, &taken, (tag.clone(), *heard), &known);
         records.extend(how.map(|how| Record::GivenUp(number, how)));
         if let Err(e) = self.journal.append(&records) {
             tracing::error!("writing the journal failed: {e}");
@@ -516,6 +544,14 @@
         Ok(())
     }
 
+    /// The outcome of an adopted message that this sender can't take on.
+    fn outcome_beyond_reach(&self, class: Option<usize>, known: &MessageState) -> GivenUp {
+        let once = class.is_some_and(|class| self.settings.classes[class].effect == Effect::Once);
+        // No other sender attempts it any more, and none has.
+        let never_ran = once && !known.may_have_run();
+        if never_ran { GivenUp::Deferred(RETRY_WHEN_FULL) } else { GivenUp::Undeliverable }
+    }
+
     /// Passes a message to the module that the module did not accept itself.
     pub(super) fn resume(
         &mut self,
--- a/src/policy.rs
+++ b/src/policy.rs
@@ -1071,6 +1071,23 @@
         self.remove_message(id);
     }
 
+    /// Whether known attempts forbid every further one. A message that only waits for the confirmation of its
+    /// ownership is not stuck.
+    fn is_stuck(&self, held: &Held) -> bool {
+        if held.may_have_run.is_empty() {
+            return false;
+        }
+        // An endpoint that is not known yet after a restart may still be listed.
+        let unlisted = held.may_have_run.iter().map(|attempt| attempt.2);
+        let unlisted = unlisted.filter(|endpoint| !self.endpoints.contains_key(endpoint));
+        let mut endpoints = self.endpoints_of(held).map(|endpoint| endpoint.0).chain(unlisted);
+        match self.settings.classes[held.message.class].effect {
+            Effect::Repeatable => false,
+            Effect::Once => true,
+            Effect::Keyed { .. } => !endpoints.any(|endpoint| self.known_attempts_allow(held, endpoint)),
+        }
+    }
+
     /// Answers messages that can no longer be delivered.
     fn answer_undeliverable(&mut self, actions: &mut Vec<Action>) {
         let now = self.now;
@@ -1080,21 +1097,6 @@
                 // A client whose message a drain cuts short can go to another sender at once.
                 undeliverable.push((*id, self.drain_deadline.map_or(0, |_| self.settings.period)));
             } else if held.outstanding == 0 {
-                // A message that only waits for the confirmation of its ownership is not stuck.
-                let stuck = match self.settings.classes[held.message.class].effect {
-                    Effect::Once => !held.may_have_run.is_empty(),
-                    Effect::Keyed { .. } if !held.may_have_run.is_empty() => {
-                        // An endpoint that is not known yet after a restart may still be listed.
-                        let unlisted = held.may_have_run.iter().map(|a| a.2);
-                        let unlisted = unlisted.filter(|e| !self.endpoints.contains_key(e));
-                        !self
-                            .endpoints_of(held)
-                            .map(|e| e.0)
-                            .chain(unlisted)
-                            .any(|e| self.known_attempts_allow(held, e))
-                    }
-                    _ => false,
-                };
                 // Held until the trial, unless the deadline comes first. A drain with a deadline keeps no
                 // message that can't be sent and answered before it: no endpoint, a requested wait, too
                 // little time.
@@ -1108,7 +1110,7 @@
                 let may_refuse_early = self.drain_deadline.is_some() || held.attempts > 0;
                 let too_late = earliest.max(max_wait_until.min(now)) > latest
                     && (may_refuse_early || self.early_refusal_cost(held) == 0.0);
-                if stuck || held.attempts >= self.settings.try_limit || too_late {
+                if self.is_stuck(held) || held.attempts >= self.settings.try_limit || too_late {
                     let min_retry_after = max_wait_until.min(self.settings.period);
                     undeliverable.push((*id, earliest.saturating_sub(now).max(min_retry_after)));
                 }
