--- a/src/interface.rs
+++ b/src/interface.rs
@@ -349,7 +349,7 @@
         /// begun. [`Event::OwnershipConfirmed`] rules that out.
         unconfirmed: Option<Micros>,
     },
-    /// No other sender owns the message, has attempted it since it was resumed as unconfirmed, or will.
+    /// No other sender has come to own the message, or can: no attempt was made but those that are known.
     OwnershipConfirmed(MessageId),
     /// This process ends at that time; the next one takes up the remaining messages.
     Stopping(Micros),
