Bind a granted call from its intent, not from when the message was accepted

What callers saw: a keyed message that nobody had called for was given up with no call where its destination opened in the last quarter second of the window since it was accepted, also without any restart.

`write_by` counted the time of acceptance as an attempt that another sender may have made, for a call whose intent a backup had just granted as well. The call was planned, granted, and then not written since the time to write it was over; six such tries took less than that quarter second, and the message ended.

Change: a planned call knows when its intent was granted, or that the group had no other possible owner, and is bound from there: another sender can only have called after that. Calls without a grant are bound as before.

Why this is safe: a backup that grants an intent knows it before it can own the group, and counts its window from the intent at the latest; the owner's request is written within the window from that same time.

Result: restored::an_untried_message_is_called_at_the_end_of_its_window failed before (no call at all) and passes; the other nine of tests/node/restored.rs pass as before.

--- a/src/net/driver/takeover.rs
+++ b/src/net/driver/takeover.rs
@@ -225,6 +225,8 @@
                 }
                 // Another sender owns it, which is about to be reported here.
                 None if needs && !owned => self.report_not_made(call),
+                // No other sender can come to own it.
+                None if owned => free.push(PlannedCall { owned_at: Some(now), ..call }),
                 _ => free.push(call),
             }
         }
@@ -471,7 +473,7 @@
         over.into_iter().for_each(|held| self.report_not_made(held.call));
         let left = |HeldCall { since, call, .. }: HeldCall| {
             let timeout = call.timeout.saturating_sub(now - since);
-            PlannedCall { timeout, ..call }
+            PlannedCall { timeout, owned_at: Some(since), ..call }
         };
         self.start_calls(free.into_iter().map(left).collect(), now);
         let granted = |held: &mut HeldNotice| held.group == group && held.upto <= upto;
--- a/src/net/driver/turn.rs
+++ b/src/net/driver/turn.rs
@@ -28,6 +28,8 @@
     pub(super) endpoint: EndpointId,
     /// How long to wait for the answer, from the iteration that decided it.
     pub(super) timeout: Micros,
+    /// When its intent was granted, or needed no grant: no other sender had come to own the message by then.
+    pub(super) owned_at: Option<Micros>,
 }
 
 /// Actions of the decision module that may be carried out only after they are in the journal.
@@ -88,7 +90,13 @@
         match action {
             Action::Attempt { message, endpoint, timeout } => {
                 let attempt = self.next_attempt(message, fresh);
-                let call = attempt.map(|attempt| PlannedCall { message, attempt, endpoint, timeout });
+                let call = attempt.map(|attempt| PlannedCall {
+                    message,
+                    attempt,
+                    endpoint,
+                    timeout,
+                    owned_at: None,
+                });
                 decided.calls.extend(call);
             }
             Action::Refuse { message, retry_after } => {
@@ -302,13 +310,13 @@
 
     /// The time by which a keyed message's request must be written: a repeat must reach the endpoint while it
     /// still remembers the key, however late the connection comes up. A replicated message is bound from when
-    /// it was accepted, since other senders may have tried it then. Once that window is over it needs a
-    /// grant, and only attempts known here count.
+    /// other senders may have tried it: when it was accepted, or when this call's intent was granted. Once the
+    /// window since it was accepted is over, calls need a grant.
     pub(super) fn write_by(
         &self,
         number: u32,
         live: &PendingMessage,
-        attempt: Option<u16>,
+        call: Option<&PlannedCall>,
         now: Micros,
     ) -> Option<Micros> {
         let class = self.policy.class_of(MessageId(number));
@@ -320,11 +328,12 @@
             .effect
             .stricter(live.accepted.effect.unwrap_or(Effect::Repeatable));
         let Effect::Keyed { window, .. } = effect else { return None };
-        let ran =
-            live.attempts.iter().filter(|earlier| Some(earlier.number) != attempt && !earlier.never_ran);
-        let replicated =
-            live.replicated.as_ref().map(|(_, since)| *since).filter(|since| now < since + window);
-        let first = ran.map(|earlier| earlier.at).chain(replicated).min()?;
+        let own = call.map(|call| call.attempt);
+        let ran = live.attempts.iter().filter(|earlier| Some(earlier.number) != own && !earlier.never_ran);
+        let owned_at = call.and_then(|call| call.owned_at);
+        let elsewhere = live.replicated.as_ref().map(|(_, since)| owned_at.unwrap_or(*since));
+        let elsewhere = elsewhere.filter(|since| now < since + window);
+        let first = ran.map(|earlier| earlier.at).chain(elsewhere).min()?;
         Some(first.saturating_add(window).saturating_sub(self.settings.repeat_margin(window)))
     }
 
@@ -369,10 +378,10 @@
 
     /// Returns the message as part of a call, if it is still owed.
     fn call_message(&mut self, call: &PlannedCall, now: Micros) -> Option<CallMessage> {
-        let PlannedCall { message, attempt, endpoint, timeout } = *call;
+        let PlannedCall { message, attempt, endpoint, timeout, .. } = *call;
         let live = self.journal.pending().get(&message.0)?;
         let until = now + timeout;
-        let write_by = self.write_by(message.0, live, Some(attempt), now).map_or(until, |by| by.min(until));
+        let write_by = self.write_by(message.0, live, Some(call), now).map_or(until, |by| by.min(until));
         let (until, write_by) = (self.clock.instant(until), self.clock.instant(write_by));
         if let Some(status_part) = &mut self.parts.status {
             status_part.attempt_begun(&live.accepted, attempt, self.clock.now());
--- a/tests/node/restored.rs
+++ b/tests/node/restored.rs
@@ -337,3 +337,16 @@
     tier.nodes[0].restart();
     assert_eq!(tier.platforms[0].notice(204), [json!({"id": "once", "status": "undeliverable"})]);
 }
+
+/// Guards against an untried message that uses up its tries at the end of its window: its calls were granted, and then not written,
+/// as if another sender might have called long ago.
+#[test]
+fn an_untried_message_is_called_at_the_end_of_its_window() {
+    let tier = Tier::start(3, LONG_LEASE_MS);
+    tier.submit("keyed");
+    // In the last quarter second no repeat may be written.
+    thread::sleep(Duration::from_millis(SHORT_WINDOW_MS - 180));
+    tier.list_everywhere();
+    assert_eq!(tier.serve_until_called(&["keyed"]), once_each(&["keyed"]));
+    assert_eq!(tier.notices(), Vec::<String>::new());
+}
